Lay out the packages, the message types and the tables

Cause: the parts can only be built beside each other once the messages between them and the rows they share are fixed.

Change: one package for each concern, the messages between processes and between the core and its shell, the entry tables, the client for calls to control, the host lease and the manifest view. Admission, routing and gossip are thin; pipelines, consensus, storage and the shells are not there yet, so the entry tick does not import.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments and their reports."""
--- /dev/null
+++ b/bitternlever/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Queues, priorities, workspace shares and early refusals."""
--- /dev/null
+++ b/bitternlever/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The commands of both programs, one module each."""
--- /dev/null
+++ b/bitternlever/conf/__init__.py
@@ -0,0 +1,1 @@
+"""Settings of both programs, their defaults and their checks."""
--- /dev/null
+++ b/bitternlever/consensus/__init__.py
@@ -0,0 +1,1 @@
+"""The replicated log: election, replication, snapshots, replica replacement."""
--- /dev/null
+++ b/bitternlever/core/__init__.py
@@ -0,0 +1,1 @@
+"""Parts shared by the cores of both programs: ticks, outcomes, identifiers."""
--- /dev/null
+++ b/bitternlever/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The core and the shell of the entry program."""
--- /dev/null
+++ b/bitternlever/entry/tables.py
@@ -0,0 +1,130 @@
+"""All tables of an entry host, and the settings that its decisions need."""
+
+import dataclasses
+import random
+from collections.abc import Callable
+from typing import Any
+
+import result
+
+from bitternlever.admission import tables as admission_tables
+from bitternlever.gossip import tables as gossip_tables
+from bitternlever.messages import calls, manifest, requests
+from bitternlever.pipelines import tables as pipeline_tables
+from bitternlever.routing import tables as routing_tables
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class EntrySettings:
+    """Settings of the entry core; durations in seconds."""
+
+    host: str
+    zone: str
+    address: str
+    link: str
+    incarnation: str
+    control_nodes: dict[str, str]
+    seed_links: list[str]
+    host_list_max_age_s: float = 5.0
+    maximum_requests: int = 5_000
+    upstream_silence_s: float = 3.0
+    policy: str = "predicted"
+
+
+@dataclasses.dataclass(slots=True)
+class HostLease:
+    """This host's lease; it may send and write only before ``valid_until_s``."""
+
+    epoch: int = 0
+    valid_until_s: float = 0.0
+    next_renewal_s: float = 0.0
+    renewing: bool = False
+    released: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class ManifestView:
+    """The manifest on this host; new work only before ``fresh_until_s``.
+
+    ``accepted`` and ``kinds`` index the manifest by name; ``tokens`` maps the SHA-256
+    of a token to its workspace.
+    """
+
+    number: int = 0
+    digest: str = ""
+    manifest: manifest.Manifest | None = None
+    fresh_until_s: float = 0.0
+    fetching: bool = False
+    workspaces: dict[str, manifest.Workspace] = dataclasses.field(default_factory=dict)
+    pipelines: dict[str, manifest.Pipeline] = dataclasses.field(default_factory=dict)
+    tokens: dict[str, str] = dataclasses.field(default_factory=dict)
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class CallFailed:
+    """A call to control without a reply; ``sent`` NO only when it cannot commit."""
+
+    sent: requests.Sent
+    reason: str
+    retry_after_s: float
+
+
+CallOutcome = result.Result[calls.Reply, CallFailed]
+OnOutcome = Callable[["EntryTables", float, Any, CallOutcome], None]
+
+
+@dataclasses.dataclass(slots=True)
+class PendingCall:
+    """A call to control that waits for its reply."""
+
+    call: calls.ControlCall
+    on_outcome: OnOutcome
+    give_up_s: float
+    resend_s: float
+    target: str
+    in_doubt: bool = False
+    unanswered: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class ControlCalls:
+    """Pending calls by id, and the leader of each group as last heard."""
+
+    pending: dict[int, PendingCall] = dataclasses.field(default_factory=dict)
+    leaders: dict[int, str] = dataclasses.field(default_factory=dict)
+    next_call: int = 0
+    next_target: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class EntryTables:
+    """Everything that an entry host knows; systems run over it each tick."""
+
+    settings: EntrySettings
+    random: random.Random
+    lease: HostLease = dataclasses.field(default_factory=HostLease)
+    manifest: ManifestView = dataclasses.field(default_factory=ManifestView)
+    control: ControlCalls = dataclasses.field(default_factory=ControlCalls)
+    membership: gossip_tables.MembershipTables = dataclasses.field(
+        default_factory=gossip_tables.MembershipTables,
+    )
+    requests: pipeline_tables.RequestTables = dataclasses.field(
+        default_factory=pipeline_tables.RequestTables,
+    )
+    admission: admission_tables.AdmissionTables = dataclasses.field(
+        default_factory=admission_tables.AdmissionTables,
+    )
+    routing: routing_tables.RoutingTables = dataclasses.field(
+        default_factory=routing_tables.RoutingTables,
+    )
+    counters: dict[str, int] = dataclasses.field(default_factory=dict)
+    orphans_hint: bool = False
+
+    def count(self, name: str) -> None:
+        """Add one to the counter of this name."""
+        self.counters[name] = self.counters.get(name, 0) + 1
+
+
+def create(settings: EntrySettings, seed: int) -> EntryTables:
+    """Make the empty tables of an entry host; ``seed`` fixes its random choices."""
+    return EntryTables(settings=settings, random=random.Random(seed))
--- /dev/null
+++ b/bitternlever/entry/tick.py
@@ -0,0 +1,87 @@
+"""The entry host's tick: all systems over all tables in a fixed order."""
+
+from typing import Any
+
+from bitternlever.admission import dispatch, preemption
+from bitternlever.core import ticks
+from bitternlever.entry import control_client, lease, tables as entry_tables
+from bitternlever.gossip import membership
+from bitternlever.messages import calls, frames, gossip, requests
+from bitternlever.orders import placement
+from bitternlever.pipelines import answers, drain, intake, launch, stages, takeover
+from bitternlever.routing import hedges
+
+CONTROL_ANSWERS = (
+    calls.ControlReply,
+    calls.ControlRedirect,
+    calls.ControlBusy,
+    calls.ControlUncertain,
+)
+
+
+def tick(
+    tables: entry_tables.EntryTables,
+    now: float,
+    inbox: list[Any],
+) -> ticks.Outbox:
+    """Take what arrived, run every system once, and return what leaves."""
+    outbox = ticks.Outbox()
+    for message in inbox:
+        _receive(tables, now, outbox, message)
+    control_client.run(tables, now, outbox)
+    lease.run(tables, now, outbox)
+    membership.run(tables, now, outbox)
+    stages.run(tables, now, outbox)
+    takeover.run(tables, now, outbox)
+    for attempt in preemption.due(tables, now):
+        launch.preempt(tables, now, outbox, attempt)
+    for ready in hedges.due(tables, now):
+        launch.hedge(tables, now, outbox, ready)
+    dispatch.run(tables, now, outbox, launch.launch)
+    placement.run(tables, now, outbox)
+    drain.run(tables, now, outbox)
+    return outbox
+
+
+def _receive(
+    tables: entry_tables.EntryTables,
+    now: float,
+    outbox: ticks.Outbox,
+    message: Any,
+) -> None:
+    if isinstance(message, frames.PeerReceived):
+        _receive_peer(tables, now, outbox, message)
+        return
+    RECEIVERS[type(message)](tables, now, outbox, message)
+
+
+def _receive_peer(
+    tables: entry_tables.EntryTables,
+    now: float,
+    outbox: ticks.Outbox,
+    received: frames.PeerReceived,
+) -> None:
+    message = received.message
+    if isinstance(message, CONTROL_ANSWERS):
+        control_client.receive(tables, now, outbox, received.node, message)
+    elif isinstance(message, gossip.Gossip):
+        membership.receive(tables, now, outbox, message)
+    elif isinstance(message, calls.OrphansWaiting):
+        tables.orphans_hint = True
+    elif isinstance(message, calls.ManifestChanged):
+        lease.manifest_changed(tables, now, outbox, message)
+
+
+RECEIVERS = {
+    requests.RequestSubmitted: intake.submit,
+    requests.RequestQueried: answers.query,
+    requests.RequestCancelled: answers.cancel,
+    requests.AnswerAcknowledged: answers.acknowledge,
+    requests.CallerGone: answers.caller_gone,
+    requests.UpstreamPart: stages.part,
+    requests.UpstreamFinished: stages.finished,
+    requests.UpstreamFailed: stages.failed,
+    requests.UpstreamAnnounced: membership.announced,
+    requests.OrderAnswered: placement.answered,
+    requests.DrainRequested: drain.request,
+}
--- /dev/null
+++ b/bitternlever/gossip/__init__.py
@@ -0,0 +1,1 @@
+"""Membership of entry hosts and the spread of upstream announcements."""
--- /dev/null
+++ b/bitternlever/http/__init__.py
@@ -0,0 +1,1 @@
+"""The HTTP interface for callers, operators and upstreams."""
--- /dev/null
+++ b/bitternlever/journal/__init__.py
@@ -0,0 +1,1 @@
+"""The state machine of the journal groups, and the entry hosts' calls to it."""
--- /dev/null
+++ b/bitternlever/messages/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between processes, and between the core and its shell."""
--- /dev/null
+++ b/bitternlever/messages/frames.py
@@ -0,0 +1,59 @@
+"""The frame on the wire between the system's own processes.
+
+One frame carries all messages of one tick for one peer. The transport encodes it as
+MessagePack behind a keyed MAC.
+"""
+
+import msgspec
+
+from bitternlever.messages import calls, consensus, gossip
+
+PROTOCOL_VERSION = 1
+
+PeerMessage = (
+    calls.ControlCall
+    | calls.ControlReply
+    | calls.ControlRedirect
+    | calls.ControlBusy
+    | calls.ControlUncertain
+    | calls.OrphansWaiting
+    | calls.ManifestChanged
+    | gossip.Gossip
+    | consensus.VoteRequest
+    | consensus.VoteReply
+    | consensus.AppendRequest
+    | consensus.AppendReply
+    | consensus.SnapshotRequest
+    | consensus.SnapshotReply
+)
+
+
+class Frame(msgspec.Struct, frozen=True):
+    """Messages from one process to another.
+
+    ``link`` is the address at which the sender listens, ``incarnation`` tells its
+    runs apart, ``sequence`` counts its frames to this peer.
+    """
+
+    version: int
+    sender: str
+    link: str
+    incarnation: str
+    sequence: int
+    messages: list[PeerMessage]
+
+
+class SendPeer(msgspec.Struct, tag=True):
+    """Leave a core for another process; ``link`` is set where the name is new."""
+
+    node: str
+    message: PeerMessage
+    link: str | None = None
+
+
+class PeerReceived(msgspec.Struct, tag=True):
+    """A message of another process enters a core."""
+
+    node: str
+    link: str
+    message: PeerMessage
--- /dev/null
+++ b/bitternlever/messages/requests.py
@@ -0,0 +1,206 @@
+"""Messages between the entry core and its shell: callers, upstreams, timers.
+
+A caller is one open HTTP exchange, numbered by the shell. Names ending in a past
+participle are events that enter the core; imperative names leave it.
+"""
+
+import enum
+from typing import Any
+
+import msgspec
+
+from bitternlever.messages import problems, upstream
+
+
+class RequestSubmitted(msgspec.Struct, tag=True):
+    """A caller's new request; ``digest`` is the SHA-256 of its body."""
+
+    caller: int
+    workspace: str
+    pipeline: str
+    kind: str
+    body: bytes
+    digest: str
+    key: str | None = None
+    stream: bool = False
+    resume_offset: int = 0
+    deadline_ms: int | None = None
+    traceparent: str | None = None
+
+
+class RequestQueried(msgspec.Struct, tag=True):
+    """A caller asks for the state or the answer of a request by its id."""
+
+    caller: int
+    workspace: str
+    request_id: str
+    stream: bool = False
+    resume_offset: int = 0
+
+
+class RequestCancelled(msgspec.Struct, tag=True):
+    """A caller cancels a request by its id."""
+
+    caller: int
+    workspace: str
+    request_id: str
+
+
+class AnswerAcknowledged(msgspec.Struct, tag=True):
+    """A caller says that it holds the whole answer of a request."""
+
+    caller: int
+    workspace: str
+    request_id: str
+
+
+class CallerGone(msgspec.Struct, tag=True):
+    """A caller's connection closed before its answer was whole."""
+
+    caller: int
+
+
+class StreamPiece(msgspec.Struct, tag=True):
+    """A piece of streamed output for a caller, beginning at ``offset``."""
+
+    caller: int
+    request_id: str
+    offset: int
+    text: str
+
+
+class WholeAnswer(msgspec.Struct, tag=True):
+    """The whole answer for a caller: JSON bytes, equal on every replay.
+
+    ``length`` and ``output_digest`` close a streamed answer: the characters of the
+    streamed text and its SHA-256 digest.
+    """
+
+    caller: int
+    request_id: str
+    body: bytes
+    length: int = 0
+    output_digest: str = ""
+
+
+class ProblemAnswer(msgspec.Struct, tag=True):
+    """A refusal or failure for a caller, sent at once."""
+
+    caller: int
+    problem: problems.Problem
+
+
+class RequestState(msgspec.Struct, tag=True):
+    """The state of a request that is not yet answered, for a caller that asked."""
+
+    caller: int
+    request_id: str
+    state: str
+    retry_after_s: float
+
+
+class CallUpstream(msgspec.Struct, tag=True):
+    """Send a stage call to an upstream; each attempt is sent at most once.
+
+    ``must_not_start_after`` is the monotonic time, in seconds, past which the shell
+    drops the call and reports it as not sent: the end of the host lease for a stage
+    that is not idempotent.
+    """
+
+    attempt: str
+    upstream: str
+    address: str
+    task: str
+    call: upstream.StageCall
+    idempotent: bool
+    first_byte_timeout_s: float
+    between_bytes_timeout_s: float
+    must_not_start_after: float
+    traceparent: str | None = None
+
+
+class CancelUpstream(msgspec.Struct, tag=True):
+    """Cancel a stage call and drop whatever still arrives for it."""
+
+    attempt: str
+    upstream: str
+    address: str
+
+
+class Sent(enum.Enum):
+    """Whether a failed call may have reached the upstream."""
+
+    NO = "no"
+    UNKNOWN = "unknown"
+
+
+class UpstreamPart(msgspec.Struct, tag=True):
+    """A piece of a streamed stage output."""
+
+    attempt: str
+    offset: int
+    text: str
+
+
+class UpstreamFinished(msgspec.Struct, tag=True):
+    """The end of a stage call: its whole output, or the end mark of a stream.
+
+    ``output`` is absent for a streamed call; ``length`` is absent for a whole one.
+    The shell has checked nothing: binding and digest are the core's to check.
+    """
+
+    attempt: str
+    binding: upstream.Binding
+    digest: str
+    output: Any = None
+    length: int | None = None
+    usage: upstream.Usage = upstream.Usage()
+
+
+class UpstreamFailed(msgspec.Struct, tag=True):
+    """A stage call that ended without a whole answer.
+
+    ``status`` is the upstream's HTTP status, absent where none was read. An upstream
+    that refuses with 429 or 503 and ``ran: no`` is reported with ``sent`` NO.
+    """
+
+    attempt: str
+    sent: Sent
+    reason: str
+    status: int | None = None
+    retry_after_s: float | None = None
+
+
+class UpstreamAnnounced(msgspec.Struct, tag=True):
+    """An announcement that an upstream sent to this host."""
+
+    announcement: upstream.Announcement
+
+
+class SendOrder(msgspec.Struct, tag=True):
+    """Send an order to an engine."""
+
+    order_id: str
+    upstream: str
+    address: str
+    order: upstream.EngineOrder
+
+
+class OrderAnswered(msgspec.Struct, tag=True):
+    """An engine's answer to an order; ``error`` is empty when it was taken."""
+
+    order_id: str
+    upstream: str
+    error: str = ""
+
+
+class DrainRequested(msgspec.Struct, tag=True):
+    """SIGTERM or an operator's drain; a second one ends the process sooner."""
+
+    forced: bool = False
+
+
+class ProcessEnd(msgspec.Struct, tag=True):
+    """Leave the core's last word: the process may end."""
+
+    cut_off: list[str] = []
--- /dev/null
+++ b/bitternlever/orders/__init__.py
@@ -0,0 +1,1 @@
+"""Orders to engines: wanted placement, fencing, pacing of the weight store."""
--- /dev/null
+++ b/bitternlever/pipelines/__init__.py
@@ -0,0 +1,1 @@
+"""The life of a request through the stages of its pipeline."""
--- /dev/null
+++ b/bitternlever/storage/__init__.py
@@ -0,0 +1,1 @@
+"""Segments, checksums, synced writes and snapshots on disk."""
--- /dev/null
+++ b/bitternlever/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Metrics, traces and numbered log events."""
--- /dev/null
+++ b/bitternlever/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Links between processes and the client towards upstreams."""
--- /dev/null
+++ b/bitternlever/utils/__init__.py
@@ -0,0 +1,1 @@
+"""Small helpers without dependencies on other packages."""
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the systems around bitternlever, run as processes."""
