--- a/bitternlever/entry/control_client.py
+++ b/bitternlever/entry/control_client.py
@@ -8,7 +8,7 @@
 
 from bitternlever.core import ticks
 from bitternlever.entry import tables as entry_tables
-from bitternlever.messages import calls, frames, requests
+from bitternlever.messages import calls, frames, journal, requests
 
 RESEND_S = 0.3
 CALL_TIMEOUT_S = 3.0
@@ -16,6 +16,8 @@
 RETRY_AFTER_S = 1.0
 MAXIMUM_PENDING = 20_000
 
+REFUSALS = (journal.JournalFull, journal.Fenced)
+
 
 def call(
     tables: entry_tables.EntryTables,
@@ -74,7 +76,8 @@
         case calls.ControlReply():
             tables.control.leaders[message.group] = sender
             del tables.control.pending[message.call_id]
-            pending.on_outcome(tables, now, outbox, result.Ok(message.reply))
+            outcome = _outcome(pending, message.reply)
+            pending.on_outcome(tables, now, outbox, outcome)
         case calls.ControlRedirect():
             _redirect(tables, now, pending, sender, message.leader)
         case calls.ControlBusy():
@@ -86,6 +89,21 @@
             pending.resend_s = now + REDIRECT_PAUSE_S
 
 
+def _outcome(
+    pending: entry_tables.PendingCall,
+    reply: calls.Reply,
+) -> entry_tables.CallOutcome:
+    """A refusal proves nothing while another copy of the call may be committed."""
+    if pending.in_doubt and isinstance(reply, REFUSALS):
+        failure = entry_tables.CallFailed(
+            sent=requests.Sent.UNKNOWN,
+            reason=f"refused ({type(reply).__name__}) after an uncertain call",
+            retry_after_s=RETRY_AFTER_S,
+        )
+        return result.Err(failure)
+    return result.Ok(reply)
+
+
 def run(
     tables: entry_tables.EntryTables,
     now: float,
--- a/bitternlever/entry/tables.py
+++ b/bitternlever/entry/tables.py
@@ -29,6 +29,7 @@
     maximum_requests: int = 5_000
     upstream_silence_s: float = 3.0
     policy: str = "predicted"
+    journal_groups: int = 1
 
 
 @dataclasses.dataclass(slots=True)
--- a/bitternlever/entry/tick.py
+++ b/bitternlever/entry/tick.py
@@ -70,6 +70,8 @@
         tables.orphans_hint = True
     elif isinstance(message, calls.ManifestChanged):
         lease.manifest_changed(tables, now, outbox, message)
+    elif isinstance(message, calls.CancelledHint):
+        answers.cancelled_elsewhere(tables, now, outbox, message.request_id)
 
 
 RECEIVERS = {
--- /dev/null
+++ b/bitternlever/journal/machine.py
@@ -0,0 +1,79 @@
+"""The state machine of a journal group: committed commands in, replies out.
+
+Applying is deterministic: equal commands in equal order give equal states and
+replies on every replica. Time enters by committed commands alone.
+"""
+
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+from bitternlever.journal import answers, ownership, stages, tables as journal_tables
+from bitternlever.messages import journal
+
+READS = (journal.GetRequest, journal.GetOwned)
+"""Commands that change nothing: a leader may answer them without the log."""
+
+Apply = Callable[[journal_tables.JournalTables, Any], journal.Reply]
+
+APPLIERS: dict[type, Apply] = {
+    journal.Claim: ownership.claim,
+    journal.StartStage: stages.start,
+    journal.RecordProgress: stages.progress,
+    journal.RecordResult: stages.record_result,
+    journal.RecordAnswer: answers.record_answer,
+    journal.Acknowledge: answers.acknowledge,
+    journal.CancelRequest: answers.cancel,
+    journal.TakeOver: ownership.take_over,
+    journal.ReleaseRequests: ownership.release,
+    journal.GetRequest: answers.get,
+    journal.GetOwned: ownership.get_owned,
+    journal.WithdrawRequest: answers.withdraw,
+    journal.FenceHost: ownership.fence,
+    journal.ExpireRequests: answers.expire,
+}
+
+
+def create(
+    settings: journal_tables.JournalSettings | None = None,
+) -> journal_tables.JournalTables:
+    """Make the empty state of a journal group."""
+    return journal_tables.JournalTables(
+        settings=settings or journal_tables.JournalSettings(),
+    )
+
+
+def apply(
+    machine: journal_tables.JournalTables,
+    command: journal.Command,
+) -> journal.Reply:
+    """Apply one committed command and return its reply."""
+    return APPLIERS[type(command)](machine, command)
+
+
+def snapshot(machine: journal_tables.JournalTables) -> bytes:
+    """Encode the whole state as MessagePack."""
+    saved = journal_tables.Saved(
+        clock_ms=machine.clock_ms,
+        fences=machine.fences,
+        takeovers=machine.takeovers,
+        records=list(machine.records.values()),
+    )
+    return msgspec.msgpack.encode(saved)
+
+
+def restore(
+    data: bytes,
+    settings: journal_tables.JournalSettings | None = None,
+) -> journal_tables.JournalTables:
+    """Make the state that a snapshot holds."""
+    saved = msgspec.msgpack.decode(data, type=journal_tables.Saved)
+    machine = create(settings)
+    machine.clock_ms = saved.clock_ms
+    machine.fences = saved.fences
+    machine.takeovers = saved.takeovers
+    for record in saved.records:
+        record.size = 0
+        journal_tables.add(machine, record)
+    return machine
--- /dev/null
+++ b/bitternlever/journal/stages.py
@@ -0,0 +1,131 @@
+"""Stage starts, progress and results: what an owner records of its work."""
+
+import msgspec
+
+from bitternlever.journal import ownership, tables as journal_tables
+from bitternlever.messages import journal
+
+FULL_RETRY_AFTER_S = 5.0
+MAXIMUM_PIECES = 64
+
+
+def start(
+    tables: journal_tables.JournalTables,
+    command: journal.StartStage,
+) -> journal.Reply:
+    """Let an attempt be sent, once; another attempt of the stage never again."""
+    record = tables.records.get(command.request_id)
+    refusal = refuse_writer(tables, record, command)
+    if refusal is not None:
+        return refusal
+    state = stage_state(record, command.stage)
+    replaceable = (None, command.attempt, command.replaces)
+    if state.output is not None or state.started_attempt not in replaceable:
+        return journal.StageStartedBefore(
+            request_id=command.request_id,
+            stage=command.stage,
+            attempt=state.started_attempt or "",
+        )
+    state.started_attempt = command.attempt
+    journal_tables.resize(tables, record)
+    return journal.StageStarted(
+        request_id=command.request_id,
+        stage=command.stage,
+        attempt=command.attempt,
+    )
+
+
+def progress(
+    tables: journal_tables.JournalTables,
+    command: journal.RecordProgress,
+) -> journal.Reply:
+    """Append a piece of streamed output; what is recorded already is skipped."""
+    record = tables.records.get(command.request_id)
+    refusal = refuse_writer(tables, record, command)
+    if refusal is not None:
+        return refusal
+    state = stage_state(record, command.stage)
+    if state.output is None and command.offset <= state.progress_length:
+        new = command.text[state.progress_length - command.offset :]
+        size = len(new.encode())
+        if not journal_tables.has_room(tables, tables.settings.result_share, size):
+            return journal.JournalFull(retry_after_s=FULL_RETRY_AFTER_S)
+        _append(state, new, size)
+        journal_tables.resize(tables, record)
+    return journal.ProgressRecorded(
+        request_id=command.request_id,
+        stage=command.stage,
+        length=state.progress_length,
+    )
+
+
+def record_result(
+    tables: journal_tables.JournalTables,
+    command: journal.RecordResult,
+) -> journal.Reply:
+    """Record a stage's whole result, bound to the attempt that was started."""
+    record = tables.records.get(command.request_id)
+    refusal = refuse_writer(tables, record, command)
+    if refusal is not None:
+        return refusal
+    state = stage_state(record, command.stage)
+    if state.started_attempt not in (None, command.attempt):
+        return journal.StageStartedBefore(
+            request_id=command.request_id,
+            stage=command.stage,
+            attempt=state.started_attempt,
+        )
+    if state.output is not None:
+        return journal.ResultRecorded(
+            request_id=command.request_id,
+            stage=command.stage,
+        )
+    output = command.output
+    if command.progress_length is not None:
+        if state.progress_length != command.progress_length:
+            return journal.ProgressMissing(
+                request_id=command.request_id,
+                length=state.progress_length,
+            )
+        output = msgspec.json.encode("".join(state.progress))
+    if not journal_tables.has_room(tables, tables.settings.result_share, len(output)):
+        return journal.JournalFull(retry_after_s=FULL_RETRY_AFTER_S)
+    state.output = output
+    state.busy_ms += command.usage.busy_ms
+    journal_tables.resize(tables, record)
+    return journal.ResultRecorded(request_id=command.request_id, stage=command.stage)
+
+
+def stage_state(
+    record: journal_tables.Record,
+    stage: str,
+) -> journal_tables.StageState:
+    """Return the state of a stage, made empty at its first use."""
+    state = record.stages.get(stage)
+    if state is None:
+        state = journal_tables.StageState(stage=stage)
+        record.stages[stage] = state
+    return state
+
+
+def refuse_writer(
+    tables: journal_tables.JournalTables,
+    record: journal_tables.Record | None,
+    command: journal.Command,
+) -> journal.Reply | None:
+    """Refuse a write of a host that is not the owner, or to an answered request."""
+    if record is not None and record.answer is not None:
+        return journal_tables.answered_reply(record)
+    if record is None or not ownership.is_owner(record, command.host, command.epoch):
+        return journal.Fenced(request_id=command.request_id)
+    return None
+
+
+def _append(state: journal_tables.StageState, text: str, size: int) -> None:
+    if not text:
+        return
+    state.progress.append(text)
+    state.progress_length += len(text)
+    state.progress_bytes += size
+    if len(state.progress) > MAXIMUM_PIECES:
+        state.progress = ["".join(state.progress)]
--- /dev/null
+++ b/bitternlever/journal/tables.py
@@ -0,0 +1,203 @@
+"""The replicated state of one journal group.
+
+Everything here follows from the committed commands alone. Sizes are in bytes, times in
+milliseconds of the journal's own clock, which the leader advances by commands.
+"""
+
+import dataclasses
+
+import msgspec
+import sortedcontainers
+
+from bitternlever.messages import journal
+
+RECORD_OVERHEAD_BYTES = 512
+STAGE_OVERHEAD_BYTES = 128
+
+
+class StageState(msgspec.Struct):
+    """What is known of one stage; ``progress`` holds pieces of a streamed output."""
+
+    stage: str
+    started_attempt: str | None = None
+    output: bytes | None = None
+    progress: list[str] = []
+    progress_length: int = 0
+    progress_bytes: int = 0
+    busy_ms: float = 0.0
+
+
+class Answer(msgspec.Struct):
+    """A final answer; an acknowledged one has lost its body."""
+
+    status: int
+    body: bytes
+    length: int
+    output_digest: str
+    answered_ms: int
+    acknowledged: bool = False
+
+
+class Record(msgspec.Struct):
+    """One request; without ``host`` no host owns it."""
+
+    request_id: str
+    workspace: str
+    pipeline: str
+    kind: str
+    digest: str
+    body: bytes
+    priority: int
+    durable: bool
+    deadline_ms: int
+    claimed_ms: int
+    host: str
+    epoch: int
+    answer_stage: str = ""
+    owners: int = 1
+    stages: dict[str, StageState] = {}
+    answer: Answer | None = None
+    size: int = 0
+
+
+class Takeover(msgspec.Struct):
+    """The last takeover of a host, so that a resent one gets the same reply."""
+
+    epoch: int
+    sequence: int
+    request_ids: list[str]
+
+
+class Saved(msgspec.Struct):
+    """The whole state as a snapshot holds it."""
+
+    clock_ms: int
+    fences: dict[str, int]
+    takeovers: dict[str, Takeover]
+    records: list[Record]
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class JournalSettings:
+    """Bounds of one journal group.
+
+    Claims are refused above ``claim_share`` of the bytes, progress and results above
+    ``result_share``: the rest is left for answers.
+    """
+
+    maximum_bytes: int = 16_000_000
+    maximum_requests: int = 50_000
+    answer_retention_ms: int = 3_600_000
+    acknowledged_retention_ms: int = 60_000
+    claim_share: float = 0.7
+    result_share: float = 0.9
+
+
+@dataclasses.dataclass(slots=True)
+class JournalTables:
+    """Records by id, with indexes of owners, orphans and answers past their use.
+
+    ``orphans`` is ordered by deadline. ``answered`` is ordered by the time at which an
+    answer may be dropped.
+    """
+
+    settings: JournalSettings
+    clock_ms: int = 0
+    size: int = 0
+    fences: dict[str, int] = dataclasses.field(default_factory=dict)
+    takeovers: dict[str, Takeover] = dataclasses.field(default_factory=dict)
+    records: dict[str, Record] = dataclasses.field(default_factory=dict)
+    owned: dict[str, set[str]] = dataclasses.field(default_factory=dict)
+    orphans: sortedcontainers.SortedSet = dataclasses.field(
+        default_factory=sortedcontainers.SortedSet,
+    )
+    answered: sortedcontainers.SortedSet = dataclasses.field(
+        default_factory=sortedcontainers.SortedSet,
+    )
+
+
+def add(tables: JournalTables, record: Record) -> None:
+    """Put a record into the tables and their indexes."""
+    tables.records[record.request_id] = record
+    resize(tables, record)
+    if record.answer is not None:
+        tables.answered.add((expires_ms(tables, record), record.request_id))
+        return
+    if record.host:
+        tables.owned.setdefault(record.host, set()).add(record.request_id)
+        return
+    tables.orphans.add((record.deadline_ms, record.request_id))
+
+
+def remove(tables: JournalTables, record: Record) -> None:
+    """Drop a record from the tables and their indexes."""
+    unlink(tables, record)
+    if record.answer is not None:
+        tables.answered.discard((expires_ms(tables, record), record.request_id))
+    tables.size -= record.size
+    del tables.records[record.request_id]
+
+
+def unlink(tables: JournalTables, record: Record) -> None:
+    """Take a record out of the indexes of owners and orphans."""
+    owned = tables.owned.get(record.host)
+    if owned is not None:
+        owned.discard(record.request_id)
+        if not owned:
+            del tables.owned[record.host]
+    tables.orphans.discard((record.deadline_ms, record.request_id))
+
+
+def own(tables: JournalTables, record: Record, host: str, epoch: int) -> None:
+    """Give a record to a host; an empty name makes it an orphan."""
+    unlink(tables, record)
+    record.host = host
+    record.epoch = epoch
+    if host:
+        tables.owned.setdefault(host, set()).add(record.request_id)
+        return
+    tables.orphans.add((record.deadline_ms, record.request_id))
+
+
+def resize(tables: JournalTables, record: Record) -> None:
+    """Count a record's size anew."""
+    size = RECORD_OVERHEAD_BYTES + len(record.body)
+    for state in record.stages.values():
+        size += STAGE_OVERHEAD_BYTES + len(state.output or b"")
+        size += state.progress_bytes
+    if record.answer is not None:
+        size += len(record.answer.body)
+    tables.size += size - record.size
+    record.size = size
+
+
+def expires_ms(tables: JournalTables, record: Record) -> int:
+    """Return the time at which an answered record may be dropped."""
+    settings = tables.settings
+    retention_ms = settings.answer_retention_ms
+    if record.answer.acknowledged:
+        retention_ms = min(retention_ms, settings.acknowledged_retention_ms)
+    return record.answer.answered_ms + retention_ms
+
+
+def is_fenced(tables: JournalTables, host: str, epoch: int) -> bool:
+    """Tell whether writes of this host and epoch are refused."""
+    return epoch < tables.fences.get(host, 0)
+
+
+def has_room(tables: JournalTables, share: float, size: int) -> bool:
+    """Tell whether ``size`` more bytes fit into this share of the journal."""
+    return tables.size + size <= tables.settings.maximum_bytes * share
+
+
+def answered_reply(record: Record) -> journal.Answered:
+    """Return the stored answer as a reply."""
+    answer = record.answer
+    return journal.Answered(
+        request_id=record.request_id,
+        status=answer.status,
+        body=answer.body,
+        length=answer.length,
+        output_digest=answer.output_digest,
+        acknowledged=answer.acknowledged,
+    )
--- a/bitternlever/messages/calls.py
+++ b/bitternlever/messages/calls.py
@@ -59,3 +59,9 @@
 
     number: int
     digest: str
+
+
+class CancelledHint(msgspec.Struct, tag=True, frozen=True):
+    """A hint to the host that ran a request: it was cancelled through another host."""
+
+    request_id: str
--- a/bitternlever/messages/frames.py
+++ b/bitternlever/messages/frames.py
@@ -18,6 +18,7 @@
     | calls.ControlUncertain
     | calls.OrphansWaiting
     | calls.ManifestChanged
+    | calls.CancelledHint
     | gossip.Gossip
     | consensus.VoteRequest
     | consensus.VoteReply
--- a/bitternlever/messages/journal.py
+++ b/bitternlever/messages/journal.py
@@ -15,6 +15,7 @@
     """Claim a request for this host, or learn who has it.
 
     ``time_left_ms`` is what is left of the deadline when the claim is sent.
+    ``answer_stage`` is the stage whose progress callers may follow.
     """
 
     request_id: str
@@ -28,6 +29,7 @@
     time_left_ms: int
     host: str
     epoch: int
+    answer_stage: str = ""
 
 
 class Claimed(msgspec.Struct, tag=True, frozen=True):
@@ -63,13 +65,17 @@
 
 
 class StartStage(msgspec.Struct, tag=True, frozen=True):
-    """Record, before sending it, that a stage that is not idempotent starts."""
+    """Record, before sending it, that a stage that is not idempotent starts.
+
+    ``replaces`` names an earlier attempt of the same owner that provably never left.
+    """
 
     request_id: str
     stage: str
     attempt: str
     host: str
     epoch: int
+    replaces: str | None = None
 
 
 class StageStarted(msgspec.Struct, tag=True, frozen=True):
@@ -108,7 +114,11 @@
 
 
 class RecordResult(msgspec.Struct, tag=True, frozen=True):
-    """Record a stage's whole result as JSON bytes."""
+    """Record a stage's whole result as JSON bytes.
+
+    With ``progress_length`` the output is the recorded progress of that length, so
+    that a streamed text passes the log once; ``output`` is empty then.
+    """
 
     request_id: str
     stage: str
@@ -117,6 +127,7 @@
     usage: upstream.Usage
     host: str
     epoch: int
+    progress_length: int | None = None
 
 
 class ResultRecorded(msgspec.Struct, tag=True, frozen=True):
@@ -127,7 +138,11 @@
 
 
 class RecordAnswer(msgspec.Struct, tag=True, frozen=True):
-    """Record the final answer, whole or a problem; ``status`` is its HTTP status."""
+    """Record the final answer, whole or a problem; ``status`` is its HTTP status.
+
+    With ``progress_stage`` the body is ``body``, the JSON string of that stage's
+    progress of ``length`` characters, and ``body_end``.
+    """
 
     request_id: str
     status: int
@@ -136,6 +151,8 @@
     epoch: int
     length: int = 0
     output_digest: str = ""
+    progress_stage: str | None = None
+    body_end: bytes = b""
 
 
 class AnswerRecorded(msgspec.Struct, tag=True, frozen=True):
@@ -152,6 +169,14 @@
     body: bytes
     length: int = 0
     output_digest: str = ""
+    acknowledged: bool = False
+
+
+class ProgressMissing(msgspec.Struct, tag=True, frozen=True):
+    """The write refers to progress that is not committed; send the text itself."""
+
+    request_id: str
+    length: int
 
 
 class Acknowledge(msgspec.Struct, tag=True, frozen=True):
@@ -175,21 +200,25 @@
 
 
 class Cancelled(msgspec.Struct, tag=True, frozen=True):
-    """The cancellation is committed; a started stage may still have run."""
+    """The cancellation is committed as the final answer; ``host`` was the owner."""
 
     request_id: str
     ran: str
+    host: str = ""
 
 
 class TakeOver(msgspec.Struct, tag=True, frozen=True):
-    """Own up to ``maximum`` requests of fenced hosts, earliest deadline first.
+    """Own up to ``maximum`` requests without an owner, earliest deadline first.
 
-    ``release`` lists requests that a draining host hands over with the same rules.
+    Requests of fenced hosts and released ones have no owner. ``sequence`` numbers the
+    takeovers of one host and epoch: the same number gets the same requests again, an
+    older one none.
     """
 
     host: str
     epoch: int
     maximum: int
+    sequence: int = 0
 
 
 class StageRecord(msgspec.Struct, frozen=True):
@@ -199,6 +228,7 @@
     started_attempt: str | None
     output: bytes | None
     progress: str
+    busy_ms: float = 0.0
 
 
 class OpenRequest(msgspec.Struct, frozen=True):
@@ -238,14 +268,18 @@
 
 
 class GetRequest(msgspec.Struct, tag=True, frozen=True):
-    """Read the state of a request."""
+    """Read the state of a request, and its streamed progress from ``offset`` on."""
 
     request_id: str
     workspace: str
+    offset: int = 0
 
 
 class RequestOpen(msgspec.Struct, tag=True, frozen=True):
-    """The request is open; ``host`` is empty while no host owns it."""
+    """The request is open; ``host`` is empty while no host owns it.
+
+    ``progress`` begins at ``offset``; ``length`` is the whole committed length.
+    """
 
     request_id: str
     host: str
@@ -253,6 +287,8 @@
     cancelled: bool
     stage: str
     progress: str
+    offset: int = 0
+    length: int = 0
 
 
 class RequestUnknown(msgspec.Struct, tag=True, frozen=True):
@@ -261,6 +297,34 @@
     request_id: str
 
 
+class GetOwned(msgspec.Struct, tag=True, frozen=True):
+    """Read which open requests a host owns that were claimed before ``age_ms``."""
+
+    host: str
+    epoch: int
+    age_ms: int
+
+
+class Owned(msgspec.Struct, tag=True, frozen=True):
+    """The open requests that the host owns, the oldest first, bounded in number."""
+
+    request_ids: list[str]
+
+
+class WithdrawRequest(msgspec.Struct, tag=True, frozen=True):
+    """Forget an open request whose callers left, unless a started stage binds it."""
+
+    request_id: str
+    host: str
+    epoch: int
+
+
+class RequestWithdrawn(msgspec.Struct, tag=True, frozen=True):
+    """The journal holds the request no longer; the same key would run anew."""
+
+    request_id: str
+
+
 class FenceHost(msgspec.Struct, tag=True, frozen=True):
     """Refuse all writes of this host with an epoch below ``epoch``."""
 
@@ -277,9 +341,13 @@
 
 
 class ExpireRequests(msgspec.Struct, tag=True, frozen=True):
-    """Drop answered requests past their retention; proposed by the leader alone."""
+    """Drop answered requests past their retention; proposed by the leader alone.
+
+    ``elapsed_ms`` advances the journal's clock by what the leader measured.
+    """
 
     request_ids: list[str]
+    elapsed_ms: int = 0
 
 
 class RequestsExpired(msgspec.Struct, tag=True, frozen=True):
@@ -299,6 +367,8 @@
     | TakeOver
     | ReleaseRequests
     | GetRequest
+    | GetOwned
+    | WithdrawRequest
     | FenceHost
     | ExpireRequests
 )
@@ -315,12 +385,15 @@
     | ResultRecorded
     | AnswerRecorded
     | Answered
+    | ProgressMissing
     | Acknowledged
     | Cancelled
     | TakenOver
     | RequestsReleased
     | RequestOpen
     | RequestUnknown
+    | Owned
+    | RequestWithdrawn
     | HostFenced
     | RequestsExpired
 )
--- /dev/null
+++ b/bitternlever/pipelines/claims.py
@@ -0,0 +1,159 @@
+"""Claims: a journaled request runs only after its claim is committed."""
+
+from bitternlever.core import ticks
+from bitternlever.entry import control_client, tables as entry_tables
+from bitternlever.messages import journal, problems, requests
+from bitternlever.pipelines import (
+    delivery,
+    groups,
+    ownership,
+    progress,
+    refusals,
+    stages,
+    tables as pipeline_tables,
+    takeover,
+    timers,
+    watch,
+)
+
+CLAIM_PAUSE_S = 0.5
+MILLISECONDS = 1_000
+
+
+def claim(
+    tables,
+    now: float,
+    outbox: ticks.Outbox,
+    request: pipeline_tables.Request,
+) -> None:
+    """Claim a request, and again for as long as an earlier claim may be committed."""
+    command = journal.Claim(
+        request_id=request.request_id,
+        workspace=request.workspace,
+        pipeline=request.pipeline.name,
+        kind=request.kind.name,
+        digest=request.digest,
+        body=request.body,
+        priority=request.kind.priority,
+        durable=request.kind.durable,
+        time_left_ms=int((request.deadline_s - now) * MILLISECONDS),
+        host=tables.settings.host,
+        epoch=request.epoch,
+        answer_stage=progress.answer_stage(request.pipeline),
+    )
+
+    def on_outcome(tables, now, outbox, outcome) -> None:
+        if not ownership.is_live(tables, request):
+            return
+        if outcome.is_err():
+            _failed(tables, now, outbox, request, outcome.err())
+            return
+        _claimed(tables, now, outbox, request, outcome.ok())
+
+    group = groups.group_of(tables, request.request_id)
+    control_client.call(tables, now, outbox, group, command, on_outcome)
+
+
+def other_body(tables, request_id: str) -> problems.Problem:
+    """Return the problem of a key that belongs to another body."""
+    return refusals.problem(
+        tables,
+        status=422,
+        title="Key used for another body",
+        detail="send another Idempotency-Key, or the body that the key was used with",
+        ran=problems.Ran.NO,
+        request_id=request_id,
+    )
+
+
+def _claimed(tables, now: float, outbox: ticks.Outbox, request, reply) -> None:
+    match reply:
+        case journal.Claimed():
+            stages.advance(tables, now, outbox, request)
+        case journal.TakenOver():
+            takeover.adopt_state(tables, now, outbox, request, reply.requests[0])
+        case journal.Answered():
+            ownership.settle(tables, now, outbox, request, reply)
+        case journal.OwnedElsewhere():
+            _follow(tables, now, outbox, request)
+        case journal.DigestConflict():
+            stated = other_body(tables, request.request_id)
+            _drop(tables, now, outbox, request, stated)
+        case journal.JournalFull():
+            _full(tables, now, outbox, request, reply)
+        case journal.Fenced():
+            _fenced(tables, now, outbox, request)
+
+
+def _full(tables, now: float, outbox: ticks.Outbox, request, reply) -> None:
+    failure = entry_tables.CallFailed(
+        sent=requests.Sent.NO,
+        reason="the journal is full",
+        retry_after_s=reply.retry_after_s,
+    )
+    _failed(tables, now, outbox, request, failure)
+
+
+def _fenced(tables, now: float, outbox: ticks.Outbox, request) -> None:
+    """After a doubtful claim the request may stand there, for another owner."""
+    doubtful = request.claim_in_doubt
+    ran = problems.Ran.UNKNOWN if doubtful else problems.Ran.NO
+    stated = _refusal(tables, request, "the lease ended", ran)
+    _drop(tables, now, outbox, request, stated)
+
+
+def _failed(tables, now: float, outbox: ticks.Outbox, request, failure) -> None:
+    """Refuse with ``no`` only where no claim can still be committed.
+
+    A doubtful claim goes on without its callers, so that a request which turns out
+    to be claimed is run or answered rather than left open.
+    """
+    if failure.sent is requests.Sent.NO and not request.claim_in_doubt:
+        stated = _refusal(tables, request, failure.reason, problems.Ran.NO)
+        stated.retry_after_s = failure.retry_after_s
+        _drop(tables, now, outbox, request, stated)
+        return
+    request.claim_in_doubt = True
+    stated = _refusal(tables, request, failure.reason, problems.Ran.UNKNOWN)
+    delivery.problem(tables, outbox, request.callers, stated)
+
+    def again(tables, now, outbox) -> None:
+        if not ownership.is_live(tables, request):
+            return
+        claim(tables, now, outbox, request)
+
+    timers.at(tables, now + CLAIM_PAUSE_S, again)
+
+
+def _follow(tables, now: float, outbox: ticks.Outbox, request) -> None:
+    del tables.requests.requests[request.request_id]
+    for caller in request.callers.values():
+        watch.add(
+            tables,
+            now,
+            outbox,
+            request.request_id,
+            request.workspace,
+            caller,
+        )
+    for caller in request.cancellers:
+        delivery.state(tables, outbox, caller, request.request_id, "open")
+
+
+def _drop(tables, now: float, outbox: ticks.Outbox, request, stated) -> None:
+    del tables.requests.requests[request.request_id]
+    delivery.problem(tables, outbox, request.callers, stated)
+    for caller in request.cancellers:
+        delivery.state(tables, outbox, caller, request.request_id, "cancelled")
+
+
+def _refusal(tables, request, detail: str, ran: problems.Ran) -> problems.Problem:
+    return refusals.problem(
+        tables,
+        status=503,
+        title="Claim failed",
+        detail=detail,
+        ran=ran,
+        request_id=request.request_id,
+        retry_after_s=refusals.RETRY_AFTER_S,
+    )
--- /dev/null
+++ b/bitternlever/pipelines/finish.py
@@ -0,0 +1,145 @@
+"""The end of a request: one final answer, recorded before a caller sees it."""
+
+import hashlib
+
+import msgspec
+
+from bitternlever.core import ticks
+from bitternlever.messages import journal, problems
+from bitternlever.pipelines import (
+    delivery,
+    ownership,
+    progress,
+    tables as pipeline_tables,
+    timers,
+)
+
+WHOLE_STATUS = 200
+FULL_PAUSE_S = 1.0
+RECORD_LIMIT_S = 1.0
+
+
+def whole(
+    tables,
+    now: float,
+    outbox: ticks.Outbox,
+    request: pipeline_tables.Request,
+) -> None:
+    """End a request with its whole answer, whose bytes are made here, once."""
+    stage = progress.answer_stage(request.pipeline)
+    output = request.results.get(stage)
+    head = _head(request)
+    tail = b',"cost_ms":' + msgspec.json.encode(request.cost_ms) + b"}"
+    text = request.texts.get(stage)
+    answer = pipeline_tables.FinalAnswer(
+        status=WHOLE_STATUS,
+        body=head + msgspec.json.encode(output) + tail,
+        length=len(text or ""),
+        output_digest=hashlib.sha256(text.encode()).hexdigest() if text else "",
+        progress_stage=stage if request.committed.get(stage) else None,
+        head=head,
+        tail=tail,
+    )
+    _end(tables, now, outbox, request, answer)
+
+
+def problem(
+    tables,
+    now: float,
+    outbox: ticks.Outbox,
+    request: pipeline_tables.Request,
+    stated: problems.Problem,
+) -> None:
+    """End a request with a problem."""
+    answer = pipeline_tables.FinalAnswer(
+        status=stated.status,
+        body=msgspec.json.encode(stated),
+    )
+    _end(tables, now, outbox, request, answer)
+
+
+def _end(
+    tables,
+    now: float,
+    outbox: ticks.Outbox,
+    request: pipeline_tables.Request,
+    answer: pipeline_tables.FinalAnswer,
+) -> None:
+    ownership.stop(tables, now, outbox, request)
+    if not request.journaled:
+        answered = answer.reply(request.request_id)
+        ownership.settle(tables, now, outbox, request, answered)
+        return
+    request.phase = pipeline_tables.Phase.ANSWERING
+    if answer.status != WHOLE_STATUS:
+        _tell_after_limit(tables, now, request, answer)
+    if answer.progress_stage is not None:
+        request.recording = False
+        progress.record(tables, now, outbox, request, answer.progress_stage)
+    _record(tables, now, outbox, request, answer, by_progress=True)
+
+
+def _record(
+    tables,
+    now: float,
+    outbox: ticks.Outbox,
+    request: pipeline_tables.Request,
+    answer: pipeline_tables.FinalAnswer,
+    by_progress: bool,
+) -> None:
+    by_progress = by_progress and answer.progress_stage is not None
+    command = journal.RecordAnswer(
+        request_id=request.request_id,
+        status=answer.status,
+        body=answer.head if by_progress else answer.body,
+        host=tables.settings.host,
+        epoch=request.epoch,
+        length=answer.length,
+        output_digest=answer.output_digest,
+        progress_stage=answer.progress_stage if by_progress else None,
+        body_end=answer.tail if by_progress else b"",
+    )
+
+    def whole_again(tables, now, outbox) -> None:
+        if ownership.is_live(tables, request):
+            _record(tables, now, outbox, request, answer, by_progress=False)
+
+    def on_reply(tables, now, outbox, reply) -> None:
+        match reply:
+            case journal.AnswerRecorded():
+                answered = answer.reply(request.request_id)
+                ownership.settle(tables, now, outbox, request, answered)
+            case journal.JournalFull():
+                tables.count("answer_waits_for_room")
+                timers.at(tables, now + FULL_PAUSE_S, whole_again)
+            case _:
+                whole_again(tables, now, outbox)
+
+    ownership.write(tables, now, outbox, request, command, on_reply)
+
+
+def _tell_after_limit(
+    tables,
+    now: float,
+    request: pipeline_tables.Request,
+    answer: pipeline_tables.FinalAnswer,
+) -> None:
+    """Tell callers of a problem that the journal is slow to record.
+
+    Until it is recorded another host may take the request over, so that it is not
+    known whether the request will run.
+    """
+
+    def tell(tables, now, outbox) -> None:
+        if not ownership.is_live(tables, request):
+            return
+        stated = msgspec.json.decode(answer.body, type=problems.Problem)
+        stated.ran = problems.Ran.UNKNOWN
+        delivery.problem(tables, outbox, request.callers, stated)
+
+    timers.at(tables, now + RECORD_LIMIT_S, tell)
+
+
+def _head(request: pipeline_tables.Request) -> bytes:
+    named = {"request_id": request.request_id, "kind": request.kind.name}
+    return msgspec.json.encode(named)[:-1] + b',"output":'
--- /dev/null
+++ b/bitternlever/pipelines/launch.py
@@ -0,0 +1,218 @@
+"""Attempts: send a stage to an upstream, once each, and only as the owner."""
+
+from bitternlever.admission import dispatch
+from bitternlever.core import ticks
+from bitternlever.entry import lease
+from bitternlever.messages import journal, manifest, requests, upstream
+from bitternlever.pipelines import (
+    finish,
+    ownership,
+    refusals,
+    stages,
+    tables as pipeline_tables,
+)
+from bitternlever.routing import choice, feedback, tables as routing_tables
+
+MILLISECONDS = 1_000
+START_WINDOW_S = 2.0
+
+
+def launch(
+    tables,
+    now: float,
+    outbox: ticks.Outbox,
+    ready: pipeline_tables.ReadyStage,
+    placement: routing_tables.Placement,
+) -> None:
+    """Start an attempt on the chosen upstream.
+
+    The start of a stage that is not idempotent is committed before it is sent.
+    """
+    request = tables.requests.requests.get(ready.request_id)
+    if request is None or request.stage_index != ready.stage_index:
+        tables.count("launch_without_request")
+        return
+    if request.journaled and not lease.holds(tables, now):
+        tables.count("launch_without_lease")
+        tables.requests.parked.append(ready)
+        return
+    attempt = _make_attempt(tables, now, ready, placement)
+    tables.requests.attempts[attempt.attempt] = attempt
+    request.attempts.add(attempt.attempt)
+    feedback.started(tables, now, attempt)
+    if ready.stage.idempotent:
+        _send(tables, now, outbox, request, attempt)
+        return
+    request.phase = pipeline_tables.Phase.STARTING
+    _commit_start(tables, now, outbox, request, attempt)
+
+
+def preempt(tables, now: float, outbox: ticks.Outbox, attempt_id: str) -> None:
+    """Cancel an attempt and let its stage wait, to go on from its output later."""
+    attempt = tables.requests.attempts.get(attempt_id)
+    if attempt is None or not attempt.stage.idempotent:
+        return
+    request = tables.requests.requests[attempt.request_id]
+    ownership.cancel_attempt(tables, now, outbox, attempt)
+    if request.attempts:
+        return
+    tables.count("stage_preempted")
+    request.phase = pipeline_tables.Phase.READY
+    ready = stages.ready_stage(
+        tables,
+        now,
+        request,
+        preemptions=attempt.preemptions + 1,
+    )
+    dispatch.push(tables, now, ready)
+
+
+def hedge(
+    tables,
+    now: float,
+    outbox: ticks.Outbox,
+    ready: pipeline_tables.ReadyStage,
+) -> None:
+    """Start a second attempt of an idempotent stage elsewhere, if there is room."""
+    request = tables.requests.requests.get(ready.request_id)
+    if request is None or not ready.stage.idempotent or len(request.attempts) != 1:
+        return
+    running = tables.requests.attempts[min(request.attempts)]
+    ready.hedge = True
+    ready.excluded = ready.excluded | {running.upstream}
+    ready.resume_output = request.texts.get(ready.stage.name, "")
+    placement = choice.choose(tables, now, ready)
+    if placement.is_ok():
+        tables.count("stage_hedged")
+        launch(tables, now, outbox, ready, placement.ok())
+
+
+def _commit_start(
+    tables,
+    now: float,
+    outbox: ticks.Outbox,
+    request: pipeline_tables.Request,
+    attempt: pipeline_tables.Attempt,
+) -> None:
+    name = attempt.stage.name
+    command = journal.StartStage(
+        request_id=request.request_id,
+        stage=name,
+        attempt=attempt.attempt,
+        host=tables.settings.host,
+        epoch=request.epoch,
+        replaces=request.unsent.get(name),
+    )
+
+    def on_reply(tables, now, outbox, reply) -> None:
+        if attempt.attempt not in request.attempts:
+            return
+        if isinstance(reply, journal.StageStarted):
+            _started(tables, now, outbox, request, attempt)
+            return
+        stated = refusals.outcome_unknown(tables, request, name)
+        finish.problem(tables, now, outbox, request, stated)
+
+    ownership.write(tables, now, outbox, request, command, on_reply)
+
+
+def _started(
+    tables,
+    now: float,
+    outbox: ticks.Outbox,
+    request: pipeline_tables.Request,
+    attempt: pipeline_tables.Attempt,
+) -> None:
+    """Send the started attempt, unless the lease ended or the caller left meanwhile."""
+    if lease.holds(tables, now) and not request.cancelled:
+        _send(tables, now, outbox, request, attempt)
+        return
+    ownership.forget_attempt(tables, attempt)
+    feedback.cancelled(tables, now, attempt)
+    request.unsent[attempt.stage.name] = attempt.attempt
+    stages.advance(tables, now, outbox, request)
+
+
+def _send(
+    tables,
+    now: float,
+    outbox: ticks.Outbox,
+    request: pipeline_tables.Request,
+    attempt: pipeline_tables.Attempt,
+) -> None:
+    stage = attempt.stage
+    request.phase = pipeline_tables.Phase.RUNNING
+    request.sent_any = True
+    attempt.sent = True
+    not_after_s = now + START_WINDOW_S
+    if request.journaled:
+        not_after_s = min(not_after_s, tables.lease.valid_until_s)
+    call = requests.CallUpstream(
+        attempt=attempt.attempt,
+        upstream=attempt.upstream,
+        address=attempt.address,
+        task=stage.task.value,
+        call=_stage_call(now, request, attempt),
+        idempotent=stage.idempotent,
+        first_byte_timeout_s=stage.first_byte_timeout_ms / MILLISECONDS,
+        between_bytes_timeout_s=stage.between_bytes_timeout_ms / MILLISECONDS,
+        must_not_start_after=not_after_s,
+        traceparent=request.traceparent,
+    )
+    outbox.send(call)
+
+
+def _stage_call(
+    now: float,
+    request: pipeline_tables.Request,
+    attempt: pipeline_tables.Attempt,
+) -> upstream.StageCall:
+    stage = attempt.stage
+    previous = None
+    if attempt.stage_index > 0:
+        before = request.pipeline.stages[attempt.stage_index - 1]
+        previous = request.results.get(before.name)
+    return upstream.StageCall(
+        binding=stages.binding(attempt),
+        input=request.input,
+        previous=previous,
+        model=stage.model,
+        priority=attempt.priority,
+        time_left_ms=max(0, int((attempt.deadline_s - now) * MILLISECONDS)),
+        maximum_output_tokens=stage.maximum_output_tokens,
+        stream=stage.task is manifest.Task.GENERATE,
+        resume_output=attempt.output,
+        prefix=attempt.prefix,
+    )
+
+
+def _make_attempt(
+    tables,
+    now: float,
+    ready: pipeline_tables.ReadyStage,
+    placement: routing_tables.Placement,
+) -> pipeline_tables.Attempt:
+    tables.requests.next_attempt += 1
+    epoch = tables.lease.epoch
+    number = tables.requests.next_attempt
+    settings = tables.settings
+    return pipeline_tables.Attempt(
+        attempt=f"a-{settings.host}-{settings.incarnation}-{epoch}-{number}",
+        request_id=ready.request_id,
+        workspace=ready.workspace,
+        stage_index=ready.stage_index,
+        stage=ready.stage,
+        upstream=placement.upstream,
+        address=placement.address,
+        priority=ready.priority,
+        started_s=now,
+        deadline_s=ready.deadline_s,
+        predicted_s=placement.predicted_s,
+        prompt_tokens=ready.prompt_tokens,
+        prefix=ready.prefix,
+        hedge=ready.hedge,
+        output=ready.resume_output,
+        resume_length=len(ready.resume_output),
+        preemptions=ready.preemptions,
+        epoch=epoch,
+    )
--- /dev/null
+++ b/bitternlever/pipelines/ownership.py
@@ -0,0 +1,144 @@
+"""Writes of a request's owner to its journal group, and the end of the ownership."""
+
+from collections.abc import Callable
+from typing import Any
+
+from bitternlever.admission import dispatch
+from bitternlever.core import ticks
+from bitternlever.entry import control_client
+from bitternlever.messages import journal, requests
+from bitternlever.pipelines import (
+    delivery,
+    groups,
+    tables as pipeline_tables,
+    timers,
+    watch,
+)
+from bitternlever.routing import feedback
+
+WRITE_PAUSE_S = 0.2
+
+OnReply = Callable[[Any, float, ticks.Outbox, journal.Reply], None]
+
+
+def is_live(tables, request: pipeline_tables.Request) -> bool:
+    """Tell whether this host still owns this run of the request."""
+    return tables.requests.requests.get(request.request_id) is request
+
+
+def write(
+    tables,
+    now: float,
+    outbox: ticks.Outbox,
+    request: pipeline_tables.Request,
+    command: journal.Command,
+    on_reply: OnReply,
+) -> None:
+    """Write to the journal until it answers or the ownership has ended.
+
+    A fenced write ends the ownership. A final answer that came from elsewhere, such as
+    a cancellation, ends the run. Every other reply goes to ``on_reply``.
+    """
+
+    def again(tables, now, outbox) -> None:
+        if is_live(tables, request):
+            write(tables, now, outbox, request, command, on_reply)
+
+    def on_outcome(tables, now, outbox, outcome) -> None:
+        if not is_live(tables, request):
+            return
+        if outcome.is_err():
+            timers.at(tables, now + WRITE_PAUSE_S, again)
+            return
+        reply = outcome.ok()
+        match reply:
+            case journal.Fenced():
+                tables.count("write_fenced")
+                disown(tables, now, outbox, request)
+            case journal.Answered():
+                settle(tables, now, outbox, request, reply)
+            case _:
+                on_reply(tables, now, outbox, reply)
+
+    group = groups.group_of(tables, request.request_id)
+    control_client.call(tables, now, outbox, group, command, on_outcome)
+
+
+def settle(
+    tables,
+    now: float,
+    outbox: ticks.Outbox,
+    request: pipeline_tables.Request,
+    answered: journal.Answered,
+) -> None:
+    """Give the final answer to the callers and forget the request on this host."""
+    stop(tables, now, outbox, request)
+    del tables.requests.requests[request.request_id]
+    delivery.answer(tables, outbox, request.callers, answered)
+    name = "cancelled" if request.cancelled else "answered"
+    for caller in request.cancellers:
+        delivery.state(tables, outbox, caller, request.request_id, name)
+
+
+def disown(
+    tables,
+    now: float,
+    outbox: ticks.Outbox,
+    request: pipeline_tables.Request,
+) -> None:
+    """Stop a run whose ownership has ended; its callers follow the new owner."""
+    tables.count("request_disowned")
+    stop(tables, now, outbox, request)
+    del tables.requests.requests[request.request_id]
+    for caller in request.callers.values():
+        watch.add(
+            tables,
+            now,
+            outbox,
+            request.request_id,
+            request.workspace,
+            caller,
+        )
+    for caller in request.cancellers:
+        delivery.state(tables, outbox, caller, request.request_id, "open")
+
+
+def stop(
+    tables,
+    now: float,
+    outbox: ticks.Outbox,
+    request: pipeline_tables.Request,
+) -> None:
+    """Take back waiting stages and cancel all attempts of a request."""
+    dispatch.withdraw(tables, request.request_id)
+    parked = tables.requests.parked
+    parked[:] = [each for each in parked if each.request_id != request.request_id]
+    for attempt_id in sorted(request.attempts):
+        cancel_attempt(tables, now, outbox, tables.requests.attempts[attempt_id])
+
+
+def cancel_attempt(
+    tables,
+    now: float,
+    outbox: ticks.Outbox,
+    attempt: pipeline_tables.Attempt,
+) -> None:
+    """End an attempt; what still arrives for it is dropped."""
+    forget_attempt(tables, attempt)
+    feedback.cancelled(tables, now, attempt)
+    if not attempt.sent:
+        return
+    cancel = requests.CancelUpstream(
+        attempt=attempt.attempt,
+        upstream=attempt.upstream,
+        address=attempt.address,
+    )
+    outbox.send(cancel)
+
+
+def forget_attempt(tables, attempt: pipeline_tables.Attempt) -> None:
+    """Take an attempt out of the tables."""
+    del tables.requests.attempts[attempt.attempt]
+    request = tables.requests.requests.get(attempt.request_id)
+    if request is not None:
+        request.attempts.discard(attempt.attempt)
--- a/bitternlever/pipelines/tables.py
+++ b/bitternlever/pipelines/tables.py
@@ -2,9 +2,10 @@
 
 import dataclasses
 import enum
+from collections.abc import Callable
 from typing import Any
 
-from bitternlever.messages import manifest
+from bitternlever.messages import journal, manifest
 
 
 class Phase(enum.Enum):
@@ -15,15 +16,32 @@
     STARTING = "starting"
     RUNNING = "running"
     ANSWERING = "answering"
-    WATCHING = "watching"
+
+
+@dataclasses.dataclass(slots=True)
+class Caller:
+    """An open exchange that waits for an answer.
+
+    ``offset`` is the character up to which it has the streamed text. ``once`` asks for
+    the state alone and does not wait. ``on_missing`` handles a request that the
+    journal does not hold.
+    """
+
+    caller: int
+    stream: bool = False
+    offset: int = 0
+    once: bool = False
+    on_missing: Callable[[Any, float, Any, "Caller"], None] | None = None
 
 
 @dataclasses.dataclass(slots=True)
 class Request:
     """One request on this host.
 
-    ``callers`` are the open exchanges that wait for its answer, each with the offset
-    up to which it was streamed. ``results`` are whole stage outputs by stage name.
+    ``results`` are whole stage outputs by stage name, ``texts`` the streamed output of
+    each stage so far, ``committed`` how much of it the journal holds. ``epoch`` is the
+    lease epoch under which this host owns it. ``unsent`` names the last attempt of a
+    stage that provably never left.
     """
 
     request_id: str
@@ -37,21 +55,66 @@
     arrived_s: float
     deadline_s: float
     phase: Phase
+    epoch: int = 0
+    keyed: bool = False
     stage_index: int = 0
     results: dict[str, Any] = dataclasses.field(default_factory=dict)
-    callers: dict[int, int] = dataclasses.field(default_factory=dict)
-    started_stages: set[str] = dataclasses.field(default_factory=set)
-    streamed: str = ""
-    committed_length: int = 0
+    callers: dict[int, Caller] = dataclasses.field(default_factory=dict)
+    cancellers: list[int] = dataclasses.field(default_factory=list)
+    unsent: dict[str, str] = dataclasses.field(default_factory=dict)
+    texts: dict[str, str] = dataclasses.field(default_factory=dict)
+    committed: dict[str, int] = dataclasses.field(default_factory=dict)
+    recording: bool = False
+    next_record_s: float = 0.0
     attempts: set[str] = dataclasses.field(default_factory=set)
-    attempt_count: int = 0
-    preemptions: int = 0
+    failures: int = 0
     cancelled: bool = False
     sent_any: bool = False
+    claim_in_doubt: bool = False
+    completed_once_only: bool = False
     traceparent: str | None = None
     cost_ms: dict[str, float] = dataclasses.field(default_factory=dict)
 
 
+@dataclasses.dataclass(slots=True)
+class Watch:
+    """Callers on this host of a request that another host owns."""
+
+    request_id: str
+    workspace: str
+    callers: dict[int, Caller] = dataclasses.field(default_factory=dict)
+    polling: bool = False
+    interval_s: float = 0.0
+    unheard_since_s: float | None = None
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class FinalAnswer:
+    """A final answer on its way to the journal and the callers.
+
+    ``body`` is whole. With ``progress_stage`` the journal may be sent the parts
+    around the text that it holds already: ``head`` and ``tail``.
+    """
+
+    status: int
+    body: bytes
+    length: int = 0
+    output_digest: str = ""
+    progress_stage: str | None = None
+    head: bytes = b""
+    tail: bytes = b""
+
+    def reply(self, request_id: str) -> journal.Answered:
+        """Return the answer in the form in which the journal gives it."""
+        return journal.Answered(
+            request_id=request_id,
+            status=self.status,
+            body=self.body,
+            length=self.length,
+            output_digest=self.output_digest,
+        )
+
+
 @dataclasses.dataclass(slots=True)
 class ReadyStage:
     """A stage of a request that waits for an upstream.
@@ -101,6 +164,17 @@
     output: str = ""
     resume_length: int = 0
     preemptions: int = 0
+    epoch: int = 0
+    sent: bool = False
+
+
+@dataclasses.dataclass(slots=True, order=True)
+class Timer:
+    """An action that is due at a time; ``number`` keeps equal times in order."""
+
+    due_s: float
+    number: int
+    action: Callable[[Any, float, Any], None] = dataclasses.field(compare=False)
 
 
 @dataclasses.dataclass(slots=True)
@@ -110,8 +184,18 @@
     requests: dict[str, Request] = dataclasses.field(default_factory=dict)
     attempts: dict[str, Attempt] = dataclasses.field(default_factory=dict)
     callers: dict[int, str] = dataclasses.field(default_factory=dict)
+    watches: dict[str, Watch] = dataclasses.field(default_factory=dict)
+    timers: list[Timer] = dataclasses.field(default_factory=list)
+    parked: list[ReadyStage] = dataclasses.field(default_factory=list)
     next_request: int = 0
     next_attempt: int = 0
+    next_timer: int = 0
+    epoch_seen: int = 0
+    takeover_sequence: int = 0
+    takeover_in_flight: bool = False
+    next_reconcile_s: float = 0.0
     drain_requested_s: float | None = None
     drain_answer_expires_s: float | None = None
     drain_forced: bool = False
+    drain_releasing: bool = False
+    drain_ended: bool = False
--- /dev/null
+++ b/tests/pipelines/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of requests on an entry host."""
