Add settings, links, the HTTP interface and the shells of both programs

Cause: the cores of both programs need sockets, timers, settings and logs round them.

Change: settings with one place for names, defaults and checks, all faults listed at once; pynng links with a keyed MAC, one frame for each peer and tick, acknowledged sequences and a new connection after silence; the client towards upstreams, with a connection of its own for a call that is not idempotent; the HTTP interface; traces, metrics and numbered events; both shells.

Checked: formatter and linter pass; the settings' faults were seen listed. The shells have not run yet: the cores they import are not there.

--- /dev/null
+++ b/bitternlever/entry/shell.py
@@ -0,0 +1,218 @@
+"""The shell of the entry program: sockets, timers and signals round the core."""
+
+import asyncio
+import contextlib
+import dataclasses
+import functools
+import logging
+import signal
+import time
+import uuid
+from typing import Any
+
+import reactivex.subject
+from aiohttp import web
+
+from bitternlever.conf import configuration
+from bitternlever.core import runner
+from bitternlever.entry import tables as entry_tables, tick
+from bitternlever.http import exchanges, server, state
+from bitternlever.messages import frames, requests, telemetry
+from bitternlever.telemetry import events, metrics, traces
+from bitternlever.transport import links, upstream_client
+
+CONTROL_PREFIX = "control-"
+ENTRY_PREFIX = "entry-"
+EXIT_OK = 0
+EXIT_BROKEN_INVARIANT = 70
+LAST_FRAMES_S = 0.2
+
+logger = logging.getLogger(__name__)
+
+
+@dataclasses.dataclass(slots=True)
+class Shell:
+    """Everything that runs round the core of one entry process."""
+
+    tables: entry_tables.EntryTables
+    links: links.Links
+    upstreams: upstream_client.UpstreamClient
+    exchanges: exchanges.Exchanges
+    tracer: traces.Tracer
+    ended: asyncio.Future
+    drains: int = 0
+
+
+async def run(settings: configuration.EntryConfiguration) -> int:
+    """Run an entry process until it is drained; return its exit code."""
+    loop = asyncio.get_running_loop()
+    http_events = reactivex.subject.Subject()
+    peer_events = reactivex.subject.Subject()
+    upstream_events = reactivex.subject.Subject()
+    tracer = _tracer(settings)
+    tables = entry_tables.create(_core_settings(settings), seed=time.time_ns())
+    shell = Shell(
+        tables=tables,
+        links=links.listen(
+            node=ENTRY_PREFIX + settings.host,
+            link=settings.listen,
+            incarnation=tables.settings.incarnation,
+            cluster_key=settings.cluster_key,
+            clock=time.monotonic,
+            on_message=peer_events.on_next,
+        ),
+        upstreams=upstream_client.create(
+            clock=time.monotonic,
+            on_event=upstream_events.on_next,
+            tracer=tracer,
+        ),
+        exchanges=exchanges.Exchanges(on_event=http_events.on_next),
+        tracer=tracer,
+        ended=loop.create_future(),
+    )
+    running = runner.start(
+        tick=functools.partial(tick.tick, tables),
+        deliver=functools.partial(_deliver, shell),
+        flush=functools.partial(links.flush, shell.links),
+        sources=[http_events, peer_events, upstream_events],
+    )
+    web_runner = await server.start(_http_state(settings, shell, http_events.on_next))
+    stop_metrics = metrics.start(settings, "bitternlever-entry", _sources(shell))
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, _drain, shell, http_events.on_next)
+    events.PROGRAM_STARTED.log(logger, program="entry", host=settings.host)
+    exit_code = await _wait(shell, running)
+    await _close(shell, running, web_runner, stop_metrics)
+    events.PROGRAM_ENDED.log(logger, program="entry", exit_code=exit_code)
+    return exit_code
+
+
+async def _wait(shell: Shell, running: runner.Runner) -> int:
+    await asyncio.wait(
+        [shell.ended, running.failed],
+        return_when=asyncio.FIRST_COMPLETED,
+    )
+    if running.failed.done():
+        events.INVARIANT_BROKEN.log(logger, error=repr(running.failed.exception()))
+        logger.error("traceback", exc_info=running.failed.exception())
+        return EXIT_BROKEN_INVARIANT
+    cut_off = shell.ended.result()
+    if cut_off:
+        events.REQUESTS_CUT_OFF.log(logger, count=len(cut_off), requests=cut_off)
+    return EXIT_OK
+
+
+async def _close(
+    shell: Shell,
+    running: runner.Runner,
+    web_runner: web.AppRunner,
+    stop_metrics: Any,
+) -> None:
+    await asyncio.sleep(LAST_FRAMES_S)
+    runner.stop(running)
+    await web_runner.cleanup()
+    await upstream_client.close(shell.upstreams)
+    links.close(shell.links)
+    for stop in (stop_metrics, shell.tracer.shutdown):
+        if stop is not None:
+            with contextlib.suppress(OSError):
+                stop()
+
+
+def _deliver(shell: Shell, message: Any) -> None:
+    match message:
+        case frames.SendPeer():
+            links.send(shell.links, message)
+        case requests.CallUpstream():
+            upstream_client.call(shell.upstreams, message)
+        case requests.CancelUpstream():
+            upstream_client.cancel(shell.upstreams, message)
+        case requests.SendOrder():
+            upstream_client.send_order(shell.upstreams, message)
+        case telemetry.SpanFinished():
+            shell.tracer.finished(message)
+        case requests.ProcessEnd():
+            if not shell.ended.done():
+                shell.ended.set_result(message.cut_off)
+        case _:
+            exchanges.deliver(shell.exchanges, message)
+
+
+def _drain(shell: Shell, on_event: Any) -> None:
+    shell.drains += 1
+    events.DRAIN_REQUESTED.log(logger, forced=shell.drains > 1)
+    on_event(requests.DrainRequested(forced=shell.drains > 1))
+
+
+def _core_settings(
+    settings: configuration.EntryConfiguration,
+) -> entry_tables.EntrySettings:
+    return entry_tables.EntrySettings(
+        host=settings.host,
+        zone=settings.zone,
+        address=settings.address,
+        link=settings.listen,
+        incarnation=uuid.uuid4().hex,
+        control_nodes={
+            CONTROL_PREFIX + host: link for host, link in settings.control_nodes.items()
+        },
+        seed_links=settings.seed_links,
+        host_list_max_age_s=settings.host_list_max_age_s,
+        maximum_requests=settings.maximum_requests,
+        upstream_silence_s=settings.upstream_silence_s,
+        policy=settings.policy,
+    )
+
+
+def _http_state(
+    settings: configuration.EntryConfiguration,
+    shell: Shell,
+    on_event: Any,
+) -> state.State:
+    return state.State(
+        configuration=settings,
+        tables=shell.tables,
+        exchanges=shell.exchanges,
+        tracer=shell.tracer,
+        clock=time.monotonic,
+        on_event=on_event,
+    )
+
+
+def _tracer(settings: configuration.EntryConfiguration) -> traces.Tracer:
+    return traces.create(
+        service="bitternlever-entry",
+        host=settings.host,
+        wall_ns=time.time_ns(),
+        monotonic_ns=time.monotonic_ns(),
+        otlp_endpoint=settings.otlp_endpoint,
+        spans_file=settings.spans_file,
+    )
+
+
+def _sources(shell: Shell) -> list[metrics.Source]:
+    tables = shell.tables
+    return [
+        metrics.Source(
+            instrument="entry.events",
+            description="Counted events of the entry core.",
+            unit="1",
+            counts=True,
+            read=lambda: dict(tables.counters),
+        ),
+        metrics.Source(
+            instrument="entry.rows",
+            description="Rows in the tables of the entry core.",
+            unit="1",
+            counts=False,
+            read=lambda: {
+                "requests": len(tables.requests.requests),
+                "attempts": len(tables.requests.attempts),
+                "waiting": len(tables.admission.ready),
+                "upstreams": len(tables.membership.upstreams),
+                "hosts": len(tables.membership.hosts),
+                "control_calls": len(tables.control.pending),
+            },
+        ),
+        metrics.links_source(shell.links),
+    ]
--- a/bitternlever/entry/tick.py
+++ b/bitternlever/entry/tick.py
@@ -4,7 +4,7 @@
 
 from bitternlever.admission import dispatch, preemption
 from bitternlever.core import ticks
-from bitternlever.entry import control_client, lease, tables as entry_tables
+from bitternlever.entry import control_client, lease, operators, tables as entry_tables
 from bitternlever.gossip import membership
 from bitternlever.messages import calls, frames, gossip, requests
 from bitternlever.orders import placement
@@ -83,5 +83,6 @@
     requests.UpstreamFailed: stages.failed,
     requests.UpstreamAnnounced: membership.announced,
     requests.OrderAnswered: placement.answered,
+    requests.OperatorCalled: operators.called,
     requests.DrainRequested: drain.request,
 }
--- /dev/null
+++ b/bitternlever/http/bodies.py
@@ -0,0 +1,105 @@
+"""Bodies of callers' calls: bounded in size and depth, decoded or refused."""
+
+from typing import Any
+
+import msgspec
+import result
+from aiohttp import web
+
+from bitternlever.messages import problems
+
+
+class Submission(msgspec.Struct, forbid_unknown_fields=True):
+    """The body of a new request."""
+
+    kind: str
+    input: Any
+    stream: bool = False
+    deadline_ms: int | None = None
+
+
+class ReplaceReplica(msgspec.Struct, forbid_unknown_fields=True):
+    """The body of an operator's replacement of a replica."""
+
+    old_node: str
+    old_disk: str
+    new_node: str
+
+
+def refusal(status: int, kind: str, title: str, detail: str) -> problems.Problem:
+    """Make the problem of a call that was refused before anything ran."""
+    return problems.Problem(
+        type=kind,
+        title=title,
+        status=status,
+        detail=detail,
+        ran=problems.Ran.NO,
+    )
+
+
+async def read(
+    request: web.Request,
+    maximum_bytes: int,
+) -> result.Result[bytes, problems.Problem]:
+    """Read a body of at most ``maximum_bytes``."""
+    data = bytearray()
+    async for piece in request.content.iter_any():
+        data += piece
+        if len(data) > maximum_bytes:
+            return result.Err(_too_large(maximum_bytes))
+    return result.Ok(bytes(data))
+
+
+def decode(
+    data: bytes,
+    kind: type,
+    maximum_depth: int,
+) -> result.Result[Any, problems.Problem]:
+    """Decode a JSON body of at most ``maximum_depth`` nested levels."""
+    try:
+        decoded = msgspec.json.decode(data, type=kind)
+    except RecursionError:
+        return result.Err(_too_deep(maximum_depth))
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        return result.Err(
+            refusal(400, "malformed-body", "The body is malformed", str(error)),
+        )
+    if isinstance(decoded, Submission) and depth_exceeds(decoded.input, maximum_depth):
+        return result.Err(_too_deep(maximum_depth))
+    return result.Ok(decoded)
+
+
+def depth_exceeds(value: Any, maximum_depth: int) -> bool:
+    """Tell whether JSON values nest deeper than ``maximum_depth``."""
+    level = [value]
+    for _ in range(maximum_depth):
+        level = [inner for outer in level for inner in _inner(outer)]
+        if not level:
+            return False
+    return any(isinstance(each, dict | list) for each in level)
+
+
+def _inner(value: Any) -> list[Any]:
+    if isinstance(value, dict):
+        return list(value.values())
+    if isinstance(value, list):
+        return value
+    return []
+
+
+def _too_large(maximum_bytes: int) -> problems.Problem:
+    return refusal(
+        413,
+        "body-too-large",
+        "The body is too large",
+        f"send at most {maximum_bytes} bytes",
+    )
+
+
+def _too_deep(maximum_depth: int) -> problems.Problem:
+    return refusal(
+        400,
+        "body-too-deep",
+        "The body nests too deep",
+        f"nest at most {maximum_depth} levels",
+    )
--- /dev/null
+++ b/bitternlever/http/callers.py
@@ -0,0 +1,284 @@
+"""The callers' HTTP: submit, fetch, cancel and acknowledge requests; find hosts."""
+
+import asyncio
+import hashlib
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+import result
+from aiohttp import web
+
+from bitternlever.gossip import hosts
+from bitternlever.http import authentication, bodies, exchanges, responses, state
+from bitternlever.messages import problems, requests
+
+MAXIMUM_KEY_LENGTH = 200
+MAXIMUM_OFFSET_DIGITS = 12
+KEEP_ALIVE_INTERVAL_S = 1.0
+COMMENT = b": waiting\n\n"
+
+MakeMessage = Callable[[int, str | None], Any]
+
+
+class HostList(msgspec.Struct):
+    """Hosts in order of preference, and for how long the list may be kept."""
+
+    hosts: list[hosts.Address]
+    max_age_s: float
+
+
+async def submit(request: web.Request) -> web.StreamResponse:
+    """Run a new request through a pipeline: ``POST …/{pipeline}/requests``."""
+    shared = request.app[state.KEY]
+    prepared = await _prepare(request, shared)
+    if prepared.is_err():
+        return responses.problem(prepared.err())
+    submission, make_message = prepared.ok()
+    if submission.stream:
+        return await _stream(request, shared, make_message)
+    return await _answer(request, shared, make_message)
+
+
+async def fetch(request: web.Request) -> web.StreamResponse:
+    """Return the answer or the state of a request: ``GET /v1/requests/{id}``."""
+    shared = request.app[state.KEY]
+    workspace = authentication.workspace(request, shared.tables)
+    if workspace.is_err():
+        return responses.problem(workspace.err())
+    offset = _offset(request)
+    if offset.is_err():
+        return responses.problem(offset.err())
+    stream = request.headers.get("Accept", "").startswith(responses.EVENT_STREAM_TYPE)
+
+    def make_message(caller: int, traceparent: str | None) -> requests.RequestQueried:
+        return requests.RequestQueried(
+            caller=caller,
+            workspace=workspace.ok(),
+            request_id=request.match_info["request_id"],
+            stream=stream,
+            resume_offset=offset.ok(),
+        )
+
+    if stream:
+        return await _stream(request, shared, make_message)
+    return await _answer(request, shared, make_message)
+
+
+async def cancel(request: web.Request) -> web.StreamResponse:
+    """Cancel a request by name: ``DELETE /v1/requests/{id}``."""
+    return await _by_name(request, requests.RequestCancelled)
+
+
+async def acknowledge(request: web.Request) -> web.StreamResponse:
+    """Say that an answer arrived whole: ``POST …/{id}/acknowledgement``."""
+    return await _by_name(request, requests.AnswerAcknowledged)
+
+
+async def list_hosts(request: web.Request) -> web.StreamResponse:
+    """Return the hosts that a caller should use: ``GET /v1/hosts``."""
+    shared = request.app[state.KEY]
+    workspace = authentication.workspace(request, shared.tables)
+    if workspace.is_err():
+        return responses.problem(workspace.err())
+    preferred = hosts.preferred(
+        shared.tables,
+        shared.clock(),
+        workspace=workspace.ok(),
+        zone=request.query.get("zone") or shared.configuration.zone,
+    )
+    body = HostList(
+        hosts=preferred,
+        max_age_s=shared.configuration.host_list_max_age_s,
+    )
+    return responses.json(body)
+
+
+async def _prepare(
+    request: web.Request,
+    shared: state.State,
+) -> result.Result[tuple[bodies.Submission, MakeMessage], problems.Problem]:
+    workspace = authentication.workspace(request, shared.tables)
+    if workspace.is_err():
+        return workspace
+    key = request.headers.get("Idempotency-Key")
+    if key is not None and not 0 < len(key) <= MAXIMUM_KEY_LENGTH:
+        return result.Err(_key_refused())
+    body = await bodies.read(request, shared.configuration.maximum_body_bytes)
+    if body.is_err():
+        return body
+    decoded = bodies.decode(
+        body.ok(),
+        bodies.Submission,
+        shared.configuration.maximum_json_depth,
+    )
+    if decoded.is_err():
+        return decoded
+    submission = decoded.ok()
+    offset = _offset(request)
+    if offset.is_err():
+        return offset
+    pipeline = request.match_info["pipeline"]
+    digest = hashlib.sha256(pipeline.encode() + b"\0" + body.ok()).hexdigest()
+
+    def make_message(caller: int, traceparent: str | None) -> requests.RequestSubmitted:
+        return requests.RequestSubmitted(
+            caller=caller,
+            workspace=workspace.ok(),
+            pipeline=pipeline,
+            kind=submission.kind,
+            body=body.ok(),
+            digest=digest,
+            key=key,
+            stream=submission.stream,
+            resume_offset=offset.ok(),
+            deadline_ms=submission.deadline_ms,
+            traceparent=traceparent,
+        )
+
+    return result.Ok((submission, make_message))
+
+
+async def _by_name(request: web.Request, kind: type) -> web.StreamResponse:
+    shared = request.app[state.KEY]
+    workspace = authentication.workspace(request, shared.tables)
+    if workspace.is_err():
+        return responses.problem(workspace.err())
+
+    def make_message(caller: int, traceparent: str | None) -> Any:
+        return kind(
+            caller=caller,
+            workspace=workspace.ok(),
+            request_id=request.match_info["request_id"],
+        )
+
+    return await _answer(request, shared, make_message)
+
+
+async def _answer(
+    request: web.Request,
+    shared: state.State,
+    make_message: MakeMessage,
+) -> web.StreamResponse:
+    """Send a message to the core and respond with its one answer."""
+    with (
+        _hop(request, shared) as hop,
+        exchanges.open_exchange(shared.exchanges) as exchange,
+    ):
+        shared.on_event(make_message(exchange.caller, hop.traceparent))
+        try:
+            answer = await _final(exchange)
+        except asyncio.CancelledError:
+            shared.on_event(requests.CallerGone(caller=exchange.caller))
+            raise
+        response = respond(answer)
+        hop.note("http.response.status_code", response.status)
+        return response
+
+
+async def _final(exchange: exchanges.Exchange) -> Any:
+    while True:
+        message = await exchange.queue.get()
+        if not isinstance(message, requests.StreamPiece):
+            return message
+
+
+def respond(answer: Any) -> web.Response:
+    """Make the response of a core's answer that is not streamed."""
+    match answer:
+        case requests.WholeAnswer():
+            return responses.whole(answer)
+        case requests.RequestState():
+            return responses.state(answer)
+        case requests.ProblemAnswer():
+            return responses.problem(answer.problem)
+    raise TypeError(f"no response for {type(answer).__name__}")
+
+
+async def _stream(
+    request: web.Request,
+    shared: state.State,
+    make_message: MakeMessage,
+) -> web.StreamResponse:
+    """Send a message to the core and stream its answer as server-sent events.
+
+    An answer without any piece before it keeps its own status and form.
+    """
+    with (
+        _hop(request, shared) as hop,
+        exchanges.open_exchange(shared.exchanges) as exchange,
+    ):
+        shared.on_event(make_message(exchange.caller, hop.traceparent))
+        try:
+            first = await exchange.queue.get()
+            if isinstance(first, requests.ProblemAnswer | requests.RequestState):
+                return respond(first)
+            return await _send_events(request, exchange, first)
+        except (asyncio.CancelledError, ConnectionError):
+            shared.on_event(requests.CallerGone(caller=exchange.caller))
+            raise
+
+
+async def _send_events(
+    request: web.Request,
+    exchange: exchanges.Exchange,
+    first: Any,
+) -> web.StreamResponse:
+    response = web.StreamResponse(
+        headers={
+            "Content-Type": responses.EVENT_STREAM_TYPE,
+            "Cache-Control": "no-store",
+            responses.REQUEST_ID_HEADER: first.request_id,
+        },
+    )
+    await response.prepare(request)
+    message = first
+    while isinstance(message, requests.StreamPiece):
+        await response.write(responses.piece_event(message))
+        message = await _next(exchange, response)
+    if isinstance(message, requests.WholeAnswer):
+        await response.write(responses.end_event(message))
+    elif isinstance(message, requests.ProblemAnswer):
+        data = responses.encode_problem(message.problem)
+        await response.write(responses.event("problem", data))
+    await response.write_eof()
+    return response
+
+
+async def _next(exchange: exchanges.Exchange, response: web.StreamResponse) -> Any:
+    """Wait for the core's next message; a comment now and then shows life."""
+    while True:
+        try:
+            return await asyncio.wait_for(exchange.queue.get(), KEEP_ALIVE_INTERVAL_S)
+        except TimeoutError:
+            await response.write(COMMENT)
+
+
+def _hop(request: web.Request, shared: state.State) -> Any:
+    return shared.tracer.server_call(
+        f"{request.method} {request.match_info.route.resource.canonical}",
+        request.headers.get("traceparent"),
+    )
+
+
+def _offset(request: web.Request) -> result.Result[int, problems.Problem]:
+    text = request.query.get("offset", "0")
+    if text.isascii() and text.isdigit() and len(text) <= MAXIMUM_OFFSET_DIGITS:
+        return result.Ok(int(text))
+    return result.Err(
+        bodies.refusal(
+            400,
+            "malformed-offset",
+            "The offset is malformed",
+            "send offset=N with the number of characters already received",
+        ),
+    )
+
+
+def _key_refused() -> problems.Problem:
+    return bodies.refusal(
+        400,
+        "malformed-key",
+        "The Idempotency-Key is malformed",
+        f"send 1 to {MAXIMUM_KEY_LENGTH} characters",
+    )
--- a/bitternlever/messages/frames.py
+++ b/bitternlever/messages/frames.py
@@ -32,7 +32,8 @@
     """Messages from one process to another.
 
     ``link`` is the address at which the sender listens, ``incarnation`` tells its
-    runs apart, ``sequence`` counts its frames to this peer.
+    runs apart. ``sequence`` counts its frames with messages to this peer and is 0 in
+    a frame without; ``acknowledged`` is the newest sequence received from the peer.
     """
 
     version: int
@@ -41,6 +42,7 @@
     incarnation: str
     sequence: int
     messages: list[PeerMessage]
+    acknowledged: int = 0
 
 
 class SendPeer(msgspec.Struct, tag=True):
--- a/bitternlever/messages/requests.py
+++ b/bitternlever/messages/requests.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from bitternlever.messages import problems, upstream
+from bitternlever.messages import calls, problems, upstream
 
 
 class RequestSubmitted(msgspec.Struct, tag=True):
@@ -194,6 +194,21 @@
     error: str = ""
 
 
+class OperatorCalled(msgspec.Struct, tag=True):
+    """An operator's command for the directory or a journal group."""
+
+    caller: int
+    group: int
+    command: calls.Command
+
+
+class OperatorAnswered(msgspec.Struct, tag=True):
+    """The group's reply to an operator's command."""
+
+    caller: int
+    reply: calls.Reply
+
+
 class DrainRequested(msgspec.Struct, tag=True):
     """SIGTERM or an operator's drain; a second one ends the process sooner."""
 
--- a/bitternlever/messages/upstream.py
+++ b/bitternlever/messages/upstream.py
@@ -108,6 +108,24 @@
     usage: Usage = Usage()
 
 
+class StreamLine(msgspec.Struct, frozen=True):
+    """Any line of a streamed reply as read: the one with a binding is the end."""
+
+    offset: int = 0
+    text: str = ""
+    binding: Binding | None = None
+    length: int = 0
+    digest: str = ""
+    usage: Usage = Usage()
+
+
+class Refusal(msgspec.Struct, frozen=True):
+    """An upstream's refusal; ``ran`` is "no" when it did nothing with the call."""
+
+    detail: str = ""
+    ran: str = "unknown"
+
+
 class EngineOrder(msgspec.Struct, frozen=True):
     """An order that states the wanted result; ``PUT {address}/v1/engine``."""
 
--- /dev/null
+++ b/bitternlever/telemetry/events.py
@@ -0,0 +1,103 @@
+"""Numbered log events; docs/EVENTS.md is their catalogue.
+
+Numbers: 1xx programs, 2xx links, 3xx callers' HTTP, 4xx upstreams, 5xx leases and
+manifests, 6xx requests, 7xx the replicated log and the disk, 8xx orders.
+"""
+
+import dataclasses
+import logging
+from typing import Any
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Event:
+    """One kind of log event: its number, its name, its level and its text."""
+
+    number: int
+    name: str
+    level: int
+    text: str
+
+    def log(self, logger: logging.Logger, **fields: Any) -> None:
+        """Log the event with its fields."""
+        if logger.isEnabledFor(self.level):
+            logger.log(self.level, self.text, extra={"event": self, "fields": fields})
+
+
+CATALOGUE: dict[int, Event] = {}
+
+
+def register(number: int, name: str, level: int, text: str) -> Event:
+    """Add an event to the catalogue; a number twice is a broken invariant."""
+    if number in CATALOGUE:
+        raise ValueError(f"event number {number} stands twice in the catalogue")
+    event = Event(number=number, name=name, level=level, text=text)
+    CATALOGUE[number] = event
+    return event
+
+
+PROGRAM_STARTED = register(101, "program-started", logging.INFO, "The program started.")
+PROGRAM_ENDED = register(102, "program-ended", logging.INFO, "The program ended.")
+SETTINGS_FAULTY = register(
+    103,
+    "settings-faulty",
+    logging.ERROR,
+    "A setting cannot be used.",
+)
+INVARIANT_BROKEN = register(
+    104,
+    "invariant-broken",
+    logging.CRITICAL,
+    "An invariant is broken: the program stops.",
+)
+DRAIN_REQUESTED = register(105, "drain-requested", logging.INFO, "A drain began.")
+REQUESTS_CUT_OFF = register(
+    106,
+    "requests-cut-off",
+    logging.WARNING,
+    "The program ends with requests in flight.",
+)
+ADDRESS_REFUSED = register(
+    107,
+    "address-refused",
+    logging.ERROR,
+    "An address cannot be bound.",
+)
+FRAME_REFUSED = register(201, "frame-refused", logging.WARNING, "A frame was refused.")
+LINK_SILENT = register(
+    202,
+    "link-silent",
+    logging.WARNING,
+    "A peer acknowledges nothing: dialling it anew.",
+)
+CALL_REFUSED = register(301, "call-refused", logging.INFO, "A call was refused.")
+UPSTREAM_CALL_FAILED = register(
+    401,
+    "upstream-call-failed",
+    logging.WARNING,
+    "A call to an upstream failed.",
+)
+UPSTREAM_SILENT = register(
+    402,
+    "upstream-silent",
+    logging.WARNING,
+    "A connection to an upstream went silent: its siblings are closed.",
+)
+COUNTER_RAISED = register(
+    601,
+    "counter-raised",
+    logging.INFO,
+    "A counted event of the entry core occurred.",
+)
+DISK_FAILED = register(
+    701,
+    "disk-failed",
+    logging.CRITICAL,
+    "The disk failed: the replica stops voting.",
+)
+STORE_REFUSED = register(
+    702,
+    "store-refused",
+    logging.CRITICAL,
+    "The data folder cannot be used.",
+)
--- /dev/null
+++ b/bitternlever/telemetry/metrics.py
@@ -0,0 +1,115 @@
+"""Metrics by OpenTelemetry: what a process counts, read at each export.
+
+Without a collector and a file nothing is exported and the SDK is not imported.
+"""
+
+import dataclasses
+from collections.abc import Callable, Iterable, Mapping
+from typing import Any
+
+from bitternlever.conf import configuration
+from bitternlever.transport import links
+
+MILLISECONDS_PER_SECOND = 1_000
+PREFIX = "bitternlever."
+
+Read = Callable[[], Mapping[str, float]]
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Source:
+    """Values that a process reads anew at each export.
+
+    Counters only grow; other values are gauges. Each has a ``name`` attribute.
+    """
+
+    instrument: str
+    description: str
+    unit: str
+    counts: bool
+    read: Read
+
+
+def links_source(open_links: links.Links) -> Source:
+    """Make the source of the counters of a process's links."""
+    return Source(
+        instrument="links",
+        description="Frames and bytes between the system's processes.",
+        unit="1",
+        counts=True,
+        read=lambda: {
+            "frames_sent": open_links.frames_sent,
+            "bytes_sent": open_links.bytes_sent,
+            "frames_received": open_links.frames_received,
+            "bytes_received": open_links.bytes_received,
+            "dropped": open_links.dropped,
+            "refused": open_links.refused,
+            "redialled": open_links.redialled,
+        },
+    )
+
+
+def start(
+    settings: configuration.CommonConfiguration,
+    service: str,
+    sources: Iterable[Source],
+) -> Callable[[], Any] | None:
+    """Export ``sources`` from now on; return how to stop, or None without exports."""
+    if settings.otlp_endpoint is None and not settings.metrics_file:
+        return None
+    provider = _provider(settings, service)
+    meter = provider.get_meter("bitternlever")
+    for source in sources:
+        _observe(meter, source)
+    return provider.shutdown
+
+
+def _observe(meter: Any, source: Source) -> None:
+    from opentelemetry import metrics
+
+    def callback(_: Any) -> list[metrics.Observation]:
+        return [
+            metrics.Observation(value, {"name": name})
+            for name, value in source.read().items()
+        ]
+
+    create = (
+        meter.create_observable_counter
+        if source.counts
+        else meter.create_observable_gauge
+    )
+    create(
+        PREFIX + source.instrument,
+        callbacks=[callback],
+        unit=source.unit,
+        description=source.description,
+    )
+
+
+def _provider(settings: configuration.CommonConfiguration, service: str) -> Any:
+    from opentelemetry.sdk import metrics, resources
+    from opentelemetry.sdk.metrics import export
+
+    resource = resources.Resource.create(
+        {"service.name": service, "host.name": settings.host},
+    )
+    reader = export.PeriodicExportingMetricReader(
+        _exporter(settings),
+        export_interval_millis=settings.metrics_interval_s * MILLISECONDS_PER_SECOND,
+    )
+    return metrics.MeterProvider(metric_readers=[reader], resource=resource)
+
+
+def _exporter(settings: configuration.CommonConfiguration) -> Any:
+    if settings.otlp_endpoint is not None:
+        from opentelemetry.exporter.otlp.proto.http import metric_exporter
+
+        return metric_exporter.OTLPMetricExporter(
+            f"{settings.otlp_endpoint}/v1/metrics",
+        )
+    from opentelemetry.sdk.metrics import export
+
+    return export.ConsoleMetricExporter(
+        out=open(settings.metrics_file, "a", buffering=1),  # noqa: SIM115
+        formatter=lambda data: data.to_json(indent=None) + "\n",
+    )
--- /dev/null
+++ b/bitternlever/transport/codec.py
@@ -0,0 +1,52 @@
+"""Encode frames as MessagePack behind a keyed MAC, and refuse what is not ours."""
+
+import hashlib
+import hmac
+
+import msgspec
+import result
+
+from bitternlever.messages import frames
+
+MAC_BYTES = 16
+MAXIMUM_FRAME_BYTES = 16_000_000
+
+encoder = msgspec.msgpack.Encoder()
+decoder = msgspec.msgpack.Decoder(frames.Frame)
+
+
+class FrameRefused(msgspec.Struct, frozen=True):
+    """A frame that was not decoded; ``reason`` names what is wrong with it."""
+
+    reason: str
+
+
+def derive_key(cluster_key: str) -> bytes:
+    """Derive the MAC key from the shared key of the settings."""
+    return hashlib.blake2b(cluster_key.encode(), digest_size=32).digest()
+
+
+def encode(key: bytes, frame: frames.Frame) -> bytes:
+    """Encode a frame; the keyed BLAKE2b MAC stands first."""
+    payload = encoder.encode(frame)
+    return _mac(key, payload) + payload
+
+
+def decode(key: bytes, data: bytes) -> result.Result[frames.Frame, FrameRefused]:
+    """Check the MAC, decode, and check the protocol version."""
+    if len(data) < MAC_BYTES or len(data) > MAXIMUM_FRAME_BYTES:
+        return result.Err(FrameRefused(reason="a length that no frame has"))
+    payload = data[MAC_BYTES:]
+    if not hmac.compare_digest(data[:MAC_BYTES], _mac(key, payload)):
+        return result.Err(FrameRefused(reason="a MAC of another cluster key"))
+    try:
+        frame = decoder.decode(payload)
+    except (msgspec.DecodeError, RecursionError):
+        return result.Err(FrameRefused(reason="a payload that does not decode"))
+    if frame.version != frames.PROTOCOL_VERSION:
+        return result.Err(FrameRefused(reason=f"protocol version {frame.version}"))
+    return result.Ok(frame)
+
+
+def _mac(key: bytes, payload: bytes) -> bytes:
+    return hashlib.blake2b(payload, key=key, digest_size=MAC_BYTES).digest()
