--- a/bench/invariants/records.py
+++ b/bench/invariants/records.py
@@ -146,6 +146,13 @@
     time_s: float
 
 
+class RequestCancelled(msgspec.Struct, tag=True, frozen=True):
+    """A caller asks to cancel the request of an earlier exchange."""
+
+    exchange: str
+    time_s: float
+
+
 class ManifestAccepted(msgspec.Struct, tag=True, frozen=True):
     """An operator was told that a manifest is accepted."""
 
@@ -175,6 +182,7 @@
     | AnswerReceived
     | RefusalReceived
     | AnswerCut
+    | RequestCancelled
     | ManifestAccepted
     | ManifestSeen
 )
