Run experiments by name

scripts/bench needs a runner that finds the experiments by itself, so that each package can add its own module.

--- /dev/null
+++ b/bench/__main__.py
@@ -0,0 +1,54 @@
+"""Run one experiment by its name, or list them all.
+
+An experiment is a module of the package ``bench`` with a docstring and a function
+``run(arguments: list[str]) -> int``. It prints one JSON object a line.
+"""
+
+import importlib
+import pkgutil
+import sys
+import types
+
+import bench
+
+USAGE = "usage: sh scripts/bench NAME [ARGUMENT ...] | --list"
+EXIT_USAGE = 2
+
+
+def experiments() -> dict[str, types.ModuleType]:
+    """Import the modules of ``bench`` and return the experiments by name."""
+    found = {}
+    for info in pkgutil.iter_modules(bench.__path__):
+        if info.name.startswith("_"):
+            continue
+        module = importlib.import_module(f"bench.{info.name}")
+        if callable(getattr(module, "run", None)):
+            found[info.name] = module
+    return found
+
+
+def summary(module: types.ModuleType) -> str:
+    """Return the first line of a module's docstring."""
+    return (module.__doc__ or "").strip().split("\n")[0]
+
+
+def main(arguments: list[str]) -> int:
+    """Run the named experiment and return its exit code."""
+    if not arguments or arguments[0] in {"-h", "--help"}:
+        print(USAGE, file=sys.stderr)
+        return EXIT_USAGE
+    known = experiments()
+    if arguments[0] == "--list":
+        for name, module in sorted(known.items()):
+            print(f"{name:18} {summary(module)}")
+        return 0
+    module = known.get(arguments[0])
+    if module is None:
+        names = ", ".join(sorted(known))
+        print(f"no experiment {arguments[0]!r}; known are: {names}", file=sys.stderr)
+        return EXIT_USAGE
+    return module.run(arguments[1:])
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
