Add stand-ins for engines, stages, services and the weight store

The system needs something to serve before any real upstream is at hand, and the invariant checker needs records that don't come from the system. Outputs follow from the model, the request id and the input alone, and each generated word carries the request's mark, so that doubled and crossed answers show. Every call is recorded before it runs; a refused call is not recorded.

Faults on demand: slow, freeze, silent (open connections only), refuse, cut, die.

--- /dev/null
+++ b/standins/__main__.py
@@ -0,0 +1,133 @@
+"""Run one stand-in as a process: ``python -m standins KIND --name NAME …``."""
+
+import asyncio
+import dataclasses
+import logging
+import signal
+import sys
+from typing import Annotated
+
+import aiohttp
+import cappa
+from aiohttp import web
+
+from standins import (
+    announcer,
+    engine,
+    plain,
+    server,
+    settings as standin_settings,
+    weight_store,
+)
+
+DRAIN_S = 10.0
+DRAIN_CHECK_S = 0.02
+
+Text = Annotated[str, cappa.Arg(long=True)]
+Number = Annotated[int, cappa.Arg(long=True)]
+Milliseconds = Annotated[float, cappa.Arg(long=True)]
+Flag = Annotated[bool, cappa.Arg(long=True)]
+
+
+@cappa.command(name="standins")
+@dataclasses.dataclass
+class Arguments:
+    """Stand in for a system around bitternlever."""
+
+    kind: standin_settings.StandInKind
+    name: Text
+    listen: Text = "127.0.0.1:0"
+    zone: Text = "zone-a"
+    pool: Text = "pool"
+    entries: Text = ""
+    token: Text = ""
+    records: Text = ""
+    models: Text = ""
+    adapters: Text = ""
+    weight_store: Text = ""
+    checks_fencing: Flag = False
+    non_idempotent: Flag = False
+    concurrency: Number = 8
+    service_ms: Milliseconds = 4.0
+    step_ms: Milliseconds = 4.0
+    cache_prefixes: Number = 64
+    bytes_per_s: Number = 2_000_000_000
+    seed: Number = 1
+
+
+def settings_of(arguments: Arguments) -> standin_settings.Settings:
+    """Return the settings that the arguments state."""
+    host, _, port = arguments.listen.rpartition(":")
+    values = dataclasses.asdict(arguments)
+    del values["listen"]
+    for name in ("entries", "models", "adapters"):
+        values[name] = tuple(part for part in values[name].split(",") if part)
+    return standin_settings.Settings(host=host, port=int(port), **values)
+
+
+async def serve(settings: standin_settings.Settings) -> None:
+    """Serve until SIGTERM or SIGINT, then leave and end the calls in flight."""
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    if settings.kind is standin_settings.StandInKind.WEIGHT_STORE:
+        await _serve_store(settings, stop)
+        return
+    await _serve_upstream(settings, stop)
+
+
+async def _serve_store(
+    settings: standin_settings.Settings,
+    stop: asyncio.Event,
+) -> None:
+    runner = await _listen(weight_store.create_app(settings.bytes_per_s), settings)
+    await stop.wait()
+    await runner.cleanup()
+
+
+async def _serve_upstream(
+    settings: standin_settings.Settings,
+    stop: asyncio.Event,
+) -> None:
+    is_engine = settings.kind is standin_settings.StandInKind.ENGINE
+    run = engine.run if is_engine else plain.run
+    stand_in = server.create(settings, run)
+    runner = await _listen(server.create_app(stand_in), settings)
+    announcing = announcer.create(settings, stand_in.recorder, lambda message: None)
+    async with aiohttp.ClientSession() as session:
+        task = asyncio.ensure_future(announcer.run(announcing, session))
+        await stop.wait()
+        task.cancel()
+        await announcer.leave(announcing, session)
+        await _drain(stand_in)
+    await runner.cleanup()
+
+
+async def _drain(stand_in: server.StandIn) -> None:
+    left_s = DRAIN_S
+    while stand_in.calls and left_s > 0:
+        await asyncio.sleep(DRAIN_CHECK_S)
+        left_s -= DRAIN_CHECK_S
+
+
+async def _listen(
+    app: web.Application,
+    settings: standin_settings.Settings,
+) -> web.AppRunner:
+    runner = web.AppRunner(app, access_log=None, shutdown_timeout=1.0)
+    await runner.setup()
+    await web.TCPSite(runner, settings.host, settings.port).start()
+    return runner
+
+
+def main() -> int:
+    """Run one stand-in until it is told to stop."""
+    logging.basicConfig(level=logging.WARNING, stream=sys.stderr)
+    arguments = cappa.parse(Arguments, completion=False)
+    asyncio.run(serve(settings_of(arguments)))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/standins/announcer.py
@@ -0,0 +1,125 @@
+"""Announcements to one reachable entry host each second, and a last one on leaving."""
+
+import asyncio
+import dataclasses
+import logging
+import time
+from collections.abc import Callable
+
+import aiohttp
+import msgspec
+
+from bitternlever.messages import upstream
+from standins import records as standin_records, settings as standin_settings
+
+INTERVAL_S = 1.0
+TIMEOUT_S = 1.0
+MAXIMUM_CACHE_EVENTS = 64
+
+logger = logging.getLogger(__name__)
+
+
+@dataclasses.dataclass(slots=True)
+class Announcer:
+    """What the next announcement says beside the settings."""
+
+    settings: standin_settings.Settings
+    recorder: standin_records.Recorder
+    describe: Callable[[upstream.Announcement], None]
+    incarnation: int
+    sequence: int = 0
+    target: int = 0
+    leaving: bool = False
+    recorded: bool = False
+
+
+def create(
+    settings: standin_settings.Settings,
+    recorder: standin_records.Recorder,
+    describe: Callable[[upstream.Announcement], None],
+) -> Announcer:
+    """Make an announcer; ``describe`` adds models, load and cache events."""
+    return Announcer(
+        settings=settings,
+        recorder=recorder,
+        describe=describe,
+        incarnation=time.time_ns() // 1_000_000,
+    )
+
+
+def announcement(announcer: Announcer) -> upstream.Announcement:
+    """Return the next announcement in sequence."""
+    settings = announcer.settings
+    announcer.sequence += 1
+    message = upstream.Announcement(
+        name=settings.name,
+        incarnation=announcer.incarnation,
+        sequence=announcer.sequence,
+        address=settings.address,
+        pool=settings.pool,
+        zone=settings.zone,
+        tasks=settings.tasks,
+        concurrency=settings.concurrency,
+        checks_fencing=settings.checks_fencing,
+        leaving=announcer.leaving,
+    )
+    announcer.describe(message)
+    return message
+
+
+async def run(announcer: Announcer, session: aiohttp.ClientSession) -> None:
+    """Announce each second until cancelled."""
+    while True:
+        await announce(announcer, session)
+        await asyncio.sleep(INTERVAL_S)
+
+
+async def leave(announcer: Announcer, session: aiohttp.ClientSession) -> None:
+    """Say once, to the first entry host that answers, that the stand-in leaves."""
+    announcer.leaving = True
+    announcer.recorded = False
+    await announce(announcer, session)
+
+
+async def announce(announcer: Announcer, session: aiohttp.ClientSession) -> bool:
+    """Send one announcement; try each entry host once until one takes it."""
+    entries = announcer.settings.entries
+    if not entries:
+        return False
+    body = msgspec.json.encode(announcement(announcer))
+    for _ in entries:
+        entry = entries[announcer.target % len(entries)]
+        if await _send(session, entry, announcer.settings.token, body):
+            _record(announcer)
+            return True
+        announcer.target += 1
+    logger.info("%s: no entry host takes announcements", announcer.settings.name)
+    return False
+
+
+def _record(announcer: Announcer) -> None:
+    if announcer.recorded:
+        return
+    announcer.recorded = True
+    announcer.recorder.announced(announcer.leaving)
+
+
+async def _send(
+    session: aiohttp.ClientSession,
+    entry: str,
+    token: str,
+    body: bytes,
+) -> bool:
+    headers = {"Authorization": f"Bearer {token}", "Content-Type": "application/json"}
+    timeout = aiohttp.ClientTimeout(total=TIMEOUT_S)
+    try:
+        async with session.post(
+            f"{entry}/v1/upstreams",
+            data=body,
+            headers=headers,
+            timeout=timeout,
+        ) as response:
+            await response.read()
+            return response.status < 300
+    except (aiohttp.ClientError, TimeoutError):
+        return False
--- /dev/null
+++ b/standins/plain.py
@@ -0,0 +1,42 @@
+"""Encoders, retrievers, rerankers and plain services: one whole answer a call."""
+
+import asyncio
+
+import msgspec
+from aiohttp import web
+
+from bench.invariants import records
+from bitternlever.messages import upstream
+from standins import faults, server, words
+
+
+async def run(
+    stand_in: server.StandIn,
+    request: web.Request,
+    call: upstream.StageCall,
+) -> web.Response:
+    """Answer one call after the service time."""
+    stand_in.recorder.called(call)
+    busy_ms = stand_in.settings.service_ms * faults.factor(stand_in.faults)
+    async with stand_in.slots:
+        await asyncio.sleep(busy_ms / 1_000)
+    output = words.whole(
+        request.match_info["task"],
+        call.binding.request,
+        call.binding.stage,
+        call.input,
+        call.previous,
+    )
+    await faults.hold(stand_in.faults, request.transport)
+    faults.break_stream(stand_in.faults, request, stand_in.faults.fault.after_parts)
+    stand_in.recorder.ended(call, records.Ending.WHOLE, records.digest(output))
+    reply = upstream.StageReply(
+        binding=call.binding,
+        output=output,
+        digest=words.digest(output),
+        usage=upstream.Usage(busy_ms=busy_ms),
+    )
+    return web.Response(
+        body=msgspec.json.encode(reply),
+        content_type="application/json",
+    )
--- /dev/null
+++ b/standins/records.py
@@ -0,0 +1,83 @@
+"""The call records of a stand-in, one JSON line each, flushed at once."""
+
+import pathlib
+import time
+
+from bench.invariants import files, records
+from bitternlever.messages import upstream
+from standins import settings as standin_settings
+
+
+class Recorder:
+    """Write the records of one stand-in; without a folder it only counts."""
+
+    __slots__ = ("append", "count", "idempotent", "name")
+
+    def __init__(self, settings: standin_settings.Settings) -> None:
+        self.name = settings.name
+        self.idempotent = not settings.non_idempotent
+        self.count = 0
+        self.append = None
+        if settings.records:
+            folder = pathlib.Path(settings.records)
+            self.append = files.open_writer(folder, settings.name)
+
+    def called(self, call: upstream.StageCall) -> None:
+        """Record that a call is about to run."""
+        binding = call.binding
+        self.write(
+            records.StageCalled(
+                upstream=self.name,
+                request=binding.request,
+                stage=binding.stage,
+                attempt=binding.attempt,
+                epoch=binding.epoch,
+                idempotent=self.idempotent,
+                input_digest=records.digest(call.input),
+                time_s=time.monotonic(),
+            ),
+        )
+
+    def ended(
+        self,
+        call: upstream.StageCall,
+        ending: records.Ending,
+        output_digest: str = "",
+    ) -> None:
+        """Record how a call ended."""
+        binding = call.binding
+        self.write(
+            records.CallEnded(
+                upstream=self.name,
+                request=binding.request,
+                stage=binding.stage,
+                attempt=binding.attempt,
+                input_digest=records.digest(call.input),
+                ending=ending,
+                output_digest=output_digest,
+                time_s=time.monotonic(),
+            ),
+        )
+
+    def ordered(self, order: upstream.EngineOrder, taken: bool) -> None:
+        """Record an order and whether it was taken."""
+        self.write(
+            records.OrderReceived(
+                upstream=self.name,
+                fencing=order.fencing,
+                models=order.models,
+                taken=taken,
+                time_s=time.monotonic(),
+            ),
+        )
+
+    def announced(self, leaving: bool) -> None:
+        """Record that an entry host took a first or a last announcement."""
+        form = records.LeavingAnnounced if leaving else records.ServingAnnounced
+        self.write(form(upstream=self.name, time_s=time.monotonic()))
+
+    def write(self, record: records.Record) -> None:
+        """Append one record and hand it to the operating system."""
+        self.count += 1
+        if self.append is not None:
+            self.append(record)
--- /dev/null
+++ b/standins/words.py
@@ -0,0 +1,101 @@
+"""Deterministic outputs, in which doubled or crossed answers show.
+
+Each output follows from the model, the request id and the input alone, and carries
+the request id's short hash: in every word where it is text.
+"""
+
+import hashlib
+from typing import Any
+
+import msgspec
+
+WORDS = [
+    "transfer",
+    "registrant",
+    "dispute",
+    "reply",
+    "notice",
+    "panel",
+    "chamber",
+    "potato",
+    "season",
+    "audit",
+    "claim",
+    "insurer",
+    "slip",
+    "gate",
+    "reading",
+    "zone",
+]
+DEFAULT_OUTPUT_TOKENS = 24
+VECTOR_LENGTH = 8
+DOCUMENTS = 4
+RERANKED = 2
+
+
+def short_hash(request_id: str) -> str:
+    """Return the eight hexadecimal digits that mark a request's outputs."""
+    return hashlib.sha256(request_id.encode()).hexdigest()[:8]
+
+
+def generated(model: str | None, request_id: str, inputs: Any, tokens: int) -> str:
+    """Return the whole text that a model generates: one word a token."""
+    return "".join(tokens_of(model, request_id, inputs, tokens))
+
+
+def tokens_of(
+    model: str | None,
+    request_id: str,
+    inputs: Any,
+    tokens: int,
+) -> list[str]:
+    """Return the words of a generated text, each but the first with a space."""
+    seed = _seed(model or "", request_id, msgspec.json.encode(inputs, order="sorted"))
+    mark = short_hash(request_id)
+    words = []
+    for number in range(tokens or DEFAULT_OUTPUT_TOKENS):
+        index = (seed + number * 7919) // (number + 1) % len(WORDS)
+        space = " " if number else ""
+        words.append(f"{space}{WORDS[index]}-{mark}-{number}")
+    return words
+
+
+def whole(task: str, request_id: str, stage: str, inputs: Any, previous: Any) -> Any:
+    """Return the output of a stage that does not generate text."""
+    body = msgspec.json.encode([inputs, previous], order="sorted")
+    seed = _seed(stage, request_id, body)
+    output: dict[str, Any] = {"task": task, "request": short_hash(request_id)}
+    if task == "encode":
+        output["vector"] = [seed >> (4 * shift) & 255 for shift in range(VECTOR_LENGTH)]
+    elif task == "retrieve":
+        output["documents"] = [_document(seed, number) for number in range(DOCUMENTS)]
+    elif task == "rerank":
+        documents = previous.get("documents", []) if isinstance(previous, dict) else []
+        output["documents"] = documents[::-1][:RERANKED]
+    else:
+        output["done"] = True
+        output["receipt"] = f"{seed & 0xFFFFFFFF:08x}"
+    return output
+
+
+def digest(output: Any) -> str:
+    """Return the digest of a whole output: SHA-256 of its JSON bytes."""
+    return hashlib.sha256(msgspec.json.encode(output)).hexdigest()
+
+
+def text_digest(text: str) -> str:
+    """Return the digest of a streamed output: SHA-256 of its UTF-8 bytes."""
+    return hashlib.sha256(text.encode()).hexdigest()
+
+
+def _document(seed: int, number: int) -> dict[str, Any]:
+    word = WORDS[(seed + number) % len(WORDS)]
+    return {"id": f"doc-{(seed >> number) & 4095}", "text": f"{word} {number}"}
+
+
+def _seed(*parts: str | bytes) -> int:
+    hasher = hashlib.sha256()
+    for part in parts:
+        hasher.update(part if isinstance(part, bytes) else part.encode())
+        hasher.update(b"\0")
+    return int.from_bytes(hasher.digest()[:8], "big")
