--- a/bitternlever/transport/links.py
+++ b/bitternlever/transport/links.py
@@ -34,11 +34,15 @@
 
 @dataclasses.dataclass(slots=True)
 class Peer:
-    """The way to one other process; times are monotonic seconds."""
+    """The way to one other process; times are monotonic seconds.
+
+    A link given by the core stays; one learnt from the peer's frames follows them.
+    """
 
     node: str
     link: str
     socket: pynng.Push0
+    learnt: bool
     queued: list[Any] = dataclasses.field(default_factory=list)
     sequence: int = 0
     acknowledged: int = 0
@@ -105,7 +109,7 @@
 
 def send(links: Links, message: frames.SendPeer) -> None:
     """Queue a message for a peer until the next flush; a full queue drops it."""
-    peer = _peer(links, message.node, message.link)
+    peer = _peer(links, message.node, message.link, learnt=False)
     if peer is None or len(peer.queued) >= MAXIMUM_QUEUED_MESSAGES:
         links.dropped += 1
         return
@@ -129,17 +133,32 @@
         peer.socket.close()
 
 
-def _peer(links: Links, node: str, link: str | None) -> Peer | None:
+def _peer(links: Links, node: str, link: str | None, learnt: bool) -> Peer | None:
     peer = links.peers.get(node)
-    if peer is not None and link is not None and peer.link != link:
-        _redial(links, peer, link)
-    if peer is not None or link is None or len(links.peers) >= MAXIMUM_PEERS:
+    if peer is not None:
+        _follow_link(links, peer, link, learnt)
         return peer
-    peer = Peer(node=node, link=link, socket=_dial(link), used_s=links.clock())
+    if link is None or len(links.peers) >= MAXIMUM_PEERS:
+        return None
+    peer = Peer(
+        node=node,
+        link=link,
+        socket=_dial(link),
+        learnt=learnt,
+        used_s=links.clock(),
+    )
     links.peers[node] = peer
     return peer
 
 
+def _follow_link(links: Links, peer: Peer, link: str | None, learnt: bool) -> None:
+    if link is None or (learnt and not peer.learnt):
+        return
+    peer.learnt = learnt
+    if peer.link != link:
+        _redial(links, peer, link)
+
+
 def _dial(link: str) -> pynng.Push0:
     socket = pynng.Push0(
         send_buffer_size=SEND_BUFFER_FRAMES,
@@ -214,7 +233,7 @@
 
 
 def _note_received(links: Links, frame: frames.Frame) -> None:
-    peer = _peer(links, frame.sender, frame.link)
+    peer = _peer(links, frame.sender, frame.link, learnt=True)
     if peer is None:
         return
     now = links.clock()
--- /dev/null
+++ b/tests/telemetry/test_events.py
@@ -0,0 +1,30 @@
+"""The catalogue of events in the documentation is the one in the code."""
+
+import importlib
+import logging
+import pathlib
+import pkgutil
+import re
+
+import bitternlever
+from bitternlever.telemetry import events
+
+ROOT = pathlib.Path(__file__).parents[2]
+ROW = re.compile(r"^\| (\d+) \| ([a-z0-9-]+) \| ([a-z]+) \|", re.MULTILINE)
+
+
+def test_every_event_stands_in_the_catalogue():
+    for module in pkgutil.walk_packages(bitternlever.__path__, "bitternlever."):
+        if ".commands" not in module.name:
+            importlib.import_module(module.name)
+    documented = {
+        (int(number), name, level)
+        for number, name, level in ROW.findall((ROOT / "docs/EVENTS.md").read_text())
+    }
+
+    registered = {
+        (event.number, event.name, logging.getLevelName(event.level).lower())
+        for event in events.CATALOGUE.values()
+    }
+
+    assert documented == registered
--- /dev/null
+++ b/tests/transport/test_links.py
@@ -0,0 +1,147 @@
+"""Links carry messages, and are dialled anew when a peer acknowledges nothing."""
+
+import asyncio
+import contextlib
+import socket
+import time
+
+import pytest
+
+from bitternlever.messages import calls, frames
+from bitternlever.transport import links
+
+PATIENCE_S = 15.0
+
+
+def free_port() -> int:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+class Process:
+    """One end of a link and what it received."""
+
+    def __init__(self, node):
+        self.received = []
+        self.link = f"tcp://127.0.0.1:{free_port()}"
+        self.links = links.listen(
+            node=node,
+            link=self.link,
+            incarnation="1",
+            cluster_key="a key of the cluster",
+            clock=time.monotonic,
+            on_message=self.received.append,
+        )
+
+    def send(self, node, link, number):
+        message = calls.OrphansWaiting(group=1, count=number)
+        links.send(self.links, frames.SendPeer(node=node, message=message, link=link))
+        links.flush(self.links)
+
+    def numbers(self):
+        return [each.message.count for each in self.received]
+
+
+class Relay:
+    """A TCP relay whose open connections can go silent while new ones work."""
+
+    def __init__(self, target_port):
+        self.target_port = target_port
+        self.port = free_port()
+        self.silenced = set()
+        self.connections = set()
+
+    async def start(self):
+        self.server = await asyncio.start_server(self.accept, "127.0.0.1", self.port)
+
+    def silence_open_connections(self):
+        self.silenced |= self.connections
+
+    async def accept(self, reader, writer):
+        name = writer.get_extra_info("peername")
+        self.connections.add(name)
+        out = await asyncio.open_connection("127.0.0.1", self.target_port)
+        with contextlib.suppress(ConnectionError):
+            await asyncio.gather(
+                self.pump(name, reader, out[1]),
+                self.pump(name, out[0], writer),
+            )
+        writer.close()
+        out[1].close()
+
+    async def pump(self, name, reader, writer):
+        while data := await reader.read(65_536):
+            if name not in self.silenced:
+                writer.write(data)
+        writer.close()
+
+
+async def until(condition):
+    deadline = time.monotonic() + PATIENCE_S
+    while not condition():
+        assert time.monotonic() < deadline, "it never came"
+        await asyncio.sleep(0.02)
+
+
+@pytest.fixture
+async def pair():
+    ends = Process("entry-a"), Process("entry-b")
+    yield ends
+    for end in ends:
+        links.close(end.links)
+
+
+async def test_all_messages_of_a_tick_travel_in_one_frame(pair):
+    first, second = pair
+    for number in range(5):
+        message = calls.OrphansWaiting(group=1, count=number)
+        links.send(
+            first.links,
+            frames.SendPeer(node="entry-b", message=message, link=second.link),
+        )
+    links.flush(first.links)
+
+    await until(lambda: second.numbers() == [0, 1, 2, 3, 4])
+    assert second.links.frames_received == 1
+
+
+async def test_a_peer_answers_without_knowing_the_sender_before(pair):
+    first, second = pair
+    first.send("entry-b", second.link, 1)
+    await until(lambda: second.numbers() == [1])
+
+    second.send("entry-a", None, 2)
+
+    await until(lambda: first.numbers() == [2])
+
+
+async def test_a_link_that_went_silent_is_dialled_anew(pair):
+    first, second = pair
+    relay = Relay(int(second.link.rpartition(":")[2]))
+    await relay.start()
+    via_relay = f"tcp://127.0.0.1:{relay.port}"
+    first.send("entry-b", via_relay, 1)
+    await until(lambda: second.numbers() == [1])
+    await until(lambda: first.links.peers["entry-b"].unacknowledged_since_s is None)
+
+    relay.silence_open_connections()
+    first.send("entry-b", None, 2)
+    await until(lambda: first.links.redialled == 1)
+    first.send("entry-b", None, 3)
+
+    await until(lambda: 3 in second.numbers())
+    relay.server.close()
+
+
+async def test_a_full_queue_drops_and_counts(pair, monkeypatch):
+    monkeypatch.setattr(links, "MAXIMUM_QUEUED_MESSAGES", 1)
+    first, second = pair
+    message = calls.OrphansWaiting(group=1, count=1)
+    for _ in range(2):
+        links.send(
+            first.links,
+            frames.SendPeer(node="entry-b", message=message, link=second.link),
+        )
+
+    assert first.links.dropped == 1
