--- a/bitternlever/messages/manifest.py
+++ b/bitternlever/messages/manifest.py
@@ -90,10 +90,14 @@
 
 
 class Manifest(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
-    """The whole configuration, replaced as one by the next number."""
+    """The whole configuration, replaced as one by the next number.
+
+    Where ``pools`` is given, stages and models may name only the pools in it.
+    """
 
     number: int
     workspaces: list[Workspace]
     pipelines: list[Pipeline]
     models: list[Model] = []
     limits: Limits = Limits()
+    pools: list[str] = []
