--- /dev/null
+++ b/bitternlever/checks/__init__.py
@@ -0,0 +1,1 @@
+"""Checks of what operators write: manifests and settings, all faults at once."""
