--- /dev/null
+++ b/bitternlever/consensus/commits.py
@@ -0,0 +1,101 @@
+"""Proposals, the commit index, and the application of committed entries."""
+
+import result
+
+from bitternlever.consensus import disk, elections, log as consensus_log, tables
+from bitternlever.core import ticks
+from bitternlever.messages import consensus
+
+
+def has_room(replica: tables.Replica, size_bytes: int) -> bool:
+    """Tell whether the leader may take one more proposal of this size."""
+    waiting = consensus_log.last_index(replica.log) - replica.commit_index
+    if waiting >= tables.MAXIMUM_WAITING_PROPOSALS:
+        return False
+    uncommitted = replica.office.uncommitted_bytes + size_bytes
+    return uncommitted <= tables.MAXIMUM_UNCOMMITTED_BYTES
+
+
+def propose(
+    replica: tables.Replica,
+    kind: consensus.EntryKind,
+    data: bytes,
+    on_outcome: tables.OnOutcome | None = None,
+) -> int:
+    """Append an entry as leader and return its index.
+
+    ``on_outcome`` gets the reply once the entry is committed and applied here, or
+    ``Lost`` when the office ends first.
+    """
+    if replica.role is not tables.Role.LEADER:
+        raise AssertionError("only a leader proposes")
+    entry = consensus.LogEntry(
+        term=replica.term,
+        index=consensus_log.last_index(replica.log) + 1,
+        kind=kind,
+        data=data,
+    )
+    disk.append(replica, entry)
+    replica.office.uncommitted_bytes += len(data)
+    if on_outcome is not None:
+        replica.office.proposals[entry.index] = tables.Proposal(
+            term=replica.term,
+            on_outcome=on_outcome,
+        )
+    return entry.index
+
+
+def run(replica: tables.Replica, now: float, outbox: ticks.Outbox) -> None:
+    """Advance the leader's commit index and apply what is committed."""
+    if replica.role is tables.Role.LEADER:
+        _advance(replica)
+    while replica.applied_index < replica.commit_index:
+        _apply(replica, now, outbox, replica.applied_index + 1)
+
+
+def _advance(replica: tables.Replica) -> None:
+    """Commit what a quorum has synced, but only up to an entry of this term.
+
+    Entries of earlier terms commit with it (Raft paper, section 5.4.2).
+    """
+    matches = [_match_index(replica, voter) for voter in replica.membership.voters]
+    matches.sort(reverse=True)
+    index = matches[tables.quorum(len(matches)) - 1]
+    if index <= replica.commit_index:
+        return
+    if consensus_log.term_at(replica.log, index) == replica.term:
+        replica.commit_index = index
+
+
+def _match_index(replica: tables.Replica, voter: consensus.ReplicaId) -> int:
+    if voter == replica.settings.identity:
+        return replica.disk.synced_index
+    progress = replica.office.progress.get(voter)
+    return 0 if progress is None else progress.match_index
+
+
+def _apply(
+    replica: tables.Replica,
+    now: float,
+    outbox: ticks.Outbox,
+    index: int,
+) -> None:
+    entry = consensus_log.entry_at(replica.log, index)
+    reply = None
+    if entry.kind is consensus.EntryKind.COMMAND:
+        reply = replica.machine.apply(entry.data)
+    replica.applied_index = index
+    replica.applied_bytes += len(entry.data)
+    if replica.role is not tables.Role.LEADER:
+        return
+    office = replica.office
+    office.uncommitted_bytes = max(0, office.uncommitted_bytes - len(entry.data))
+    proposal = office.proposals.pop(index, None)
+    if proposal is not None and proposal.term == entry.term:
+        proposal.on_outcome(now, outbox, result.Ok(reply))
+    if entry.kind is consensus.EntryKind.MEMBERSHIP and _removed(replica):
+        elections.step_down(replica, now, outbox)
+
+
+def _removed(replica: tables.Replica) -> bool:
+    return replica.settings.identity not in replica.membership.voters
--- /dev/null
+++ b/bitternlever/consensus/elections.py
@@ -0,0 +1,232 @@
+"""Elections: pre-vote, votes, check-quorum and the end of an office.
+
+A replica that has heard from a leader within the election timeout refuses every
+other candidate; the leader lease in ``reads`` rests on this promise. A restarted
+replica keeps it by waiting as if it had just heard from a leader.
+"""
+
+import result
+
+from bitternlever.consensus import disk, log as consensus_log, reads, tables
+from bitternlever.core import ticks
+from bitternlever.messages import consensus
+
+
+def run(replica: tables.Replica, now: float, outbox: ticks.Outbox) -> None:
+    """Start an election when it is due; step down without a quorum."""
+    if replica.role is tables.Role.LEADER:
+        lost_at_s = reads.quorum_heard_s(replica, now)
+        lost_at_s += replica.settings.election_timeout_s
+        if now >= lost_at_s:
+            replica.count("quorum_lost")
+            step_down(replica, now, outbox)
+            return
+        outbox.wake(lost_at_s)
+        return
+    if not tables.is_voter(replica):
+        return
+    if now >= replica.election_at_s:
+        _start_pre_vote(replica, now, outbox)
+    outbox.wake(replica.election_at_s)
+
+
+def start_clock(replica: tables.Replica, now: float) -> None:
+    """Begin to count at the first tick, as if a leader had just been heard."""
+    replica.heard_leader_s = now
+    reset_timer(replica, now)
+
+
+def reset_timer(replica: tables.Replica, now: float) -> None:
+    """Put the next election off by a random time of one to two timeouts."""
+    timeout_s = replica.settings.election_timeout_s
+    replica.election_at_s = now + timeout_s * (1.0 + replica.random.random())
+
+
+def follow(
+    replica: tables.Replica,
+    now: float,
+    outbox: ticks.Outbox,
+    term: int,
+    leader: consensus.ReplicaId | None,
+) -> None:
+    """Become a follower in ``term``; an office held so far ends."""
+    if replica.role is tables.Role.LEADER:
+        step_down(replica, now, outbox)
+    if term > replica.term:
+        disk.set_hard_state(replica, term, None)
+        replica.matched_index = 0
+    if replica.role is not tables.Role.FOLLOWER:
+        replica.role = tables.Role.FOLLOWER
+        reset_timer(replica, now)
+    replica.leader = leader
+
+
+def step_down(replica: tables.Replica, now: float, outbox: ticks.Outbox) -> None:
+    """End the office: whoever waits learns that the outcome is uncertain."""
+    office = replica.office
+    replica.office = tables.Office()
+    replica.role = tables.Role.FOLLOWER
+    replica.leader = None
+    replica.matched_index = 0
+    reset_timer(replica, now)
+    for proposal in office.proposals.values():
+        proposal.on_outcome(now, outbox, result.Err(tables.Lost()))
+    for read in office.reads:
+        read.on_read(now, outbox, False)
+
+
+def vote_requested(
+    replica: tables.Replica,
+    now: float,
+    outbox: ticks.Outbox,
+    request: consensus.VoteRequest,
+) -> None:
+    """Give or refuse a vote; a candidate is ignored while a leader is heard."""
+    if replica.membership is None:
+        replica.count("vote_without_membership")
+        return
+    if _hears_leader(replica, now):
+        return
+    if request.term < replica.term:
+        _reply(replica, outbox, request, replica.term, granted=False)
+        return
+    if request.pre_vote:
+        granted = request.term > replica.term and _up_to_date(replica, request)
+        term = request.term if granted else replica.term
+        _reply(replica, outbox, request, term, granted=granted)
+        return
+    if request.term > replica.term:
+        follow(replica, now, outbox, request.term, None)
+    granted = replica.voted_for in (None, request.candidate)
+    granted = granted and _up_to_date(replica, request)
+    if granted:
+        disk.set_hard_state(replica, replica.term, request.candidate)
+        reset_timer(replica, now)
+    _reply(replica, outbox, request, replica.term, granted=granted)
+
+
+def vote_received(
+    replica: tables.Replica,
+    now: float,
+    outbox: ticks.Outbox,
+    reply: consensus.VoteReply,
+) -> None:
+    """Count a vote of a voter, by node and disk; a quorum wins."""
+    if reply.term > replica.term and not reply.granted:
+        follow(replica, now, outbox, reply.term, None)
+        return
+    if not reply.granted:
+        return
+    wanted = tables.Role.PRE_CANDIDATE if reply.pre_vote else tables.Role.CANDIDATE
+    wanted_term = replica.term + 1 if reply.pre_vote else replica.term
+    if replica.role is not wanted or reply.term != wanted_term:
+        return
+    replica.votes.add(reply.voter)
+    _count_votes(replica, now, outbox)
+
+
+def own_vote_synced(replica: tables.Replica, now: float, outbox: ticks.Outbox) -> None:
+    """Count a candidate's own vote once it is synced."""
+    if replica.role is not tables.Role.CANDIDATE:
+        return
+    if replica.disk.hard_changed or replica.disk.hard_write > replica.disk.synced_write:
+        return
+    replica.votes.add(replica.settings.identity)
+    _count_votes(replica, now, outbox)
+
+
+def _start_pre_vote(replica: tables.Replica, now: float, outbox: ticks.Outbox) -> None:
+    replica.role = tables.Role.PRE_CANDIDATE
+    replica.leader = None
+    replica.votes = {replica.settings.identity}
+    reset_timer(replica, now)
+    _ask_for_votes(replica, outbox, replica.term + 1, pre_vote=True)
+    _count_votes(replica, now, outbox)
+
+
+def _start_election(replica: tables.Replica, outbox: ticks.Outbox) -> None:
+    replica.role = tables.Role.CANDIDATE
+    replica.votes = set()
+    disk.set_hard_state(replica, replica.term + 1, replica.settings.identity)
+    replica.matched_index = 0
+    _ask_for_votes(replica, outbox, replica.term, pre_vote=False)
+
+
+def _ask_for_votes(
+    replica: tables.Replica,
+    outbox: ticks.Outbox,
+    term: int,
+    *,
+    pre_vote: bool,
+) -> None:
+    request = consensus.VoteRequest(
+        group=replica.settings.group,
+        term=term,
+        candidate=replica.settings.identity,
+        last_index=consensus_log.last_index(replica.log),
+        last_term=consensus_log.last_term(replica.log),
+        pre_vote=pre_vote,
+    )
+    for peer in replica.membership.voters:
+        if peer != replica.settings.identity:
+            disk.send(replica, outbox, peer, request)
+
+
+def _count_votes(replica: tables.Replica, now: float, outbox: ticks.Outbox) -> None:
+    if replica.membership is None:
+        return
+    voters = replica.membership.voters
+    granted = sum(1 for voter in voters if voter in replica.votes)
+    if granted < tables.quorum(len(voters)):
+        return
+    if replica.role is tables.Role.PRE_CANDIDATE:
+        _start_election(replica, outbox)
+        return
+    _take_office(replica, now)
+
+
+def _take_office(replica: tables.Replica, now: float) -> None:
+    replica.role = tables.Role.LEADER
+    replica.leader = replica.settings.identity
+    replica.office = tables.Office(since_s=now)
+    entry = consensus.LogEntry(
+        term=replica.term,
+        index=consensus_log.last_index(replica.log) + 1,
+        kind=consensus.EntryKind.NOTHING,
+        data=b"",
+    )
+    replica.office.first_index = entry.index
+    disk.append(replica, entry)
+
+
+def _hears_leader(replica: tables.Replica, now: float) -> bool:
+    heard_s = replica.heard_leader_s
+    if replica.role is tables.Role.LEADER:
+        heard_s = reads.quorum_heard_s(replica, now)
+    return heard_s is not None and now < heard_s + replica.settings.election_timeout_s
+
+
+def _up_to_date(replica: tables.Replica, request: consensus.VoteRequest) -> bool:
+    own = (
+        consensus_log.last_term(replica.log),
+        consensus_log.last_index(replica.log),
+    )
+    return (request.last_term, request.last_index) >= own
+
+
+def _reply(
+    replica: tables.Replica,
+    outbox: ticks.Outbox,
+    request: consensus.VoteRequest,
+    term: int,
+    *,
+    granted: bool,
+) -> None:
+    reply = consensus.VoteReply(
+        group=replica.settings.group,
+        term=term,
+        voter=replica.settings.identity,
+        granted=granted,
+        pre_vote=request.pre_vote,
+    )
+    disk.send(replica, outbox, request.candidate, reply)
--- /dev/null
+++ b/bitternlever/consensus/replacement.py
@@ -0,0 +1,190 @@
+"""The replacement of one replica by another, one membership change at a time.
+
+The membership in the log carries the sequence: the successor joins as a learner,
+becomes a voter once its synced log has caught up, and then the old voter leaves.
+Whoever leads goes on from the newest membership, so neither the tool nor a leader
+is needed to the end.
+"""
+
+import msgspec
+import result
+
+from bitternlever.consensus import commits, log as consensus_log, tables
+from bitternlever.core import ticks
+from bitternlever.messages import consensus, directory, frames
+
+CAUGHT_UP_ENTRIES = 64
+RECENT_ELECTION_TIMEOUTS = 2.0
+
+Outcome = result.Result[directory.ReplaceProgress, directory.ReplaceRefused]
+
+
+def request(
+    replica: tables.Replica,
+    now: float,
+    outbox: ticks.Outbox,
+    old: consensus.ReplicaId,
+    new_node: str,
+) -> Outcome:
+    """Begin a replacement as leader, or tell how far the same one has come."""
+    membership = replica.membership
+    if membership.replacing is not None:
+        return _progress_of(membership, old, new_node)
+    if old not in membership.voters:
+        if any(voter.node == new_node for voter in membership.voters):
+            return result.Ok(_progress("done", "the successor is a voter"))
+        return _refuse(f"replica {old.node} with disk {old.disk} is no voter")
+    if not _settled(replica):
+        return _refuse("another membership change is not committed yet; try again")
+    reason = _risk(replica, now, old)
+    if reason is not None:
+        return _refuse(reason)
+    successor = _successor(replica, outbox, new_node)
+    if successor is None:
+        return _refuse(f"node {new_node} has not answered with an empty disk yet")
+    if successor in membership.voters:
+        return _refuse(f"node {new_node} is a voter already")
+    changed = consensus.Membership(
+        voters=membership.voters,
+        learners=[successor],
+        replacing=(old, successor),
+    )
+    _change(replica, changed)
+    return result.Ok(_progress("learner", f"disk {successor.disk} receives the log"))
+
+
+def run(replica: tables.Replica, now: float) -> None:
+    """Take the next step of a replacement when it is safe."""
+    if replica.role is not tables.Role.LEADER or not _settled(replica):
+        return
+    membership = replica.membership
+    if membership.replacing is None:
+        return
+    old, new = membership.replacing
+    if new in membership.learners:
+        if _caught_up(replica, now, new):
+            voters = [*membership.voters, new]
+            changed = consensus.Membership(voters=voters, replacing=(old, new))
+            _change(replica, changed)
+        return
+    if not _caught_up(replica, now, new) or _risk(replica, now, old) is not None:
+        return
+    voters = [voter for voter in membership.voters if voter != old]
+    _change(replica, consensus.Membership(voters=voters))
+
+
+def abandon_learner(replica: tables.Replica, successor: consensus.ReplicaId) -> bool:
+    """Replace a learner whose disk is gone by its node's present disk."""
+    membership = replica.membership
+    if membership.replacing is None or not _settled(replica):
+        return False
+    old, new = membership.replacing
+    if new not in membership.learners or new.node != successor.node:
+        return False
+    if new == successor:
+        return False
+    changed = consensus.Membership(
+        voters=membership.voters,
+        learners=[successor],
+        replacing=(old, successor),
+    )
+    _change(replica, changed)
+    return True
+
+
+def _risk(
+    replica: tables.Replica,
+    now: float,
+    old: consensus.ReplicaId,
+) -> str | None:
+    """Say why one more loss after the removal of ``old`` would cost the quorum."""
+    membership = replica.membership
+    remaining = [voter for voter in membership.voters if voter != old]
+    sound = [voter for voter in remaining if _caught_up(replica, now, voter)]
+    after = len(remaining)
+    count = len(sound)
+    if membership.replacing is None or membership.replacing[1] not in remaining:
+        after += 1
+        count += 1
+    needed = tables.quorum(after)
+    if count - 1 >= needed:
+        return None
+    silent = sorted(each.node for each in remaining if each not in sound)
+    names = ", ".join(silent) or "none"
+    return (
+        f"losing one more host would lose the quorum: {count} of {after} voters would "
+        f"be sound and {needed} are needed after a loss; silent or behind: {names}"
+    )
+
+
+def _caught_up(
+    replica: tables.Replica,
+    now: float,
+    member: consensus.ReplicaId,
+) -> bool:
+    """Tell whether a member was heard lately and its synced log is near the end."""
+    if member == replica.settings.identity:
+        return True
+    progress = replica.office.progress.get(member)
+    if progress is None:
+        return False
+    recent_s = RECENT_ELECTION_TIMEOUTS * replica.settings.election_timeout_s
+    if progress.contact_s < now - recent_s:
+        return False
+    behind = consensus_log.last_index(replica.log) - progress.match_index
+    newest_change = replica.memberships[-1][0]
+    return behind <= CAUGHT_UP_ENTRIES and progress.match_index >= newest_change
+
+
+def _settled(replica: tables.Replica) -> bool:
+    """Tell whether the newest membership and an own entry are committed."""
+    if replica.commit_index < replica.office.first_index:
+        return False
+    return replica.memberships[-1][0] <= replica.commit_index
+
+
+def _successor(
+    replica: tables.Replica,
+    outbox: ticks.Outbox,
+    node: str,
+) -> consensus.ReplicaId | None:
+    """Return the node's empty replica, and ask for it again."""
+    settings = replica.settings
+    question = consensus.IdentityRequest(
+        group=settings.group,
+        replica=settings.identity,
+        zone=settings.zone,
+    )
+    outbox.send(frames.SendPeer(node=node, message=question))
+    reply = replica.identities.get(node)
+    if reply is None or reply.member:
+        return None
+    return reply.replica
+
+
+def _progress_of(
+    membership: consensus.Membership,
+    old: consensus.ReplicaId,
+    new_node: str,
+) -> Outcome:
+    wanted_old, wanted_new = membership.replacing
+    if wanted_old != old or wanted_new.node != new_node:
+        return _refuse(
+            f"the replacement of {wanted_old.node} by {wanted_new.node} goes on",
+        )
+    if wanted_new in membership.learners:
+        return result.Ok(_progress("learner", "the successor receives the log"))
+    return result.Ok(_progress("voter", "the old voter is about to leave"))
+
+
+def _change(replica: tables.Replica, membership: consensus.Membership) -> None:
+    data = msgspec.msgpack.encode(membership)
+    commits.propose(replica, consensus.EntryKind.MEMBERSHIP, data)
+
+
+def _progress(step: str, detail: str) -> directory.ReplaceProgress:
+    return directory.ReplaceProgress(step=step, detail=detail)
+
+
+def _refuse(reason: str) -> Outcome:
+    return result.Err(directory.ReplaceRefused(reason=reason))
--- /dev/null
+++ b/bitternlever/consensus/tables.py
@@ -0,0 +1,246 @@
+"""All state of one replica of one group.
+
+The algorithm is Raft (Ongaro and Ousterhout, 2014; Ongaro's thesis for pre-vote,
+check-quorum, leader lease, read index and single-server membership changes).
+"""
+
+import collections
+import dataclasses
+import enum
+import random
+from collections.abc import Callable
+from typing import Any
+
+import result
+
+from bitternlever.consensus import log as consensus_log
+from bitternlever.messages import consensus
+
+CLOCK_RATE_ERROR = 0.01
+MAXIMUM_APPEND_ENTRIES = 512
+MAXIMUM_APPEND_BYTES = 524_288
+MAXIMUM_IN_FLIGHT_ENTRIES = 2_048
+MAXIMUM_IN_FLIGHT_BYTES = 4_194_304
+MAXIMUM_WAITING_PROPOSALS = 4_096
+MAXIMUM_UNCOMMITTED_BYTES = 16_777_216
+MAXIMUM_WAITING_READS = 4_096
+MAXIMUM_HELD_MESSAGES = 1_024
+MAXIMUM_ROUNDS = 64
+SNAPSHOT_PIECE_BYTES = 262_144
+SNAPSHOT_RESEND_S = 0.5
+MAXIMUM_SNAPSHOT_BYTES = 67_108_864
+SNAPSHOT_AFTER_ENTRIES = 4_096
+SNAPSHOT_AFTER_BYTES = 8_388_608
+KEPT_ENTRIES = 1_024
+
+
+class Role(enum.Enum):
+    """What a replica does at present."""
+
+    FOLLOWER = "follower"
+    PRE_CANDIDATE = "pre-candidate"
+    CANDIDATE = "candidate"
+    LEADER = "leader"
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class ReplicaSettings:
+    """Settings of a replica; ``nodes`` are the initial nodes of the group."""
+
+    group: int
+    identity: consensus.ReplicaId
+    nodes: tuple[str, ...]
+    zone: str
+    election_timeout_s: float
+    heartbeat_s: float
+    snapshot_after_entries: int = SNAPSHOT_AFTER_ENTRIES
+
+
+@dataclasses.dataclass(slots=True)
+class StateMachine:
+    """The replicated state behind closures; ``apply`` is deterministic."""
+
+    apply: Callable[[bytes], Any]
+    snapshot: Callable[[], bytes]
+    restore: Callable[[bytes], None]
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Lost:
+    """The leader lost its office: the proposal may or may not be committed."""
+
+
+OnOutcome = Callable[[float, Any, result.Result[Any, Lost]], None]
+OnRead = Callable[[float, Any, bool], None]
+
+
+@dataclasses.dataclass(slots=True)
+class Proposal:
+    """A proposed entry whose outcome somebody waits for."""
+
+    term: int
+    on_outcome: OnOutcome
+
+
+@dataclasses.dataclass(slots=True)
+class WaitingRead:
+    """A read that waits until a quorum has confirmed the leader in ``round``."""
+
+    round: int
+    on_read: OnRead
+
+
+@dataclasses.dataclass(slots=True)
+class Transfer:
+    """A snapshot on its way to one follower."""
+
+    last_index: int
+    last_term: int
+    membership: consensus.Membership
+    data: bytes
+    offset: int = 0
+    sent_s: float | None = None
+
+
+@dataclasses.dataclass(slots=True)
+class Progress:
+    """What the leader knows of one follower."""
+
+    next_index: int
+    match_index: int = 0
+    probing: bool = True
+    probe_sent: bool = False
+    round: int = 0
+    contact_s: float = float("-inf")
+    transfer: Transfer | None = None
+
+
+@dataclasses.dataclass(slots=True)
+class PendingWrite:
+    """A write that is not yet synced."""
+
+    write_id: int
+    last_index: int
+
+
+@dataclasses.dataclass(slots=True)
+class PendingSnapshot:
+    """A snapshot that is not yet synced; ``install`` where a leader sent it."""
+
+    write_id: int
+    last_index: int
+    last_term: int
+    membership: consensus.Membership
+    install: bytes | None = None
+    leader: consensus.ReplicaId | None = None
+
+
+@dataclasses.dataclass(slots=True)
+class Receiving:
+    """A snapshot that arrives in pieces."""
+
+    last_index: int
+    last_term: int
+    data: bytearray = dataclasses.field(default_factory=bytearray)
+
+
+@dataclasses.dataclass(slots=True)
+class Disk:
+    """What is staged for the disk in this tick, on its way, and synced.
+
+    ``first_changed`` is the lowest log index that differs from the disk.
+    ``hard_write`` is the write that carries the newest term and vote: no message
+    that speaks for them leaves before it is synced.
+    """
+
+    next_write: int = 1
+    synced_write: int = 0
+    synced_index: int = 0
+    first_changed: int | None = None
+    truncated: bool = False
+    hard_changed: bool = False
+    hard_write: int = 0
+    writes: collections.deque[PendingWrite] = dataclasses.field(
+        default_factory=collections.deque,
+    )
+    snapshot: PendingSnapshot | None = None
+    failed: str | None = None
+
+
+@dataclasses.dataclass(slots=True)
+class Office:
+    """What only a leader holds; emptied when it steps down."""
+
+    progress: dict[consensus.ReplicaId, Progress] = dataclasses.field(
+        default_factory=dict,
+    )
+    since_s: float = 0.0
+    first_index: int = 0
+    round: int = 0
+    uncommitted_bytes: int = 0
+    rounds: collections.deque[tuple[int, float]] = dataclasses.field(
+        default_factory=lambda: collections.deque(maxlen=MAXIMUM_ROUNDS),
+    )
+    heartbeat_at_s: float = 0.0
+    proposals: dict[int, Proposal] = dataclasses.field(default_factory=dict)
+    reads: collections.deque[WaitingRead] = dataclasses.field(
+        default_factory=collections.deque,
+    )
+
+
+@dataclasses.dataclass(slots=True)
+class Replica:
+    """One replica of one group."""
+
+    settings: ReplicaSettings
+    random: random.Random
+    machine: StateMachine
+    log: consensus_log.Log
+    term: int = 0
+    voted_for: consensus.ReplicaId | None = None
+    membership: consensus.Membership | None = None
+    memberships: list[tuple[int, consensus.Membership]] = dataclasses.field(
+        default_factory=list,
+    )
+    role: Role = Role.FOLLOWER
+    leader: consensus.ReplicaId | None = None
+    commit_index: int = 0
+    applied_index: int = 0
+    matched_index: int = 0
+    heard_leader_s: float | None = None
+    election_at_s: float = 0.0
+    votes: set[consensus.ReplicaId] = dataclasses.field(default_factory=set)
+    disk: Disk = dataclasses.field(default_factory=Disk)
+    office: Office = dataclasses.field(default_factory=Office)
+    receiving: Receiving | None = None
+    held: list[tuple[int, Any]] = dataclasses.field(default_factory=list)
+    identities: dict[str, consensus.IdentityReply] = dataclasses.field(
+        default_factory=dict,
+    )
+    ask_at_s: float = 0.0
+    applied_bytes: int = 0
+    snapshot_index: int = 0
+    counters: dict[str, int] = dataclasses.field(default_factory=dict)
+
+    def count(self, name: str) -> None:
+        """Add one to the counter of this name."""
+        self.counters[name] = self.counters.get(name, 0) + 1
+
+
+def quorum(voters: int) -> int:
+    """Return how many of ``voters`` make a quorum."""
+    return voters // 2 + 1
+
+
+def is_voter(replica: Replica) -> bool:
+    """Tell whether this replica votes in the newest membership of its log."""
+    membership = replica.membership
+    return membership is not None and replica.settings.identity in membership.voters
+
+
+def peers(replica: Replica) -> list[consensus.ReplicaId]:
+    """Return all other replicas of the newest membership."""
+    if replica.membership is None:
+        return []
+    every = [*replica.membership.voters, *replica.membership.learners]
+    return [each for each in every if each != replica.settings.identity]
--- a/bitternlever/messages/consensus.py
+++ b/bitternlever/messages/consensus.py
@@ -34,10 +34,15 @@
 
 
 class Membership(msgspec.Struct, frozen=True):
-    """The replicas of a group; learners receive the log but do not vote."""
+    """The replicas of a group; learners receive the log but do not vote.
+
+    ``replacing`` is set while a replacement goes on: the voter that will be removed
+    and the replica that takes its place.
+    """
 
     voters: list[ReplicaId]
     learners: list[ReplicaId] = []
+    replacing: tuple[ReplicaId, ReplicaId] | None = None
 
 
 class VoteRequest(msgspec.Struct, tag=True, frozen=True):
@@ -62,11 +67,15 @@
 
 
 class AppendRequest(msgspec.Struct, tag=True, frozen=True):
-    """Entries or a heartbeat from the leader; ``round`` numbers read confirmations."""
+    """Entries or a heartbeat from the leader; ``round`` numbers read confirmations.
+
+    A node whose disk is not the ``follower``'s ignores the request.
+    """
 
     group: int
     term: int
     leader: ReplicaId
+    follower: ReplicaId
     previous_index: int
     previous_term: int
     entries: list[LogEntry]
@@ -86,11 +95,15 @@
 
 
 class SnapshotRequest(msgspec.Struct, tag=True, frozen=True):
-    """One piece of a snapshot for a follower that is too far behind."""
+    """One piece of a snapshot for a follower that is too far behind.
+
+    A node whose disk is not the ``follower``'s ignores the request.
+    """
 
     group: int
     term: int
     leader: ReplicaId
+    follower: ReplicaId
     last_index: int
     last_term: int
     membership: Membership
@@ -110,6 +123,28 @@
     installed: bool
 
 
+class IdentityRequest(msgspec.Struct, tag=True, frozen=True):
+    """Ask a node which disk it has; sent by replicas without a membership."""
+
+    group: int
+    replica: ReplicaId
+    zone: str = ""
+
+
+class IdentityReply(msgspec.Struct, tag=True, frozen=True):
+    """Tell this node's disk and whether the replica on it has a membership.
+
+    ``founding`` is the group's first membership, sent by the node that formed it to
+    replicas that may adopt it.
+    """
+
+    group: int
+    replica: ReplicaId
+    member: bool
+    founding: Membership | None = None
+    zone: str = ""
+
+
 Message = (
     VoteRequest
     | VoteReply
@@ -117,6 +152,8 @@
     | AppendReply
     | SnapshotRequest
     | SnapshotReply
+    | IdentityRequest
+    | IdentityReply
 )
 
 
--- a/bitternlever/messages/directory.py
+++ b/bitternlever/messages/directory.py
@@ -116,11 +116,24 @@
     epoch: int
 
 
+class GrantOrderLease(msgspec.Struct, tag=True, frozen=True):
+    """Give the order lease to a host; proposed by the leader alone.
+
+    It counts only while ``after_fencing`` is the newest fencing number, so that of
+    two grants that were proposed together one wins.
+    """
+
+    host: str
+    epoch: int
+    after_fencing: int
+
+
 class OrderLeaseGranted(msgspec.Struct, tag=True, frozen=True):
     """The order lease: its fencing number and its duration.
 
     For engines that ignore fencing numbers the holder waits ``quiet_s`` from the
-    grant before its first order.
+    first grant of a fencing number before its first order. A renewal says how much
+    of it is left, or the whole again where a new leader cannot know.
     """
 
     host: str
@@ -243,6 +256,7 @@
     | ReleaseHostLease
     | ExpireHostLease
     | AcquireOrderLease
+    | GrantOrderLease
     | RecordOrder
     | GetStatus
     | ReplaceReplica
--- a/bitternlever/messages/frames.py
+++ b/bitternlever/messages/frames.py
@@ -25,6 +25,8 @@
     | consensus.AppendReply
     | consensus.SnapshotRequest
     | consensus.SnapshotReply
+    | consensus.IdentityRequest
+    | consensus.IdentityReply
 )
 
 
