--- /dev/null
+++ b/tests/scenarios/upstreams.py
@@ -0,0 +1,179 @@
+"""Fake upstreams: they announce themselves, run stage calls and misbehave.
+
+An upstream's faults are ``silent`` (it runs and never answers), ``dying`` (it ends in
+the middle of an answer), ``failing`` (status 500 after running), ``late``, ``twice``,
+``crossed`` (it answers with its former call's answer), ``truncated`` and ``garbled``.
+"""
+
+import copy
+import dataclasses
+from collections.abc import Callable
+from typing import Any
+
+from bench.invariants import records
+from bitternlever.messages import requests, upstream
+from tests.scenarios import network, world
+
+ANNOUNCE_S = 1.0
+LATE_S = 12.0
+WORDS = 8
+Answer = Callable[[Any], None]
+
+
+@dataclasses.dataclass(slots=True)
+class Upstream:
+    """One fake upstream: what it says of itself, how fast it is, what is wrong."""
+
+    announcement: upstream.Announcement
+    idempotent: bool = True
+    service_s: float = 0.04
+    alive: bool = True
+    talking: bool = True
+    faults: set[str] = dataclasses.field(default_factory=set)
+    cancelled: set[str] = dataclasses.field(default_factory=set)
+    former: requests.UpstreamFinished | None = None
+
+
+@dataclasses.dataclass(slots=True)
+class Fleet:
+    """All fake upstreams by name."""
+
+    here: world.World
+    network: network.Network
+    by_name: dict[str, Upstream] = dataclasses.field(default_factory=dict)
+
+
+def announce(fleet: Fleet, name: str) -> None:
+    """Announce an upstream to every entry host it reaches, now and every second."""
+    fake = fleet.by_name[name]
+    if not fake.alive:
+        return
+    world.after(fleet.here, ANNOUNCE_S, lambda: announce(fleet, name))
+    if not fake.talking:
+        return
+    fake.announcement.sequence += 1
+    for process in fleet.here.processes.values():
+        reached = (name, process.name) not in fleet.network.cut
+        if process.name.startswith("entry-") and process.alive and reached:
+            word = requests.UpstreamAnnounced(copy.copy(fake.announcement))
+            world.deliver(fleet.here, process, word)
+            if word.announcement.leaving:
+                left = records.LeavingAnnounced(name, fleet.here.now)
+                fleet.here.records.append(left)
+
+
+def take(fleet: Fleet, sent: requests.CallUpstream, answer: Answer) -> None:
+    """Run a stage call; ``answer`` carries each event back to the caller's shell."""
+    fake = fleet.by_name[sent.upstream]
+    output = _output(sent.call)
+    _record(
+        fleet,
+        sent,
+        records.StageCalled,
+        epoch=sent.call.binding.epoch,
+        idempotent=fake.idempotent,
+    )
+
+    def part(index: int) -> None:
+        if not fake.alive or sent.attempt in fake.cancelled or "silent" in fake.faults:
+            return
+        if index == WORDS // 2 and "dying" in fake.faults:
+            fake.alive = False
+            answer(_failed(sent, "the connection was reset"))
+            return
+        start = len(output) * index // WORDS
+        text = output[start : len(output) * (index + 1) // WORDS]
+        if sent.call.stream and start >= len(sent.call.resume_output):
+            answer(requests.UpstreamPart(sent.attempt, offset=start, text=text))
+        if index + 1 == WORDS:
+            _finish(fleet, sent, output, answer)
+            return
+        world.after(fleet.here, fake.service_s / WORDS, lambda: part(index + 1))
+
+    world.after(fleet.here, fake.service_s / WORDS, lambda: part(0))
+
+
+def _finish(
+    fleet: Fleet,
+    sent: requests.CallUpstream,
+    output: str,
+    answer: Answer,
+) -> None:
+    fake = fleet.by_name[sent.upstream]
+    _record(
+        fleet,
+        sent,
+        records.CallEnded,
+        ending=records.Ending.WHOLE,
+        output_digest=records.text_digest(output),
+    )
+    finished = _finished(sent, output)
+    former, fake.former = fake.former, finished
+    if "failing" in fake.faults:
+        answer(_failed(sent, "the upstream failed", status=500))
+    elif "truncated" in fake.faults:
+        answer(_failed(sent, "the stream ended without its end mark"))
+    elif "garbled" in fake.faults:
+        finished.digest = "0" * 64
+        answer(finished)
+    elif "crossed" in fake.faults and former is not None:
+        crossed = copy.copy(former)
+        crossed.attempt = sent.attempt
+        answer(crossed)
+    elif "late" in fake.faults:
+        world.after(fleet.here, LATE_S, lambda: answer(finished))
+    else:
+        answer(finished)
+        if "twice" in fake.faults:
+            answer(copy.copy(finished))
+
+
+def _output(call: upstream.StageCall) -> str:
+    """Make a text that names its attempt, after the text that it resumes."""
+    mark = records.digest([call.binding.attempt, call.binding.request])[:8]
+    words = [f"{call.binding.stage}-{mark}-{number} " for number in range(WORDS)]
+    return call.resume_output + "".join(words)[len(call.resume_output) :]
+
+
+def _record(
+    fleet: Fleet,
+    sent: requests.CallUpstream,
+    form: type,
+    **fields: Any,
+) -> None:
+    binding = sent.call.binding
+    record = form(
+        upstream=sent.upstream,
+        request=binding.request,
+        stage=binding.stage,
+        attempt=binding.attempt,
+        input_digest=records.digest(sent.call.input),
+        time_s=fleet.here.now,
+        **fields,
+    )
+    fleet.here.records.append(record)
+
+
+def _finished(sent: requests.CallUpstream, output: str) -> requests.UpstreamFinished:
+    streamed = sent.call.stream
+    return requests.UpstreamFinished(
+        attempt=sent.attempt,
+        binding=sent.call.binding,
+        digest=records.text_digest(output) if streamed else records.digest(output),
+        output=None if streamed else output,
+        length=len(output) if streamed else None,
+        usage=upstream.Usage(busy_ms=40.0, output_tokens=WORDS),
+    )
+
+
+def _failed(
+    sent: requests.CallUpstream,
+    reason: str,
+    status: int | None = None,
+) -> requests.UpstreamFailed:
+    return requests.UpstreamFailed(
+        attempt=sent.attempt,
+        sent=requests.Sent.UNKNOWN,
+        reason=reason,
+        status=status,
+    )
