--- a/tests/scenarios/callers.py
+++ b/tests/scenarios/callers.py
@@ -203,7 +203,8 @@
 
 
 def _submission(caller: Caller) -> requests.RequestSubmitted:
-    body = msgspec.json.encode(caller.input)
+    submission = {"kind": caller.kind, "input": caller.input, "stream": caller.stream}
+    body = msgspec.json.encode(submission)
     return requests.RequestSubmitted(
         caller=caller.exchange,
         workspace=caller.workspace,
--- a/tests/scenarios/network.py
+++ b/tests/scenarios/network.py
@@ -50,15 +50,16 @@
     sent: frames.SendPeer,
 ) -> None:
     """Carry a message between processes, through its encoding on the wire."""
-    if _is_lost(here, network, sender, sent):
+    target = _target(sent)
+    if _is_lost(here, network, (sender, target), sent):
         return
     message = DECODER.decode(msgspec.msgpack.encode(sent.message))
     received = frames.PeerReceived(node=sender, link=link(sender), message=message)
-    delay_s = _delay(here, network, (sender, sent.node), sent.message)
+    delay_s = _delay(here, network, (sender, target), sent.message)
 
     def arrive() -> None:
-        receiver = here.processes.get(sent.node)
-        if receiver is not None and (sender, sent.node) not in network.cut:
+        receiver = here.processes.get(target)
+        if receiver is not None and (sender, target) not in network.cut:
             world.deliver(here, receiver, received)
 
     world.after(here, delay_s, arrive)
@@ -69,6 +70,13 @@
     return f"tcp://{name}:7000"
 
 
+def _target(sent: frames.SendPeer) -> str:
+    """Return the process at the message's link: its name may not be known."""
+    if sent.link is None:
+        return sent.node
+    return sent.link.removeprefix("tcp://").removesuffix(":7000")
+
+
 def isolate(network: Network, name: str, others: list[str]) -> None:
     """Cut a process off from others, both ways."""
     network.cut.update((name, other) for other in others if other != name)
@@ -87,10 +95,10 @@
 def _is_lost(
     here: world.World,
     network: Network,
-    sender: str,
+    way: tuple[str, str],
     sent: frames.SendPeer,
 ) -> bool:
-    if (sender, sent.node) in network.cut:
+    if way in network.cut:
         return True
     for name in names(sent):
         if network.losses.get(name, 0) > 0:
