--- a/bitternlever/entry/tables.py
+++ b/bitternlever/entry/tables.py
@@ -60,8 +60,12 @@
     manifest: manifest_messages.Manifest | None = None
     fresh_until_s: float = 0.0
     fetching: bool = False
-    workspaces: dict[str, manifest_messages.Workspace] = dataclasses.field(default_factory=dict)
-    pipelines: dict[str, manifest_messages.Pipeline] = dataclasses.field(default_factory=dict)
+    workspaces: dict[str, manifest_messages.Workspace] = dataclasses.field(
+        default_factory=dict
+    )
+    pipelines: dict[str, manifest_messages.Pipeline] = dataclasses.field(
+        default_factory=dict
+    )
     tokens: dict[str, str] = dataclasses.field(default_factory=dict)
 
 
--- a/tests/scenarios/world.py
+++ b/tests/scenarios/world.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from bench.invariants import records
+from bench.invariants import records as invariant_records
 from bitternlever.core import ticks
 
 SHORTEST_SLEEP_S = 0.001
@@ -44,7 +44,7 @@
     )
     numbers: itertools.count = dataclasses.field(default_factory=itertools.count)
     processes: dict[str, Process] = dataclasses.field(default_factory=dict)
-    records: list[records.Record] = dataclasses.field(default_factory=list)
+    records: list[invariant_records.Record] = dataclasses.field(default_factory=list)
     triggers: list[Callable[[Process, Any], bool]] = dataclasses.field(
         default_factory=list,
     )
