--- a/bitternlever/transport/links.py
+++ b/bitternlever/transport/links.py
@@ -85,13 +85,16 @@
 ) -> Links:
     """Listen at ``link`` and hand every received message to ``on_message``.
 
-    Raise pynng.NNGException when the address cannot be bound.
+    Raise OSError when the address cannot be bound.
     """
     pull = pynng.Pull0(
         recv_buffer_size=RECEIVE_BUFFER_FRAMES,
         recv_max_size=codec.MAXIMUM_FRAME_BYTES,
     )
-    pull.listen(link)
+    try:
+        pull.listen(link)
+    except pynng.NNGException as error:
+        raise OSError(f"cannot listen at {link}: {error}") from error
     links = Links(
         node=node,
         link=link,
