--- a/bitternlever/entry/tables.py
+++ b/bitternlever/entry/tables.py
@@ -9,7 +9,7 @@
 
 from bitternlever.admission import tables as admission_tables
 from bitternlever.gossip import tables as gossip_tables
-from bitternlever.messages import calls, manifest, requests
+from bitternlever.messages import calls, manifest as manifest_messages, requests
 from bitternlever.pipelines import tables as pipeline_tables
 from bitternlever.routing import tables as routing_tables
 
@@ -52,11 +52,15 @@
 
     number: int = 0
     digest: str = ""
-    manifest: manifest.Manifest | None = None
+    manifest: manifest_messages.Manifest | None = None
     fresh_until_s: float = 0.0
     fetching: bool = False
-    workspaces: dict[str, manifest.Workspace] = dataclasses.field(default_factory=dict)
-    pipelines: dict[str, manifest.Pipeline] = dataclasses.field(default_factory=dict)
+    workspaces: dict[str, manifest_messages.Workspace] = dataclasses.field(
+        default_factory=dict
+    )
+    pipelines: dict[str, manifest_messages.Pipeline] = dataclasses.field(
+        default_factory=dict
+    )
     tokens: dict[str, str] = dataclasses.field(default_factory=dict)
 
 
--- /dev/null
+++ b/tests/gossip/test_hosts.py
@@ -0,0 +1,81 @@
+"""The hosts that callers are told to use."""
+
+from bitternlever.gossip import hosts
+from tests.gossip import network
+
+
+def _names(net, host="h0", workspace="w", zone=None):
+    found = hosts.preferred(net.hosts[host], net.now, workspace, zone)
+    return [each.host for each in found]
+
+
+def test_every_host_gives_the_same_order_for_a_workspace():
+    net = network.create(9)
+    net.run(5.0)
+
+    orders = {tuple(_names(net, host, "cantref")) for host in net.hosts}
+
+    assert len(orders) == 1
+    assert len(orders.pop()) == 9
+
+
+def test_workspaces_are_spread_over_the_hosts():
+    net = network.create(9)
+    net.run(5.0)
+
+    firsts = {_names(net, workspace=f"w{index}")[0] for index in range(100)}
+
+    assert len(firsts) == 9
+
+
+def test_the_callers_own_zone_comes_first():
+    net = network.create(9)
+    net.run(5.0)
+
+    first = _names(net, zone="zone-2")[:3]
+
+    assert sorted(first) == ["h2", "h5", "h8"]
+
+
+def test_a_draining_host_leaves_the_answers_of_all():
+    net = network.create(4)
+    net.run(3.0)
+
+    net.hosts["h2"].requests.drain_requested_s = net.now
+    assert "h2" not in _names(net, "h2")
+    net.run(3.0)
+
+    assert all("h2" not in _names(net, host) for host in net.hosts)
+
+
+def test_a_silent_host_leaves_the_answers():
+    net = network.create(4)
+    net.run(3.0)
+
+    del net.hosts["h3"]
+    net.run(5.0)
+
+    assert all("h3" not in _names(net, host) for host in net.hosts)
+
+
+def test_an_overloaded_host_comes_last():
+    net = network.create(4)
+    net.run(3.0)
+    first = _names(net)[0]
+
+    net.hosts[first].requests.requests = {str(index): None for index in range(50)}
+    net.run(3.0)
+
+    assert _names(net)[-1] == first
+
+
+def test_a_parted_cluster_joins_again():
+    net = network.create(4)
+    net.run(3.0)
+    lost = net.hosts.pop("h3")
+    net.run(20.0)
+
+    net.hosts["h3"] = lost
+    net.run(10.0)
+
+    assert all(len(_names(net, host)) == 4 for host in net.hosts)
--- /dev/null
+++ b/tests/gossip/test_upstreams.py
@@ -0,0 +1,176 @@
+"""Upstreams leave, fall silent and start anew while gossip misbehaves."""
+
+import hypothesis
+import msgspec
+from hypothesis import strategies
+
+from bitternlever.core import ticks
+from bitternlever.gossip import membership
+from tests.gossip import network
+
+SILENCE_S = 3.0
+CONTROL_BYTES_PER_S = 7_000
+SETTINGS = hypothesis.settings(
+    derandomize=True,
+    database=None,
+    deadline=None,
+    max_examples=25,
+)
+
+
+def _live(net, host, seconds, name="engine", first=1, **changes):
+    """Announce once a second for a while; return the next sequence."""
+    for sequence in range(first, first + seconds):
+        net.announce(host, network.word(name, sequence, **changes))
+        net.run(1.0)
+    return first + seconds
+
+
+def test_an_upstream_is_known_everywhere_soon():
+    net = network.create(9)
+    net.run(2.0)
+
+    _live(net, "h3", 2)
+
+    assert all(net.serving(host) == ["engine"] for host in net.hosts)
+
+
+def test_a_live_upstream_stays_known_when_a_tenth_is_lost():
+    net = network.create(9)
+    net.loss = 0.1
+    net.run(3.0)
+    following = _live(net, "h3", 4)
+    for sequence in range(following, following + 20):
+        net.announce("h3", network.word(sequence=sequence))
+        for _ in range(20):
+            net.step()
+            assert all(net.serving(host) == ["engine"] for host in net.hosts)
+
+
+@SETTINGS
+@hypothesis.given(
+    seed=strategies.integers(0, 10_000),
+    loss=strategies.sampled_from([0.0, 0.3, 0.7]),
+    longest_delay_s=strategies.sampled_from([0.001, 1.0, 10.0]),
+    says_so=strategies.booleans(),
+)
+def test_a_gone_upstream_gets_nothing_new_after_the_silence(
+    seed,
+    loss,
+    longest_delay_s,
+    says_so,
+):
+    net = network.create(5, seed=seed)
+    net.run(2.0)
+    net.loss = loss
+    net.longest_delay_s = longest_delay_s
+    following = _live(net, "h1", 5)
+    net.run(0.5)
+    if says_so:
+        net.announce("h1", network.word(sequence=following, leaving=True))
+    last_word_s = net.now - 1.5
+
+    while net.now < last_word_s + 15.0:
+        net.step()
+        if net.now > last_word_s + SILENCE_S:
+            assert not any(net.serving(host) for host in net.hosts)
+
+
+@SETTINGS
+@hypothesis.given(seed=strategies.integers(0, 10_000))
+def test_a_late_word_of_an_older_run_changes_nothing(seed):
+    net = network.create(3, seed=seed)
+    net.run(2.0)
+    net.longest_delay_s = 2.0
+    net.announce("h0", network.word(sequence=900, incarnation=1))
+    _live(net, "h1", 12, incarnation=2, address="http://new")
+    net.announce("h2", network.word(sequence=901, incarnation=1))
+
+    net.run(0.5)
+
+    for tables in net.hosts.values():
+        known = tables.membership.upstreams["engine"].announcement
+        assert (known.incarnation, known.address) == (2, "http://new")
+
+
+def test_leaving_sticks_until_a_new_run():
+    net = network.create(2)
+    net.run(1.0)
+    net.announce("h0", network.word(sequence=5, leaving=True))
+    net.announce("h0", network.word(sequence=6))
+    assert net.serving("h0") == []
+
+    net.announce("h0", network.word(sequence=1, incarnation=2))
+
+    assert net.serving("h0") == ["engine"]
+
+
+def test_a_delayed_copy_of_a_word_is_as_old_as_its_way_was_long():
+    net = network.create(2)
+    net.run(3.0)
+    net.announce("h0", network.word())
+    held = [each for each in _messages_of(net, "h0") if each.words]
+    net.now += SILENCE_S + 0.5
+    for message in held:
+        membership.receive(net.hosts["h1"], net.now, ticks.Outbox(), message)
+
+    assert net.serving("h1") == []
+
+
+def test_without_an_echo_a_word_proves_nothing():
+    net = network.create(2)
+    net.run(3.0)
+    net.announce("h0", network.word())
+    messages = [
+        msgspec.structs.replace(each, echo=None) for each in _messages_of(net, "h0")
+    ]
+    assert any(each.words for each in messages)
+    for message in messages:
+        membership.receive(net.hosts["h1"], net.now, ticks.Outbox(), message)
+
+    assert "engine" not in net.hosts["h1"].membership.wanted
+    assert net.serving("h1") == []
+
+
+def test_gossip_of_todays_size_stays_within_the_control_budget():
+    net = network.create(9)
+    models = ["a-long-name-of-a-model"] * 20
+    before = 0
+    for second in range(1, 15):
+        if second == 5:
+            before = net.bytes_sent
+        for index in range(24):
+            word = network.word(f"engine-{index}", second, models=models)
+            net.announce(f"h{index % 9}", word)
+        net.run(1.0)
+
+    assert (net.bytes_sent - before) / 10 / len(net.hosts) < CONTROL_BYTES_PER_S
+
+
+def test_a_word_travels_once_to_each_peer():
+    net = network.create(2)
+    net.run(3.0)
+    net.announce("h0", network.word())
+
+    messages = _messages_of(net, "h0")
+
+    assert sum(len(each.words) for each in messages) == 1
+
+
+def test_more_upstreams_than_the_bound_are_refused():
+    net = network.create(1)
+    for index in range(4_100):
+        net.announce("h0", network.word(f"engine-{index}"))
+
+    assert len(net.hosts["h0"].membership.upstreams) == 4_000
+
+
+def _messages_of(net, host):
+    tables = net.hosts[host]
+    sent = []
+    for _ in range(40):
+        net.now += network.STEP_S
+        outbox = ticks.Outbox()
+        membership.run(tables, net.now, outbox)
+        sent.extend(each.message for each in outbox.messages)
+    return sent
