--- a/bitternlever/checks/messages.py
+++ b/bitternlever/checks/messages.py
@@ -22,18 +22,18 @@
     level: Level
     id: str
     path: str
-    detail: str
+    text: str
     hint: str = ""
 
 
-def error(number: str, path: str, detail: str, hint: str = "") -> Message:
+def error(number: str, path: str, text: str, hint: str = "") -> Message:
     """Make a message of level ERROR."""
-    return Message(Level.ERROR, number, path, detail, hint)
+    return Message(Level.ERROR, number, path, text, hint)
 
 
-def warning(number: str, path: str, detail: str, hint: str = "") -> Message:
+def warning(number: str, path: str, text: str, hint: str = "") -> Message:
     """Make a message of level WARNING."""
-    return Message(Level.WARNING, number, path, detail, hint)
+    return Message(Level.WARNING, number, path, text, hint)
 
 
 def errors(found: list[Message]) -> list[Message]:
@@ -41,8 +41,8 @@
     return [message for message in found if message.level is Level.ERROR]
 
 
-def text(message: Message) -> str:
+def line(message: Message) -> str:
     """Return a message as one line, with its hint where it has one."""
     place = f"{message.path}: " if message.path else ""
-    line = f"{message.level.value} {message.id}: {place}{message.detail}"
-    return f"{line} Hint: {message.hint}" if message.hint else line
+    found = f"{message.level.value} {message.id}: {place}{message.text}"
+    return f"{found} Hint: {message.hint}" if message.hint else found
--- a/tests/checks/test_manifest.py
+++ b/tests/checks/test_manifest.py
@@ -122,7 +122,7 @@
 
     refused = manifest.check(json.dumps(value).encode()).err()
 
-    assert "secret" not in " ".join(messages.text(message) for message in refused)
+    assert "secret" not in " ".join(messages.line(message) for message in refused)
 
 
 @pytest.mark.parametrize(
@@ -161,6 +161,6 @@
 
 
 def test_a_message_reads_as_one_line_with_its_hint():
-    line = messages.text(messages.error("x.E1", "a.b", "It is wrong.", "Mend it."))
+    found = messages.error("x.E1", "a.b", "It is wrong.", "Mend it.")
 
-    assert line == "error x.E1: a.b: It is wrong. Hint: Mend it."
+    assert messages.line(found) == "error x.E1: a.b: It is wrong. Hint: Mend it."
