--- a/bitternlever/http/callers.py
+++ b/bitternlever/http/callers.py
@@ -21,10 +21,17 @@
 MakeMessage = Callable[[int, str | None], Any]
 
 
+class HostAddress(msgspec.Struct):
+    """Where a host is reached."""
+
+    address: str
+    zone: str
+
+
 class HostList(msgspec.Struct):
     """Hosts in order of preference, and for how long the list may be kept."""
 
-    hosts: list[hosts.Address]
+    hosts: list[HostAddress]
     max_age_s: float
 
 
@@ -88,7 +95,7 @@
         zone=request.query.get("zone") or shared.configuration.zone,
     )
     body = HostList(
-        hosts=preferred,
+        hosts=[HostAddress(address=host.address, zone=host.zone) for host in preferred],
         max_age_s=shared.configuration.host_list_max_age_s,
     )
     return responses.json(body)
