Replicate, store and serve the directory

Cause: nothing kept manifests and leases.

Seen: three cores on a scripted network found a group, elect a leader, commit a manifest and keep it through the end of all processes; a torn end is cut off and damage in the middle refused.

--- a/bitternlever/consensus/replica.py
+++ b/bitternlever/consensus/replica.py
@@ -107,14 +107,19 @@
     founding.run(replica, now, outbox)
     if replica.membership is None:
         return
+    elections.run(replica, now, outbox)
     commits.run(replica, now, outbox)
     replacement.run(replica, now)
-    replication.run(replica, now, outbox)
     reads.run(replica, now, outbox)
-    elections.run(replica, now, outbox)
     snapshots.run(replica, outbox)
 
 
+def replicate(replica: tables.Replica, now: float, outbox: ticks.Outbox) -> None:
+    """Send as leader what the tick has added; nothing may be proposed after it."""
+    if replica.disk.failed is None:
+        replication.run(replica, now, outbox)
+
+
 def flush(replica: tables.Replica, outbox: ticks.Outbox) -> None:
     """Hand the tick's changes to the disk; nothing may be staged after it."""
     disk.flush(replica, outbox)
--- /dev/null
+++ b/bitternlever/control/machines.py
@@ -0,0 +1,93 @@
+"""The state machines of the groups, behind closures that consensus can call."""
+
+import dataclasses
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+from bitternlever.consensus import tables as consensus_tables
+from bitternlever.directory import state as directory_state
+from bitternlever.messages import calls, directory, journal
+
+encode_command = msgspec.msgpack.Encoder().encode
+_decode_directory = msgspec.msgpack.Decoder(directory.Command).decode
+_decode_journal = msgspec.msgpack.Decoder(journal.Command).decode
+
+Propose = Callable[[calls.Command], None]
+Hint = Callable[[Any], None]
+
+
+@dataclasses.dataclass(slots=True)
+class Machine:
+    """A group's state machine.
+
+    ``reads`` are the commands that ``read`` answers from the applied state.
+    ``lead`` runs at each tick of a ready leader, with ways to propose a command
+    and to send a hint to all entry hosts.
+    """
+
+    replicated: consensus_tables.StateMachine
+    accepts: Callable[[Any], bool]
+    reads: tuple[type, ...]
+    read: Callable[[Any], Any]
+    lead: Callable[[float, Any, Propose, Hint], None]
+
+
+@dataclasses.dataclass(slots=True)
+class Fences:
+    """The state of a journal group that keeps nothing but fences."""
+
+    epochs: dict[str, int] = dataclasses.field(default_factory=dict)
+
+
+def of_directory(tables: directory_state.Directory) -> Machine:
+    """Return group 0's machine over these tables."""
+
+    def apply(data: bytes) -> Any:
+        return directory_state.apply(tables, _decode_directory(data))
+
+    def restore(data: bytes) -> None:
+        directory_state.restore(tables, data)
+
+    return Machine(
+        replicated=consensus_tables.StateMachine(
+            apply=apply,
+            snapshot=lambda: directory_state.snapshot(tables),
+            restore=restore,
+        ),
+        accepts=lambda command: isinstance(command, directory.Command),
+        reads=(directory.GetManifest,),
+        read=lambda command: directory_state.manifest_in_force(tables),
+        lead=lambda now, outbox, propose, hint: None,
+    )
+
+
+def of_journal(maximum_bytes: int, answer_retention_s: float) -> Machine:
+    """Return the machine of a journal group."""
+    held = Fences()
+
+    def apply(data: bytes) -> Any:
+        command = _decode_journal(data)
+        if not isinstance(command, journal.FenceHost):
+            return None
+        held.epochs[command.host] = max(
+            command.epoch,
+            held.epochs.get(command.host, 0),
+        )
+        return journal.HostFenced(command.host, command.epoch, orphans=0)
+
+    def restore(data: bytes) -> None:
+        held.epochs = msgspec.msgpack.decode(data, type=dict[str, int])
+
+    return Machine(
+        replicated=consensus_tables.StateMachine(
+            apply=apply,
+            snapshot=lambda: msgspec.msgpack.encode(held.epochs),
+            restore=restore,
+        ),
+        accepts=lambda command: isinstance(command, journal.Command),
+        reads=(),
+        read=lambda command: None,
+        lead=lambda now, outbox, propose, hint: None,
+    )
--- a/bitternlever/control/tables.py
+++ b/bitternlever/control/tables.py
@@ -1,6 +1,17 @@
 """All tables of a control process, and the settings that its decisions need."""
 
 import dataclasses
+import random
+from collections.abc import Callable
+from typing import Any
+
+from bitternlever.consensus import replica, tables as consensus_tables
+from bitternlever.control import machines
+from bitternlever.directory import leader, state as directory_state
+from bitternlever.messages import calls, consensus, directory
+from bitternlever.storage import restored as storage_restored
+
+SEED_STEP = 1_000_003
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -8,7 +19,8 @@
     """Settings of the control core; durations in seconds.
 
     ``nodes`` maps every initial control node to its link; ``zones`` names the
-    availability zone of each.
+    availability zone of each. ``order_quiet_s`` bounds the delivery of an order
+    that was sent under a lease which has ended since.
     """
 
     node: str
@@ -20,7 +32,118 @@
     journal_groups: int = 1
     host_lease_s: float = 3.0
     order_lease_s: float = 5.0
+    order_quiet_s: float = 3.0
     election_timeout_s: float = 0.8
     heartbeat_s: float = 0.1
     answer_retention_s: float = 3_600.0
     maximum_journal_bytes: int = 16_000_000
+    snapshot_after_entries: int = consensus_tables.SNAPSHOT_AFTER_ENTRIES
+
+
+@dataclasses.dataclass(slots=True)
+class Group:
+    """One group: this process's replica and the state machine on it.
+
+    ``office_term`` is the term in which this process last took office here.
+    """
+
+    number: int
+    replica: consensus_tables.Replica
+    machine: machines.Machine
+    office_term: int = 0
+
+
+OnAnswer = Callable[[float, Any, Any], None]
+
+
+@dataclasses.dataclass(slots=True)
+class OwnCall:
+    """A call of this process to a group, sent again until it is answered."""
+
+    call: calls.ControlCall
+    on_reply: Callable[[float, Any, calls.Reply], None]
+    resend_s: float
+
+
+@dataclasses.dataclass(slots=True)
+class ControlTables:
+    """Everything that a control process knows; systems run over it each tick.
+
+    ``links`` maps the nodes that were heard to their addresses. ``fences`` holds
+    the epochs that journal groups still have to learn, by group and host.
+    """
+
+    settings: ControlSettings
+    random: random.Random
+    directory: directory_state.Directory
+    groups: dict[int, Group] = dataclasses.field(default_factory=dict)
+    memory: leader.Memory = dataclasses.field(default_factory=leader.Memory)
+    links: dict[str, str] = dataclasses.field(default_factory=dict)
+    zones: dict[str, str] = dataclasses.field(default_factory=dict)
+    fences: dict[tuple[int, str], int] = dataclasses.field(default_factory=dict)
+    replacements: dict[int, calls.Reply] = dataclasses.field(default_factory=dict)
+    own_calls: dict[int, OwnCall] = dataclasses.field(default_factory=dict)
+    next_call: int = 0
+    counters: dict[str, int] = dataclasses.field(default_factory=dict)
+
+    def count(self, name: str) -> None:
+        """Add one to the counter of this name."""
+        self.counters[name] = self.counters.get(name, 0) + 1
+
+
+def create(
+    settings: ControlSettings,
+    restored: storage_restored.Restored,
+    seed: int,
+) -> ControlTables:
+    """Make the tables from what the disk holds; ``seed`` fixes random choices."""
+    tables = ControlTables(
+        settings=settings,
+        random=random.Random(seed),
+        directory=directory_state.create(
+            settings.host_lease_s,
+            settings.order_lease_s,
+            settings.order_quiet_s,
+        ),
+        links=dict(settings.nodes),
+        zones=dict(settings.zones),
+    )
+    _add_group(
+        tables,
+        restored,
+        directory.GROUP,
+        machines.of_directory(tables.directory),
+        seed,
+    )
+    for number in range(1, settings.journal_groups + 1):
+        machine = machines.of_journal(
+            settings.maximum_journal_bytes,
+            settings.answer_retention_s,
+        )
+        _add_group(tables, restored, number, machine, seed)
+    return tables
+
+
+def _add_group(
+    tables: ControlTables,
+    restored: storage_restored.Restored,
+    number: int,
+    machine: machines.Machine,
+    seed: int,
+) -> None:
+    settings = tables.settings
+    own = replica.create(
+        consensus_tables.ReplicaSettings(
+            group=number,
+            identity=consensus.ReplicaId(node=settings.node, disk=settings.disk),
+            nodes=tuple(sorted(settings.nodes)),
+            zone=settings.zone,
+            election_timeout_s=settings.election_timeout_s,
+            heartbeat_s=settings.heartbeat_s,
+            snapshot_after_entries=settings.snapshot_after_entries,
+        ),
+        machine.replicated,
+        restored.groups.get(number),
+        seed=seed + SEED_STEP * (number + 1),
+    )
+    tables.groups[number] = Group(number=number, replica=own, machine=machine)
--- /dev/null
+++ b/bitternlever/control/tick.py
@@ -0,0 +1,111 @@
+"""One tick of a control process: messages in, decisions, messages out."""
+
+from typing import Any
+
+from bitternlever.consensus import replica
+from bitternlever.control import answers, office, own_calls, tables as control_tables
+from bitternlever.core import ticks
+from bitternlever.messages import calls, consensus, directory, frames
+
+CONTROL_PREFIX = "control-"
+DISK_EVENTS = (consensus.LogSynced, consensus.SnapshotSynced, consensus.DiskFailed)
+
+
+def tick(
+    tables: control_tables.ControlTables,
+    now: float,
+    inbox: list[Any],
+) -> ticks.Outbox:
+    """Take all messages, run every system once, and return what leaves."""
+    outbox = ticks.Outbox()
+    for message in inbox:
+        _receive(tables, now, outbox, message)
+    for group in tables.groups.values():
+        replica.run(group.replica, now, outbox)
+    office.run(tables, now, outbox)
+    for call in own_calls.due(tables, now, outbox):
+        _send_own(tables, now, outbox, call)
+    for group in tables.groups.values():
+        replica.replicate(group.replica, now, outbox)
+        replica.flush(group.replica, outbox)
+    if not _leads_directory(tables):
+        tables.directory.changed_hosts.clear()
+    _add_links(tables, outbox)
+    return outbox
+
+
+def _receive(
+    tables: control_tables.ControlTables,
+    now: float,
+    outbox: ticks.Outbox,
+    message: Any,
+) -> None:
+    if isinstance(message, DISK_EVENTS):
+        group = tables.groups.get(message.group)
+        if group is not None:
+            replica.disk_event(group.replica, now, outbox, message)
+        return
+    if isinstance(message, frames.PeerReceived):
+        _receive_peer(tables, now, outbox, message)
+
+
+def _receive_peer(
+    tables: control_tables.ControlTables,
+    now: float,
+    outbox: ticks.Outbox,
+    received: frames.PeerReceived,
+) -> None:
+    message = received.message
+    if received.node.startswith(CONTROL_PREFIX):
+        tables.links[received.node] = received.link
+    if isinstance(message, calls.ControlCall):
+        answers.receive(tables, now, outbox, received)
+        return
+    if isinstance(message, consensus.Message):
+        _receive_replica(tables, now, outbox, message)
+        return
+    own_calls.receive(tables, now, outbox, message)
+
+
+def _receive_replica(
+    tables: control_tables.ControlTables,
+    now: float,
+    outbox: ticks.Outbox,
+    message: consensus.Message,
+) -> None:
+    group = tables.groups.get(message.group)
+    if group is None:
+        tables.count("message_for_another_group")
+        return
+    if isinstance(message, consensus.IdentityRequest | consensus.IdentityReply):
+        tables.zones[message.replica.node] = message.zone
+    replica.receive(group.replica, now, outbox, message)
+
+
+def _send_own(
+    tables: control_tables.ControlTables,
+    now: float,
+    outbox: ticks.Outbox,
+    call: calls.ControlCall,
+) -> None:
+    """Execute an own call here where this process leads, else send it."""
+    leader = tables.groups[call.group].replica.leader
+    if leader is None or leader.node != tables.settings.node:
+        own_calls.send(tables, outbox, call)
+        return
+
+    def on_answer(at: float, later: ticks.Outbox, answer: Any) -> None:
+        own_calls.receive(tables, at, later, answer)
+
+    answers.submit(tables, now, outbox, call, on_answer)
+
+
+def _leads_directory(tables: control_tables.ControlTables) -> bool:
+    own = tables.groups[directory.GROUP].replica
+    return own.leader == own.settings.identity
+
+
+def _add_links(tables: control_tables.ControlTables, outbox: ticks.Outbox) -> None:
+    for message in outbox.messages:
+        if isinstance(message, frames.SendPeer) and message.link is None:
+            message.link = tables.links.get(message.node)
--- /dev/null
+++ b/bitternlever/storage/files.py
@@ -0,0 +1,93 @@
+"""Names, records and synced writes of the data folder."""
+
+import os
+import pathlib
+
+import msgspec
+
+from bitternlever.messages import consensus
+
+IDENTITY_NAME = "disk-id"
+TEMPORARY_SUFFIX = ".tmp"
+SEGMENT_SUFFIX = ".segment"
+SNAPSHOT_SUFFIX = ".snapshot"
+NUMBER_DIGITS = 20
+
+
+class LogWritten(msgspec.Struct, tag=True, array_like=True):
+    """A truncation, then entries, then a hard state: one write of the log."""
+
+    truncate_from: int | None
+    entries: list[consensus.LogEntry]
+    hard_state: consensus.HardState | None
+
+
+class SegmentStarted(msgspec.Struct, tag=True, array_like=True):
+    """The first record of a segment: what older segments need not tell any more.
+
+    Entries up to ``snapshot_index`` stand in the snapshot.
+    """
+
+    number: int
+    snapshot_index: int
+    hard_state: consensus.HardState | None
+
+
+class SnapshotHeader(msgspec.Struct, tag=True, array_like=True):
+    """The first record of a snapshot file; the second is its data."""
+
+    last_index: int
+    last_term: int
+    membership: consensus.Membership
+
+
+Record = LogWritten | SegmentStarted | SnapshotHeader
+
+encode = msgspec.msgpack.Encoder().encode
+decode = msgspec.msgpack.Decoder(Record).decode
+
+
+def group_folder(folder: pathlib.Path, group: int) -> pathlib.Path:
+    """Return the folder of a group."""
+    return folder / f"group-{group:05d}"
+
+
+def numbered(folder: pathlib.Path, suffix: str) -> list[tuple[int, pathlib.Path]]:
+    """Return the files with this suffix in the order of their numbers."""
+    found = [(int(path.stem), path) for path in folder.glob("*" + suffix)]
+    return sorted(found)
+
+
+def numbered_path(folder: pathlib.Path, number: int, suffix: str) -> pathlib.Path:
+    """Return the path of the file with this number."""
+    return folder / (str(number).zfill(NUMBER_DIGITS) + suffix)
+
+
+def write_synced(path: pathlib.Path, data: bytes) -> None:
+    """Write a whole file so that a crash leaves the old one or the new one."""
+    temporary = path.with_name(path.name + TEMPORARY_SUFFIX)
+    descriptor = os.open(temporary, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600)
+    try:
+        write_all(descriptor, data)
+        os.fsync(descriptor)
+    finally:
+        os.close(descriptor)
+    os.replace(temporary, path)
+    sync_folder(path.parent)
+
+
+def write_all(descriptor: int, data: bytes) -> None:
+    """Write all bytes, also where the system takes them in parts."""
+    view = memoryview(data)
+    while view:
+        written = os.write(descriptor, view)
+        view = view[written:]
+
+
+def sync_folder(folder: pathlib.Path) -> None:
+    """Make names in a folder durable."""
+    descriptor = os.open(folder, os.O_RDONLY)
+    try:
+        os.fsync(descriptor)
+    finally:
+        os.close(descriptor)
--- /dev/null
+++ b/tests/consensus/harness.py
@@ -0,0 +1,285 @@
+"""Control cores on a scripted network under virtual time, with disks that fail.
+
+Messages are delayed, lost or cut off; writes are synced late or lost in a crash. The
+invariants of Raft and of the manifest are checked after every step.
+"""
+
+import copy
+import dataclasses
+import hashlib
+import heapq
+import itertools
+import random
+from typing import Any
+
+from bitternlever.consensus import log as consensus_log, tables as consensus_tables
+from bitternlever.control import tables as control_tables, tick
+from bitternlever.messages import calls, consensus, directory, frames
+from bitternlever.storage import restored as storage_restored
+
+DELAY_S = (0.0005, 0.003)
+SYNC_S = (0.0005, 0.004)
+STEP_S = 0.02
+
+
+@dataclasses.dataclass(slots=True)
+class Node:
+    """One control process: its synced disk, its writes on the way, its core."""
+
+    name: str
+    durable: storage_restored.Restored
+    tables: control_tables.ControlTables | None = None
+    run: int = 0
+    wake_s: float = 0.0
+    frozen: bool = False
+    inbox: list[Any] = dataclasses.field(default_factory=list)
+    writes: list[Any] = dataclasses.field(default_factory=list)
+
+
+class Cluster:
+    """All nodes, the network between them, and what has been observed."""
+
+    def __init__(self, nodes: int = 3, seed: int = 0, journal_groups=0, **settings):
+        self.random = random.Random(seed)
+        self.now = 0.0
+        self.settings = settings
+        self.journal_groups = journal_groups
+        self.names = [f"control-{letter}" for letter in "abcdefg"[:nodes]]
+        self.events = []
+        self.order = itertools.count()
+        self.disks = itertools.count(1)
+        self.cut = set()
+        self.loss = 0.0
+        self.sync_before_ack = True
+        self.replies = {}
+        self.entry_messages = []
+        self.next_call = 0
+        self.leaders = {}
+        self.applied = {}
+        self.manifests = {}
+        self.accepted = {}
+        self.nodes = {}
+        for name in self.names:
+            self.add(name)
+
+    def add(self, name):
+        """Start a node with an empty disk."""
+        disk = f"disk-{next(self.disks)}"
+        durable = storage_restored.Restored(disk=disk)
+        self.nodes[name] = Node(name=name, durable=durable)
+        self.start(name)
+
+    def start(self, name):
+        """Start a process from what its disk holds."""
+        node = self.nodes[name]
+        node.run += 1
+        node.inbox, node.writes, node.frozen = [], [], False
+        held = copy.deepcopy(node.durable)
+        settings = control_tables.ControlSettings(
+            node=name,
+            link=f"tcp://{name}",
+            zone=f"hall-{name[-1]}",
+            disk=held.disk,
+            nodes={each: f"tcp://{each}" for each in self.names},
+            zones={each: f"hall-{each[-1]}" for each in self.names},
+            journal_groups=self.journal_groups,
+            **self.settings,
+        )
+        node.tables = control_tables.create(settings, held, self.random.getrandbits(32))
+        node.wake_s = self.now
+
+    def kill(self, name):
+        """End a process; each write on its way is kept or lost in order."""
+        node = self.nodes[name]
+        node.run += 1
+        node.tables = None
+        kept = self.random.randint(0, len(node.writes))
+        for message in node.writes[:kept]:
+            persist(node.durable, message)
+        node.writes = []
+
+    def lose_disk(self, name):
+        """End a process together with its disk, and start it on an empty one."""
+        self.kill(name)
+        self.add(name)
+
+    def isolate(self, name):
+        """Cut a node off from every other, in both directions."""
+        for other in self.nodes:
+            self.cut |= {(name, other), (other, name)}
+
+    def heal(self):
+        """Let all messages through."""
+        self.cut.clear()
+        self.loss = 0.0
+
+    def run(self, seconds):
+        """Let virtual time pass."""
+        end = self.now + seconds
+        while True:
+            due = self.events[0][0] if self.events else end
+            wakes = [n.wake_s for n in self.nodes.values() if n.tables and not n.frozen]
+            due = min([due, end, *wakes])
+            if due >= end:
+                self.now = end
+                return
+            self.now = max(self.now, due)
+            self.step()
+
+    def step(self):
+        """Deliver what is due and tick every node that has something to do."""
+        while self.events and self.events[0][0] <= self.now:
+            _, _, name, run, message = heapq.heappop(self.events)
+            node = self.nodes.get(name)
+            if node is None or node.run != run or node.tables is None:
+                continue
+            if isinstance(message, consensus.WriteLog | consensus.WriteSnapshot):
+                message = self.sync(node, message)
+            node.inbox.append(message)
+        for node in list(self.nodes.values()):
+            if node.tables is None or node.frozen:
+                continue
+            if node.inbox or node.wake_s <= self.now:
+                self.tick(node)
+
+    def sync(self, node, message):
+        """Make a write durable and return the disk's word for it."""
+        node.writes.remove(message)
+        persist(node.durable, message)
+        if isinstance(message, consensus.WriteLog):
+            return consensus.LogSynced(message.group, message.write_id)
+        return consensus.SnapshotSynced(
+            message.group,
+            message.write_id,
+            message.last_index,
+        )
+
+    def tick(self, node):
+        inbox, node.inbox = node.inbox, []
+        outbox = tick.tick(node.tables, self.now, inbox)
+        node.wake_s = outbox.wake_at_s or self.now + 1.0
+        if node.wake_s <= self.now:
+            node.wake_s = self.now + 0.0001
+        for message in outbox.messages:
+            if isinstance(message, frames.SendPeer):
+                self.send(node, message)
+            elif self.sync_before_ack:
+                node.writes.append(message)
+                self.post(self.random.uniform(*SYNC_S), node, message)
+            else:
+                node.writes.append(message)
+                event = consensus.LogSynced(message.group, message.write_id)
+                self.post(0.0, node, event)
+        self.check(node)
+
+    def post(self, delay_s, node, message):
+        entry = (self.now + delay_s, next(self.order), node.name, node.run, message)
+        heapq.heappush(self.events, entry)
+
+    def send(self, node, peer):
+        target = self.nodes.get(peer.node)
+        if target is None:
+            self.entry_messages.append((self.now, node.name, peer))
+            answer = peer.message
+            if isinstance(answer, calls.ControlReply):
+                self.replies.setdefault(answer.call_id, answer.reply)
+                self.note_reply(answer.reply)
+            return
+        if (node.name, peer.node) in self.cut or self.random.random() < self.loss:
+            return
+        link = node.tables.settings.link
+        received = frames.PeerReceived(node.name, link, copy.copy(peer.message))
+        self.post(self.random.uniform(*DELAY_S), target, received)
+
+    def call(self, command, group=0, to=None, sender="entry-x"):
+        """Send a command to one node, or to every node; return its id."""
+        self.next_call += 1
+        call = calls.ControlCall(self.next_call, group, command)
+        received = frames.PeerReceived(sender, f"tcp://{sender}", call)
+        for name in [to] if to else list(self.nodes):
+            if self.nodes[name].tables is not None:
+                self.post(0.0, self.nodes[name], received)
+        return self.next_call
+
+    def ask(self, command, group=0, seconds=4.0, to=None):
+        """Send a command until it is answered; return the reply or None."""
+        end = self.now + seconds
+        while self.now < end:
+            call_id = self.call(command, group, to)
+            self.run(0.3)
+            if call_id in self.replies:
+                return self.replies[call_id]
+        return None
+
+    def leader(self, group=0):
+        """Return the name of the newest leader that runs, or None."""
+        found = [
+            (node.tables.groups[group].replica.term, node.name)
+            for node in self.nodes.values()
+            if node.tables is not None
+            and node.tables.groups[group].replica.role is consensus_tables.Role.LEADER
+        ]
+        return max(found)[1] if found else None
+
+    def replica(self, name, group=0):
+        """Return a node's replica of a group."""
+        return self.nodes[name].tables.groups[group].replica
+
+    def note_reply(self, reply):
+        if isinstance(reply, directory.ManifestAccepted):
+            first = self.accepted.setdefault(reply.number, reply.digest)
+            assert first == reply.digest, "two manifests were accepted with one number"
+
+    def check(self, node):
+        """Election safety, log matching, state-machine safety, no reverted manifest."""
+        for group in node.tables.groups.values():
+            replica = group.replica
+            if replica.role is consensus_tables.Role.LEADER:
+                key = (group.number, replica.term)
+                first = self.leaders.setdefault(key, node.name)
+                assert first == node.name, f"two leaders in term {replica.term}"
+            self.check_applied(node, group.number, replica)
+        state = node.tables.directory.state
+        seen = self.manifests.setdefault((node.name, node.durable.disk), 0)
+        durable_run = (node.name, node.durable.disk, node.run)
+        assert state.number >= self.manifests.get(durable_run, 0), "manifest reverted"
+        self.manifests[durable_run] = max(seen, state.number)
+
+    def check_applied(self, node, number, replica):
+        log = replica.log
+        newest = replica.applied_index
+        for index in range(max(log.base_index + 1, newest - 20), newest + 1):
+            entry = consensus_log.entry_at(log, index)
+            first = self.applied.setdefault((number, index), entry)
+            assert first == entry, f"{node.name} applied another entry at {index}"
+
+    def check_acknowledged(self):
+        """Every manifest that was accepted is in the history of the newest leader."""
+        state = self.nodes[self.leader()].tables.directory.state
+        for number, digest in self.accepted.items():
+            assert state.accepted.get(number) == digest, f"manifest {number} was lost"
+
+
+def persist(durable, message):
+    """Apply a write as the storage would."""
+    group = durable.groups.setdefault(message.group, storage_restored.Group())
+    if isinstance(message, consensus.WriteSnapshot):
+        group.snapshot = storage_restored.Snapshot(
+            message.last_index,
+            message.last_term,
+            message.membership,
+            message.data,
+        )
+        group.entries = [e for e in group.entries if e.index > message.last_index]
+        return
+    if message.truncate_from is not None:
+        group.entries = [e for e in group.entries if e.index < message.truncate_from]
+    base = group.snapshot.last_index if group.snapshot else 0
+    group.entries += [e for e in message.entries if e.index > base]
+    group.hard_state = message.hard_state or group.hard_state
+
+
+def manifest(number, body=b"{}"):
+    """Return the command that puts a manifest."""
+    digest = hashlib.sha256(body).hexdigest()
+    return directory.PutManifest(number=number, digest=digest, body=body)
--- /dev/null
+++ b/tests/storage/test_store.py
@@ -0,0 +1,207 @@
+"""A data folder: written, cut short, damaged and loaded again."""
+
+import errno
+import os
+import queue
+
+import pytest
+
+from bitternlever.messages import consensus
+from bitternlever.storage import files, store, writer
+
+EVENT_TIMEOUT_S = 10.0
+MEMBERSHIP = consensus.Membership(voters=[consensus.ReplicaId("control-a", "1")])
+
+
+def entry(index, term=1):
+    return consensus.LogEntry(term, index, consensus.EntryKind.COMMAND, b"x" * 50)
+
+
+def log_write(write_id, entries, truncate_from=None, hard_state=None):
+    return consensus.WriteLog(0, write_id, truncate_from, entries, hard_state)
+
+
+def write(folder, *messages):
+    """Write each message by itself and return the disk's events."""
+    events = queue.SimpleQueue()
+    writing = writer.start(folder, events.put)
+    received = []
+    for message in messages:
+        writer.submit(writing, message)
+        received.append(events.get(timeout=EVENT_TIMEOUT_S))
+    writer.stop(writing)
+    return received
+
+
+def load(folder):
+    loaded = store.load(folder)
+    assert loaded.is_ok(), loaded
+    return loaded.ok()
+
+
+def segments(folder):
+    return [p for _, p in files.numbered(files.group_folder(folder, 0), ".segment")]
+
+
+def test_an_empty_folder_gets_a_lasting_disk_id(tmp_path):
+    first = load(tmp_path)
+
+    assert load(tmp_path).disk == first.disk
+    assert first.groups == {}
+
+
+def test_two_folders_have_different_disk_ids(tmp_path):
+    assert load(tmp_path / "a").disk != load(tmp_path / "b").disk
+
+
+def test_written_entries_and_votes_are_loaded(tmp_path):
+    load(tmp_path)
+    vote = consensus.HardState(3, consensus.ReplicaId("control-b", "2"))
+
+    events = write(
+        tmp_path,
+        log_write(1, [entry(1), entry(2)]),
+        log_write(2, [entry(2, term=3)], truncate_from=2, hard_state=vote),
+    )
+
+    group = load(tmp_path).groups[0]
+    assert events == [consensus.LogSynced(0, 1), consensus.LogSynced(0, 2)]
+    assert group.entries == [entry(1), entry(2, term=3)]
+    assert group.hard_state == vote
+
+
+def test_a_torn_end_is_cut_off(tmp_path):
+    load(tmp_path)
+    write(tmp_path, log_write(1, [entry(1)]), log_write(2, [entry(2)]))
+    path = segments(tmp_path)[-1]
+    os.truncate(path, path.stat().st_size - 7)
+
+    assert load(tmp_path).groups[0].entries == [entry(1)]
+    assert load(tmp_path).groups[0].entries == [entry(1)]
+
+
+def test_writing_goes_on_after_a_torn_end(tmp_path):
+    load(tmp_path)
+    write(tmp_path, log_write(1, [entry(1)]), log_write(2, [entry(2)]))
+    path = segments(tmp_path)[-1]
+    os.truncate(path, path.stat().st_size - 7)
+    load(tmp_path)
+
+    write(tmp_path, log_write(1, [entry(2, term=2)]))
+
+    assert load(tmp_path).groups[0].entries == [entry(1), entry(2, term=2)]
+
+
+def test_damage_in_the_middle_is_refused(tmp_path):
+    load(tmp_path)
+    write(tmp_path, *[log_write(i, [entry(i)]) for i in range(1, 6)])
+    path = segments(tmp_path)[-1]
+    data = bytearray(path.read_bytes())
+    data[len(data) // 2] ^= 0xFF
+    path.write_bytes(data)
+
+    fault = store.load(tmp_path).err()
+
+    assert "damaged" in fault.reason
+    assert store.REMEDY in fault.reason
+
+
+def test_a_damaged_length_in_the_middle_is_refused(tmp_path):
+    load(tmp_path)
+    write(tmp_path, *[log_write(i, [entry(i)]) for i in range(1, 6)])
+    path = segments(tmp_path)[-1]
+    data = bytearray(path.read_bytes())
+    second = data.index(b"BLS1", 4)
+    data[second + 4 : second + 8] = b"\xff\xff\xff\x7f"
+    path.write_bytes(data)
+
+    assert store.load(tmp_path).is_err()
+
+
+def test_an_older_segment_may_not_be_torn(tmp_path):
+    load(tmp_path)
+    write(tmp_path, log_write(1, [entry(1)]))
+    write(tmp_path, log_write(1, [entry(2)]))
+    path = segments(tmp_path)[0]
+    os.truncate(path, path.stat().st_size - 7)
+
+    assert store.load(tmp_path).is_err()
+
+
+def test_a_snapshot_replaces_the_log_before_it(tmp_path):
+    load(tmp_path)
+    vote = consensus.HardState(2, None)
+    entries = [entry(index) for index in range(1, 11)]
+    snapshot = consensus.WriteSnapshot(0, 2, 8, 1, MEMBERSHIP, b"state")
+
+    events = write(tmp_path, log_write(1, entries, hard_state=vote), snapshot)
+    write(tmp_path, log_write(3, [entry(11)]))
+    later = consensus.WriteSnapshot(0, 5, 11, 1, MEMBERSHIP, b"later")
+    write(tmp_path, log_write(4, [entry(12)]), later)
+
+    group = load(tmp_path).groups[0]
+    assert events[1] == consensus.SnapshotSynced(0, 2, 8)
+    assert (group.snapshot.last_index, group.snapshot.data) == (11, b"later")
+    assert group.entries == [entry(12)]
+    assert group.hard_state == vote
+    assert len(list(tmp_path.glob("*/*.snapshot"))) == 1
+
+
+def test_a_damaged_snapshot_is_refused(tmp_path):
+    load(tmp_path)
+    write(tmp_path, consensus.WriteSnapshot(0, 1, 8, 1, MEMBERSHIP, b"state"))
+    path = next(tmp_path.glob("*/*.snapshot"))
+    data = bytearray(path.read_bytes())
+    data[-1] ^= 1
+    path.write_bytes(data)
+
+    assert "snapshot" in store.load(tmp_path).err().reason
+
+
+def test_a_missing_entry_is_refused(tmp_path):
+    load(tmp_path)
+    write(tmp_path, log_write(1, [entry(1)]), log_write(2, [entry(3)]))
+
+    assert "missing" in store.load(tmp_path).err().reason
+
+
+def test_a_group_without_a_disk_id_is_refused(tmp_path):
+    load(tmp_path)
+    write(tmp_path, log_write(1, [entry(1)]))
+    (tmp_path / files.IDENTITY_NAME).unlink()
+
+    assert store.load(tmp_path).is_err()
+
+
+@pytest.mark.parametrize("code", [errno.ENOSPC, errno.EIO])
+def test_nothing_is_written_after_a_failed_sync(tmp_path, monkeypatch, code):
+    load(tmp_path)
+    real_fsync = os.fsync
+    failures = iter([None, None, None, None, None, OSError(code, "sync failed")])
+
+    def fsync(descriptor):
+        failure = next(failures, None)
+        if failure is not None:
+            raise failure
+        real_fsync(descriptor)
+
+    monkeypatch.setattr(os, "fsync", fsync)
+    events = write(tmp_path, *[log_write(i, [entry(i)]) for i in range(1, 6)])
+
+    kinds = [type(event) for event in events]
+    failed_from = kinds.index(consensus.DiskFailed)
+    assert set(kinds[failed_from:]) == {consensus.DiskFailed}
+    assert 0 < failed_from < len(kinds)
+
+
+def test_writes_of_two_groups_stay_apart(tmp_path):
+    load(tmp_path)
+    write(
+        tmp_path,
+        consensus.WriteLog(0, 1, None, [entry(1)], None),
+        consensus.WriteLog(1, 1, None, [entry(1, term=4)], None),
+    )
+
+    groups = load(tmp_path).groups
+    assert groups[0].entries == [entry(1)]
+    assert groups[1].entries == [entry(1, term=4)]
