--- a/bitternlever/entry/tables.py
+++ b/bitternlever/entry/tables.py
@@ -9,11 +9,7 @@
 
 from bitternlever.admission import tables as admission_tables
 from bitternlever.gossip import tables as gossip_tables
-from bitternlever.messages import (
-    calls,
-    manifest as manifest_messages,
-    requests,
-)
+from bitternlever.messages import calls, manifest as manifest_messages, requests
 from bitternlever.pipelines import tables as pipeline_tables
 from bitternlever.routing import tables as routing_tables
 
