--- a/bitternlever/control/tables.py
+++ b/bitternlever/control/tables.py
@@ -8,10 +8,12 @@
 from bitternlever.consensus import replica, tables as consensus_tables
 from bitternlever.control import machines
 from bitternlever.directory import leader, state as directory_state
+from bitternlever.journal import tables as journal_tables
 from bitternlever.messages import calls, consensus, directory
 from bitternlever.storage import restored as storage_restored
 
 SEED_STEP = 1_000_003
+MILLISECONDS = 1_000
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -116,14 +118,18 @@
         seed,
     )
     for number in range(1, settings.journal_groups + 1):
-        machine = machines.of_journal(
-            settings.maximum_journal_bytes,
-            settings.answer_retention_s,
-        )
+        machine = machines.of_journal(number, _journal_settings(settings))
         _add_group(tables, restored, number, machine, seed)
     return tables
 
 
+def _journal_settings(settings: ControlSettings) -> journal_tables.JournalSettings:
+    return journal_tables.JournalSettings(
+        maximum_bytes=settings.maximum_journal_bytes,
+        answer_retention_ms=round(settings.answer_retention_s * MILLISECONDS),
+    )
+
+
 def _add_group(
     tables: ControlTables,
     restored: storage_restored.Restored,
