--- a/bitternlever/consensus/reads.py
+++ b/bitternlever/consensus/reads.py
@@ -66,7 +66,9 @@
 
 def _quorum_contact_s(replica: tables.Replica, now: float) -> float:
     contacts = [
-        now if voter == replica.settings.identity else _progress(replica, voter).contact_s
+        now
+        if voter == replica.settings.identity
+        else _progress(replica, voter).contact_s
         for voter in replica.membership.voters
     ]
     contacts.sort(reverse=True)
