Give a peer that was named by its address its own name

Cause: gossip begins at addresses of settings; acknowledgements come under the peer's name, so each seed was reported as silent after 2 s (E202 on every host at the first start of three entry processes).

Change: a peer named by its address takes its name from its first frame. Before: 4 false E202 at the start of three hosts; the test is new.

--- a/bitternlever/transport/links.py
+++ b/bitternlever/transport/links.py
@@ -65,6 +65,7 @@
     on_message: Callable[[frames.PeerReceived], None]
     pull: pynng.Pull0
     peers: dict[str, Peer] = dataclasses.field(default_factory=dict)
+    names: dict[str, str] = dataclasses.field(default_factory=dict)
     timer: asyncio.TimerHandle | None = None
     frames_sent: int = 0
     bytes_sent: int = 0
@@ -111,8 +112,12 @@
 
 
 def send(links: Links, message: frames.SendPeer) -> None:
-    """Queue a message for a peer until the next flush; a full queue drops it."""
-    peer = _peer(links, message.node, message.link, learnt=False)
+    """Queue a message for a peer until the next flush; a full queue drops it.
+
+    A peer whose name is not known yet is named by its address.
+    """
+    node = links.names.get(message.node, message.node)
+    peer = _peer(links, node, message.link, learnt=False)
     if peer is None or len(peer.queued) >= MAXIMUM_QUEUED_MESSAGES:
         links.dropped += 1
         return
@@ -236,6 +241,7 @@
 
 
 def _note_received(links: Links, frame: frames.Frame) -> None:
+    _learn_name(links, frame)
     peer = _peer(links, frame.sender, frame.link, learnt=True)
     if peer is None:
         return
@@ -255,6 +261,19 @@
         peer.unacknowledged_since_s = None
 
 
+def _learn_name(links: Links, frame: frames.Frame) -> None:
+    """Give a peer that was named by its address its own name."""
+    links.names[frame.link] = frame.sender
+    unnamed = links.peers.pop(frame.link, None)
+    if unnamed is None:
+        return
+    if frame.sender in links.peers:
+        unnamed.socket.close()
+        return
+    unnamed.node = frame.sender
+    links.peers[frame.sender] = unnamed
+
+
 def _check(links: Links) -> None:
     now = links.clock()
     for peer in list(links.peers.values()):
@@ -267,6 +286,7 @@
     if now - peer.used_s > IDLE_PEER_S:
         peer.socket.close()
         del links.peers[peer.node]
+        links.names.pop(peer.link, None)
         return
     if peer.owes_since_s is not None and now - peer.owes_since_s > ACKNOWLEDGE_WITHIN_S:
         _send_frame(links, peer)
--- a/tests/transport/test_links.py
+++ b/tests/transport/test_links.py
@@ -134,6 +134,19 @@
     relay.server.close()
 
 
+async def test_a_peer_known_by_its_address_gets_its_name(pair):
+    first, second = pair
+    first.send(second.link, second.link, 1)
+    await until(lambda: second.numbers() == [1])
+    second.send("entry-a", None, 2)
+    await until(lambda: first.numbers() == [2])
+
+    first.send(second.link, second.link, 3)
+
+    await until(lambda: second.numbers() == [1, 3])
+    assert list(first.links.peers) == ["entry-b"]
+
+
 async def test_a_full_queue_drops_and_counts(pair, monkeypatch):
     monkeypatch.setattr(links, "MAXIMUM_QUEUED_MESSAGES", 1)
     first, second = pair
