--- a/bitternlever/control/machines.py
+++ b/bitternlever/control/machines.py
@@ -8,8 +8,11 @@
 
 from bitternlever.consensus import tables as consensus_tables
 from bitternlever.directory import state as directory_state
+from bitternlever.journal import machine as journal_machine, tables as journal_tables
 from bitternlever.messages import calls, directory, journal
 
+MILLISECONDS = 1_000
+
 encode_command = msgspec.msgpack.Encoder().encode
 _decode_directory = msgspec.msgpack.Decoder(directory.Command).decode
 _decode_journal = msgspec.msgpack.Decoder(journal.Command).decode
@@ -35,10 +38,10 @@
 
 
 @dataclasses.dataclass(slots=True)
-class Fences:
-    """The state of a journal group that keeps nothing but fences."""
+class JournalHolder:
+    """The present state of a journal group; a snapshot replaces it."""
 
-    epochs: dict[str, int] = dataclasses.field(default_factory=dict)
+    machine: journal_tables.JournalTables
 
 
 def of_directory(tables: directory_state.Directory) -> Machine:
@@ -65,29 +68,26 @@
 
 def of_journal(maximum_bytes: int, answer_retention_s: float) -> Machine:
     """Return the machine of a journal group."""
-    held = Fences()
+    settings = journal_tables.JournalSettings(
+        maximum_bytes=maximum_bytes,
+        answer_retention_ms=int(answer_retention_s * MILLISECONDS),
+    )
+    held = JournalHolder(journal_machine.create(settings))
 
     def apply(data: bytes) -> Any:
-        command = _decode_journal(data)
-        if not isinstance(command, journal.FenceHost):
-            return None
-        held.epochs[command.host] = max(
-            command.epoch,
-            held.epochs.get(command.host, 0),
-        )
-        return journal.HostFenced(command.host, command.epoch, orphans=0)
+        return journal_machine.apply(held.machine, _decode_journal(data))
 
     def restore(data: bytes) -> None:
-        held.epochs = msgspec.msgpack.decode(data, type=dict[str, int])
+        held.machine = journal_machine.restore(data, settings)
 
     return Machine(
         replicated=consensus_tables.StateMachine(
             apply=apply,
-            snapshot=lambda: msgspec.msgpack.encode(held.epochs),
+            snapshot=lambda: journal_machine.snapshot(held.machine),
             restore=restore,
         ),
         accepts=lambda command: isinstance(command, journal.Command),
-        reads=(),
-        read=lambda command: None,
+        reads=journal_machine.READS,
+        read=lambda command: journal_machine.apply(held.machine, command),
         lead=lambda now, outbox, propose, hint: None,
     )
--- /dev/null
+++ b/tests/control/test_leases.py
@@ -0,0 +1,101 @@
+"""Host leases: epochs, renewals from memory, and leaders that change."""
+
+from bitternlever.messages import directory
+from tests.consensus import harness
+
+
+def acquire(host="x", incarnation="run-1"):
+    return directory.AcquireHostLease(host, incarnation, "address", f"tcp://{host}", "")
+
+
+def renew(epoch, host="x"):
+    return directory.RenewHostLease(host, epoch, manifest_number=0)
+
+
+def started(**settings):
+    cluster = harness.Cluster(nodes=3, **settings)
+    cluster.run(3.0)
+    return cluster
+
+
+def test_a_resent_acquisition_gets_the_same_epoch():
+    cluster = started()
+
+    first = cluster.ask(acquire())
+
+    assert cluster.ask(acquire()).epoch == first.epoch
+
+
+def test_another_run_gets_a_newer_epoch():
+    cluster = started()
+
+    first = cluster.ask(acquire())
+
+    assert cluster.ask(acquire(incarnation="run-2")).epoch > first.epoch
+    assert isinstance(cluster.ask(renew(first.epoch)), directory.HostLeaseLost)
+
+
+def test_a_renewal_writes_nothing_to_the_log():
+    cluster = started()
+    epoch = cluster.ask(acquire()).epoch
+    leader = cluster.replica(cluster.leader())
+    before = leader.commit_index
+
+    granted = cluster.ask(renew(epoch))
+
+    assert granted.epoch == epoch
+    assert leader.commit_index == before
+
+
+def test_a_renewed_lease_lasts_and_a_silent_one_ends():
+    cluster = started()
+    epoch = cluster.ask(acquire()).epoch
+    for _ in range(6):
+        cluster.run(0.7)
+        assert isinstance(cluster.ask(renew(epoch)), directory.HostLeaseGranted)
+
+    cluster.run(3.5)
+
+    assert isinstance(cluster.ask(renew(epoch)), directory.HostLeaseLost)
+
+
+def test_a_new_leader_gives_known_hosts_a_full_lease():
+    cluster = started()
+    epoch = cluster.ask(acquire()).epoch
+    cluster.run(2.0)
+    cluster.ask(renew(epoch))
+    cluster.kill(cluster.leader())
+
+    cluster.run(2.9)
+
+    assert isinstance(cluster.ask(renew(epoch)), directory.HostLeaseGranted)
+
+
+def test_an_isolated_leader_answers_no_renewal():
+    cluster = started()
+    epoch = cluster.ask(acquire()).epoch
+    former = cluster.leader()
+    cluster.isolate(former)
+
+    cluster.run(cluster.replica(former).settings.election_timeout_s)
+    call_id = cluster.call(renew(epoch), to=former)
+    cluster.run(0.5)
+
+    assert not isinstance(cluster.replies.get(call_id), directory.HostLeaseGranted)
+    cluster.run(2.0)
+    assert isinstance(cluster.ask(renew(epoch)), directory.HostLeaseGranted)
+
+
+def test_a_frozen_leader_that_wakes_answers_no_renewal():
+    cluster = started()
+    epoch = cluster.ask(acquire()).epoch
+    former = cluster.leader()
+    cluster.nodes[former].frozen = True
+    cluster.run(3.0)
+    call_id = cluster.call(renew(epoch), to=former)
+    cluster.run(0.01)
+
+    cluster.nodes[former].frozen = False
+    cluster.run(1.0)
+
+    assert not isinstance(cluster.replies.get(call_id), directory.HostLeaseGranted)
