--- a/bitternlever/journal/tables.py
+++ b/bitternlever/journal/tables.py
@@ -116,6 +116,18 @@
     )
 
 
+def clear(tables: JournalTables) -> None:
+    """Empty the tables; the settings stay."""
+    tables.clock_ms = 0
+    tables.size = 0
+    tables.fences = {}
+    tables.takeovers = {}
+    tables.records = {}
+    tables.owned = {}
+    tables.orphans.clear()
+    tables.answered.clear()
+
+
 def add(tables: JournalTables, record: Record) -> None:
     """Put a record into the tables and their indexes."""
     tables.records[record.request_id] = record
