--- /dev/null
+++ b/bitternlever/commands/operator_client.py
@@ -0,0 +1,184 @@
+"""The operator's calls to entry hosts: the next host is asked where one is silent.
+
+Every call that changes something may be sent again: the second answer says the same.
+"""
+
+import asyncio
+import dataclasses
+from typing import Annotated
+
+import aiohttp
+import cappa
+import msgspec
+import result
+
+from bitternlever.messages import problems
+
+EXIT_DONE = 0
+EXIT_REFUSED = 1
+EXIT_USAGE = 2
+EXIT_UNAVAILABLE = 3
+EXIT_UNAUTHORIZED = 4
+EXIT_NOT_YET = 5
+EXIT_UNKNOWN = 6
+ASK_ANOTHER = (EXIT_UNAVAILABLE, EXIT_UNKNOWN)
+
+NOT_SENT = (
+    aiohttp.ClientConnectorError,
+    aiohttp.ConnectionTimeoutError,
+    aiohttp.InvalidURL,
+    aiohttp.NonHttpUrlClientError,
+)
+
+CONNECT_TIMEOUT_S = 2.0
+CALL_TIMEOUT_S = 10.0
+
+ENTRY = cappa.Arg(
+    long=True,
+    default=cappa.Env("BITTERNLEVER_ENTRY", default=""),
+    help="Entry hosts to ask, as http://ADDRESS:PORT with commas between. "
+    "Environment: BITTERNLEVER_ENTRY.",
+    show_default=False,
+)
+OPERATOR_TOKEN = cappa.Arg(
+    long=True,
+    default=cappa.Env("BITTERNLEVER_OPERATOR_TOKEN", default=""),
+    help="Bearer token of operators. Environment: BITTERNLEVER_OPERATOR_TOKEN.",
+    show_default=False,
+)
+JSON = cappa.Arg(long=True, help="Print JSON for scripts instead of text.")
+
+
+@dataclasses.dataclass(kw_only=True)
+class Connection:
+    """The options of every command that talks to entry hosts."""
+
+    entry: Annotated[str, ENTRY] = ""
+    operator_token: Annotated[str, OPERATOR_TOKEN] = ""
+    json: Annotated[bool, JSON] = False
+
+    @property
+    def addresses(self) -> list[str]:
+        """Return the base addresses of the entry hosts to ask."""
+        parts = [part.strip().rstrip("/") for part in self.entry.split(",")]
+        return [part for part in parts if part]
+
+
+class Answer(msgspec.Struct, frozen=True):
+    """A successful answer and the host that gave it."""
+
+    address: str
+    status: int
+    body: bytes
+    headers: dict[str, str]
+
+
+class Failure(msgspec.Struct, frozen=True):
+    """Why a call has no successful answer: the exit code, a line, the problem."""
+
+    exit_code: int
+    text: str
+    problem: msgspec.Raw = msgspec.Raw(b"null")
+
+
+class ProblemBody(msgspec.Struct):
+    """The members of a problem answer that the tool reads."""
+
+    title: str = ""
+    detail: str = ""
+    ran: problems.Ran = problems.Ran.UNKNOWN
+
+
+Outcome = result.Result[Answer, Failure]
+
+
+def call(
+    connection: Connection,
+    method: str,
+    path: str,
+    body: bytes | None = None,
+    token: str | None = None,
+) -> Outcome:
+    """Call the first entry host that answers."""
+    if not connection.addresses:
+        text = "no entry host is given; set --entry or BITTERNLEVER_ENTRY"
+        return result.Err(Failure(EXIT_USAGE, text))
+    used = connection.operator_token if token is None else token
+    return asyncio.run(_call_each(connection.addresses, method, path, body, used))
+
+
+async def _call_each(
+    addresses: list[str],
+    method: str,
+    path: str,
+    body: bytes | None,
+    token: str,
+) -> Outcome:
+    timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S, connect=CONNECT_TIMEOUT_S)
+    headers = {"Authorization": f"Bearer {token}"}
+    failures: list[Failure] = []
+    async with aiohttp.ClientSession(timeout=timeout, headers=headers) as session:
+        for address in addresses:
+            outcome = await _call_one(session, address, method, path, body)
+            if outcome.is_ok() or outcome.err().exit_code not in ASK_ANOTHER:
+                return outcome
+            failures.append(outcome.err())
+    return result.Err(_worst(failures))
+
+
+def _worst(failures: list[Failure]) -> Failure:
+    """Return one failure for all: unknown where any host may have done it."""
+    worst = max(failures, key=lambda failure: failure.exit_code)
+    text = "; ".join(failure.text for failure in failures)
+    return msgspec.structs.replace(worst, text=text)
+
+
+async def _call_one(
+    session: aiohttp.ClientSession,
+    address: str,
+    method: str,
+    path: str,
+    body: bytes | None,
+) -> Outcome:
+    try:
+        async with session.request(
+            method,
+            f"{address}{path}",
+            data=body,
+            allow_redirects=False,
+        ) as response:
+            data = await response.read()
+    except NOT_SENT as error:
+        return result.Err(Failure(EXIT_UNAVAILABLE, f"{address}: {error}"))
+    except (aiohttp.ClientError, TimeoutError) as error:
+        reason = str(error) or type(error).__name__
+        code = EXIT_UNAVAILABLE if method == "GET" else EXIT_UNKNOWN
+        return result.Err(Failure(code, f"{address}: {reason}"))
+    if response.status < 300:
+        return result.Ok(
+            Answer(
+                address=address,
+                status=response.status,
+                body=data,
+                headers=dict(response.headers),
+            ),
+        )
+    return result.Err(_failure(address, response.status, data))
+
+
+def _failure(address: str, status: int, data: bytes) -> Failure:
+    try:
+        problem = msgspec.json.decode(data, type=ProblemBody)
+    except msgspec.MsgspecError:
+        text = f"{address}: HTTP status {status} without a problem answer"
+        return Failure(EXIT_UNAVAILABLE if status >= 500 else EXIT_REFUSED, text)
+    text = f"{address}: {problem.title}: {problem.detail}"
+    return Failure(_exit_code(status, problem.ran), text, msgspec.Raw(data))
+
+
+def _exit_code(status: int, ran: problems.Ran) -> int:
+    if status in (401, 403):
+        return EXIT_UNAUTHORIZED
+    if status < 500:
+        return EXIT_REFUSED
+    return EXIT_UNAVAILABLE if ran is problems.Ran.NO else EXIT_UNKNOWN
--- /dev/null
+++ b/bitternlever/commands/operator_hosts.py
@@ -0,0 +1,71 @@
+"""``bitternlever hosts``: entry hosts and the replicas of the control processes."""
+
+import dataclasses
+
+import cappa
+import msgspec
+
+from bitternlever.commands import operator_client, operator_output
+from bitternlever.messages import directory
+
+
+@cappa.command(
+    name="hosts",
+    help="Show the entry hosts with their leases, and the control replicas.",
+)
+@dataclasses.dataclass
+class Hosts(operator_client.Connection):
+    """Options of ``hosts``."""
+
+
+class StatusAnswer(msgspec.Struct):
+    """What the tool reads of ``GET /v1/status``."""
+
+    directory: directory.Status
+
+
+def run(command: Hosts) -> int:
+    """Print the directory's state."""
+    outcome = fetch(command)
+    if outcome.is_err():
+        return operator_output.failure(command.json, outcome.err())
+    status = outcome.ok()
+    operator_output.value(command.json, status, _lines(status))
+    return operator_client.EXIT_DONE
+
+
+def fetch(command: operator_client.Connection):
+    """Return the directory's status, or why there is none."""
+    outcome = operator_client.call(command, "GET", "/v1/status")
+    return outcome.map(
+        lambda answer: msgspec.json.decode(answer.body, type=StatusAnswer).directory,
+    )
+
+
+def _lines(status: directory.Status) -> list[str]:
+    hosts = [
+        [
+            host.host,
+            host.zone,
+            host.address,
+            host.epoch,
+            f"{host.lease_left_s:.1f}s",
+            host.manifest_number,
+            "draining" if host.draining else "serving",
+        ]
+        for host in status.hosts
+    ]
+    replicas = [
+        [each.node, each.disk, each.group, each.zone, each.role, each.lag]
+        for each in status.replicas
+    ]
+    host_headings = ["host", "zone", "address", "epoch", "lease", "manifest", "state"]
+    replica_headings = ["node", "disk", "group", "zone", "role", "lag"]
+    return [
+        *operator_output.table(host_headings, hosts),
+        "",
+        *operator_output.table(replica_headings, replicas),
+        "",
+        f"directory leader: {status.leader or 'none'}",
+        *(f"warning: {warning}" for warning in status.warnings),
+    ]
--- /dev/null
+++ b/bitternlever/commands/operator_output.py
@@ -0,0 +1,85 @@
+"""The operator tool's output: JSON for scripts, lines and tables for people."""
+
+import json
+import sys
+import time
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+from bitternlever.commands import operator_client
+
+POLL_S = 0.5
+
+
+def value(as_json: bool, shown: Any, lines: list[str]) -> None:
+    """Print a value as one line of JSON, or the given lines."""
+    if as_json:
+        print(msgspec.json.encode(shown).decode())
+        return
+    for line in lines:
+        print(line)
+
+
+def failure(as_json: bool, failed: operator_client.Failure) -> int:
+    """Print a failure on standard error and return its exit code."""
+    if as_json:
+        print(msgspec.json.encode(failed).decode(), file=sys.stderr)
+    else:
+        print(failed.text, file=sys.stderr)
+        for line in _fault_lines(failed):
+            print(line, file=sys.stderr)
+    return failed.exit_code
+
+
+def table(headings: list[str], rows: list[list[Any]]) -> list[str]:
+    """Return lines with the columns of a table under each other."""
+    texts = [headings, *([str(cell) for cell in row] for row in rows)]
+    widths = [max(len(row[column]) for row in texts) for column in range(len(headings))]
+    return [
+        "  ".join(
+            cell.ljust(width) for cell, width in zip(row, widths, strict=True)
+        ).rstrip()
+        for row in texts
+    ]
+
+
+def wait(
+    step: Callable[[], tuple[bool, str]],
+    limit_s: float,
+    now: Callable[[], float] = time.monotonic,
+    sleep: Callable[[float], None] = time.sleep,
+) -> bool:
+    """Repeat ``step`` until it is done or the limit passes; show how far it is.
+
+    The progress line is written to standard error, only where that is a terminal.
+    """
+    end_s = now() + limit_s
+    while True:
+        done, progress = step()
+        _progress(progress, done)
+        if done:
+            return True
+        if now() >= end_s:
+            return False
+        sleep(POLL_S)
+
+
+def _progress(text: str, done: bool) -> None:
+    if not sys.stderr.isatty():
+        return
+    sys.stderr.write(f"\r\x1b[K{text}")
+    if done:
+        sys.stderr.write("\n")
+    sys.stderr.flush()
+
+
+def _fault_lines(failed: operator_client.Failure) -> list[str]:
+    """Return a line for each fault that a refused manifest's problem lists."""
+    problem = json.loads(bytes(failed.problem))
+    faults = problem.get("faults", []) if isinstance(problem, dict) else []
+    return [
+        f"{fault['id']}: {fault['path']}: {fault['text']} {fault['hint']}".rstrip()
+        for fault in faults
+    ]
