--- a/bitternlever/messages/frames.py
+++ b/bitternlever/messages/frames.py
@@ -18,6 +18,7 @@
     | calls.ControlUncertain
     | calls.OrphansWaiting
     | calls.ManifestChanged
+    | calls.CancelledHint
     | gossip.Gossip
     | consensus.VoteRequest
     | consensus.VoteReply
@@ -25,6 +26,8 @@
     | consensus.AppendReply
     | consensus.SnapshotRequest
     | consensus.SnapshotReply
+    | consensus.IdentityRequest
+    | consensus.IdentityReply
 )
 
 
