--- a/bitternlever/control/machines.py
+++ b/bitternlever/control/machines.py
@@ -8,6 +8,11 @@
 
 from bitternlever.consensus import tables as consensus_tables
 from bitternlever.directory import state as directory_state
+from bitternlever.journal import (
+    leader as journal_leader,
+    machine as journal_machine,
+    tables as journal_tables,
+)
 from bitternlever.messages import calls, directory, journal
 
 encode_command = msgspec.msgpack.Encoder().encode
@@ -34,13 +39,6 @@
     lead: Callable[[float, Any, Propose, Hint], None]
 
 
-@dataclasses.dataclass(slots=True)
-class Fences:
-    """The state of a journal group that keeps nothing but fences."""
-
-    epochs: dict[str, int] = dataclasses.field(default_factory=dict)
-
-
 def of_directory(tables: directory_state.Directory) -> Machine:
     """Return group 0's machine over these tables."""
 
@@ -63,31 +61,28 @@
     )
 
 
-def of_journal(maximum_bytes: int, answer_retention_s: float) -> Machine:
+def of_journal(group: int, settings: journal_tables.JournalSettings) -> Machine:
     """Return the machine of a journal group."""
-    held = Fences()
+    tables = journal_machine.create(settings)
+    memory = journal_leader.Memory()
 
     def apply(data: bytes) -> Any:
-        command = _decode_journal(data)
-        if not isinstance(command, journal.FenceHost):
-            return None
-        held.epochs[command.host] = max(
-            command.epoch,
-            held.epochs.get(command.host, 0),
-        )
-        return journal.HostFenced(command.host, command.epoch, orphans=0)
+        return journal_machine.apply(tables, _decode_journal(data))
 
     def restore(data: bytes) -> None:
-        held.epochs = msgspec.msgpack.decode(data, type=dict[str, int])
+        journal_machine.restore(tables, data)
+
+    def lead(now: float, outbox: Any, propose: Propose, hint: Hint) -> None:
+        journal_leader.run(tables, memory, group, now, outbox, propose, hint)
 
     return Machine(
         replicated=consensus_tables.StateMachine(
             apply=apply,
-            snapshot=lambda: msgspec.msgpack.encode(held.epochs),
+            snapshot=lambda: journal_machine.snapshot(tables),
             restore=restore,
         ),
         accepts=lambda command: isinstance(command, journal.Command),
-        reads=(),
-        read=lambda command: None,
-        lead=lambda now, outbox, propose, hint: None,
+        reads=journal_machine.READS,
+        read=lambda command: journal_machine.read(tables, command),
+        lead=lead,
     )
