--- a/bitternlever/entry/tables.py
+++ b/bitternlever/entry/tables.py
@@ -125,9 +125,9 @@
     counters: dict[str, int] = dataclasses.field(default_factory=dict)
     orphans_hint: bool = False
 
-    def count(self, name: str) -> None:
-        """Add one to the counter of this name."""
-        self.counters[name] = self.counters.get(name, 0) + 1
+    def count(self, name: str, amount: int = 1) -> None:
+        """Add to the counter of this name."""
+        self.counters[name] = self.counters.get(name, 0) + amount
 
 
 def create(settings: EntrySettings, seed: int) -> EntryTables:
--- a/bitternlever/journal/answers.py
+++ b/bitternlever/journal/answers.py
@@ -23,13 +23,13 @@
     body = command.body
     if command.progress_stage is not None:
         state = stages.stage_state(record, command.progress_stage)
-        if state.progress_length != command.length:
+        text = stages.whole_progress(state, command.output_digest)
+        if text is None:
             return journal.ProgressMissing(
                 request_id=command.request_id,
                 length=state.progress_length,
             )
-        text = msgspec.json.encode("".join(state.progress))
-        body = command.body + text + command.body_end
+        body = command.body + msgspec.json.encode(text) + command.body_end
     if not _has_room(tables, record, body):
         return journal.JournalFull(retry_after_s=FULL_RETRY_AFTER_S)
     answer = journal_tables.Answer(
--- a/bitternlever/journal/ownership.py
+++ b/bitternlever/journal/ownership.py
@@ -130,6 +130,7 @@
             output=state.output,
             progress="".join(state.progress),
             busy_ms=state.busy_ms,
+            generation=state.generation,
         )
         for state in record.stages.values()
     ]
--- a/bitternlever/journal/stages.py
+++ b/bitternlever/journal/stages.py
@@ -1,5 +1,7 @@
 """Stage starts, progress and results: what an owner records of its work."""
 
+import hashlib
+
 import msgspec
 
 from bitternlever.journal import ownership, tables as journal_tables
@@ -45,7 +47,10 @@
     if refusal is not None:
         return refusal
     state = stage_state(record, command.stage)
-    if state.output is None and command.offset <= state.progress_length:
+    if command.generation > state.generation:
+        _restart(state, command.generation)
+    fits = command.offset <= state.progress_length
+    if state.output is None and fits and command.generation == state.generation:
         new = command.text[state.progress_length - command.offset :]
         size = len(new.encode())
         if not journal_tables.has_room(tables, tables.settings.result_share, size):
@@ -81,13 +86,14 @@
             stage=command.stage,
         )
     output = command.output
-    if command.progress_length is not None:
-        if state.progress_length != command.progress_length:
+    if command.progress_digest is not None:
+        text = whole_progress(state, command.progress_digest)
+        if text is None:
             return journal.ProgressMissing(
                 request_id=command.request_id,
                 length=state.progress_length,
             )
-        output = msgspec.json.encode("".join(state.progress))
+        output = msgspec.json.encode(text)
     if not journal_tables.has_room(tables, tables.settings.result_share, len(output)):
         return journal.JournalFull(retry_after_s=FULL_RETRY_AFTER_S)
     state.output = output
@@ -96,6 +102,14 @@
     return journal.ResultRecorded(request_id=command.request_id, stage=command.stage)
 
 
+def whole_progress(state: journal_tables.StageState, digest: str) -> str | None:
+    """Return the recorded progress if it is the text with this SHA-256 digest."""
+    text = "".join(state.progress)
+    if hashlib.sha256(text.encode()).hexdigest() != digest:
+        return None
+    return text
+
+
 def stage_state(
     record: journal_tables.Record,
     stage: str,
@@ -121,6 +135,13 @@
     return None
 
 
+def _restart(state: journal_tables.StageState, generation: int) -> None:
+    state.generation = generation
+    state.progress = []
+    state.progress_length = 0
+    state.progress_bytes = 0
+
+
 def _append(state: journal_tables.StageState, text: str, size: int) -> None:
     if not text:
         return
--- a/bitternlever/journal/tables.py
+++ b/bitternlever/journal/tables.py
@@ -24,6 +24,7 @@
     progress: list[str] = []
     progress_length: int = 0
     progress_bytes: int = 0
+    generation: int = 0
     busy_ms: float = 0.0
 
 
--- a/bitternlever/messages/journal.py
+++ b/bitternlever/messages/journal.py
@@ -95,7 +95,11 @@
 
 
 class RecordProgress(msgspec.Struct, tag=True, frozen=True):
-    """Record a piece of a streamed output before the caller sees it."""
+    """Record a piece of a streamed output before the caller sees it.
+
+    A higher ``generation`` drops what was recorded: the output began anew, since its
+    first text proved to be garbled.
+    """
 
     request_id: str
     stage: str
@@ -103,6 +107,7 @@
     text: str
     host: str
     epoch: int
+    generation: int = 0
 
 
 class ProgressRecorded(msgspec.Struct, tag=True, frozen=True):
@@ -116,8 +121,8 @@
 class RecordResult(msgspec.Struct, tag=True, frozen=True):
     """Record a stage's whole result as JSON bytes.
 
-    With ``progress_length`` the output is the recorded progress of that length, so
-    that a streamed text passes the log once; ``output`` is empty then.
+    With ``progress_digest`` the output is the recorded progress of that SHA-256
+    digest, so that a streamed text passes the log once; ``output`` is empty then.
     """
 
     request_id: str
@@ -127,7 +132,7 @@
     usage: upstream.Usage
     host: str
     epoch: int
-    progress_length: int | None = None
+    progress_digest: str | None = None
 
 
 class ResultRecorded(msgspec.Struct, tag=True, frozen=True):
@@ -141,7 +146,7 @@
     """Record the final answer, whole or a problem; ``status`` is its HTTP status.
 
     With ``progress_stage`` the body is ``body``, the JSON string of that stage's
-    progress of ``length`` characters, and ``body_end``.
+    progress, whose digest must be ``output_digest``, and ``body_end``.
     """
 
     request_id: str
@@ -229,6 +234,7 @@
     output: bytes | None
     progress: str
     busy_ms: float = 0.0
+    generation: int = 0
 
 
 class OpenRequest(msgspec.Struct, frozen=True):
--- a/bitternlever/pipelines/answers.py
+++ b/bitternlever/pipelines/answers.py
@@ -51,11 +51,11 @@
 ) -> None:
     """Cancel a request by name, wherever it runs."""
     request = _own(tables, message.request_id, message.workspace)
+    tables.requests.callers[message.caller] = message.request_id
     if request is None:
         _cancel_in_journal(tables, now, outbox, message)
         return
     request.cancellers.append(message.caller)
-    tables.requests.callers[message.caller] = message.request_id
     end_run(tables, now, outbox, request)
 
 
@@ -78,6 +78,7 @@
     message: requests.AnswerAcknowledged,
 ) -> None:
     """Commit that the caller holds the answer."""
+    tables.requests.callers[message.caller] = message.request_id
     command = journal.Acknowledge(
         request_id=message.request_id,
         workspace=message.workspace,
--- a/bitternlever/pipelines/drain.py
+++ b/bitternlever/pipelines/drain.py
@@ -10,6 +10,7 @@
 from bitternlever.pipelines import (
     delivery,
     groups,
+    lapses,
     ownership,
     refusals,
     tables as pipeline_tables,
@@ -54,7 +55,9 @@
     if waiting:
         _release(tables, now, outbox, waiting)
         return
-    if state.requests or state.watches or state.takeover_in_flight:
+    if lapses.is_long(tables, now):
+        _end_without_lease(tables, now, outbox)
+    if state.requests or state.callers or state.takeover_in_flight:
         return
     _end_lease(tables, now, outbox)
 
@@ -96,6 +99,15 @@
     control_client.call(tables, now, outbox, group, command, on_outcome)
 
 
+def _end_without_lease(tables, now: float, outbox: ticks.Outbox) -> None:
+    """Leave journaled requests to the hosts that take them over."""
+    state = tables.requests
+    state.takeover_in_flight = False
+    for each in list(state.requests.values()):
+        if each.journaled:
+            ownership.disown(tables, now, outbox, each)
+
+
 def _end_lease(tables, now: float, outbox: ticks.Outbox) -> None:
     """End the lease; without control it ends by itself."""
     state = tables.requests
--- a/bitternlever/pipelines/finish.py
+++ b/bitternlever/pipelines/finish.py
@@ -1,7 +1,5 @@
 """The end of a request: one final answer, recorded before a caller sees it."""
 
-import hashlib
-
 import msgspec
 
 from bitternlever.core import ticks
@@ -10,13 +8,15 @@
     delivery,
     ownership,
     progress,
+    refusals,
     tables as pipeline_tables,
     timers,
 )
 
 WHOLE_STATUS = 200
 FULL_PAUSE_S = 1.0
-RECORD_LIMIT_S = 1.0
+PROBLEM_LIMIT_S = 1.0
+WHOLE_LIMIT_S = 8.0
 
 
 def whole(
@@ -35,8 +35,8 @@
         status=WHOLE_STATUS,
         body=head + msgspec.json.encode(output) + tail,
         length=len(text or ""),
-        output_digest=hashlib.sha256(text.encode()).hexdigest() if text else "",
-        progress_stage=stage if request.committed.get(stage) else None,
+        output_digest=progress.digest(text) if text else "",
+        progress_stage=stage if request.recorded.get(stage) else None,
         head=head,
         tail=tail,
     )
@@ -71,11 +71,9 @@
         ownership.settle(tables, now, outbox, request, answered)
         return
     request.phase = pipeline_tables.Phase.ANSWERING
-    if answer.status != WHOLE_STATUS:
-        _tell_after_limit(tables, now, request, answer)
+    _tell_after_limit(tables, now, request, answer)
     if answer.progress_stage is not None:
-        request.recording = False
-        progress.record(tables, now, outbox, request, answer.progress_stage)
+        progress.record_rest(tables, now, outbox, request, answer.progress_stage)
     _record(tables, now, outbox, request, answer, by_progress=True)
 
 
@@ -124,20 +122,36 @@
     request: pipeline_tables.Request,
     answer: pipeline_tables.FinalAnswer,
 ) -> None:
-    """Tell callers of a problem that the journal is slow to record.
+    """Tell callers when the journal is slow to record the final answer.
 
-    Until it is recorded another host may take the request over, so that it is not
-    known whether the request will run.
+    Until it is recorded another host may take the request over, so that nothing is
+    known of the outcome.
     """
 
     def tell(tables, now, outbox) -> None:
         if not ownership.is_live(tables, request):
             return
-        stated = msgspec.json.decode(answer.body, type=problems.Problem)
-        stated.ran = problems.Ran.UNKNOWN
+        stated = _unrecorded(tables, request)
+        if not is_whole:
+            stated = msgspec.json.decode(answer.body, type=problems.Problem)
+            stated.ran = problems.Ran.UNKNOWN
         delivery.problem(tables, outbox, request.callers, stated)
 
-    timers.at(tables, now + RECORD_LIMIT_S, tell)
+    is_whole = answer.status == WHOLE_STATUS
+    limit_s = WHOLE_LIMIT_S if is_whole else PROBLEM_LIMIT_S
+    timers.at(tables, now + limit_s, tell)
+
+
+def _unrecorded(tables, request: pipeline_tables.Request) -> problems.Problem:
+    return refusals.problem(
+        tables,
+        status=503,
+        title="Answer not recorded",
+        detail="the journal does not take the answer now: ask again for the request",
+        ran=problems.Ran.UNKNOWN,
+        request_id=request.request_id,
+        retry_after_s=refusals.RETRY_AFTER_S,
+    )
 
 
 def _head(request: pipeline_tables.Request) -> bytes:
--- a/bitternlever/pipelines/progress.py
+++ b/bitternlever/pipelines/progress.py
@@ -5,6 +5,8 @@
 next one.
 """
 
+import hashlib
+
 import msgspec
 
 from bitternlever.core import ticks
@@ -55,39 +57,92 @@
     return pipeline.stages[-1].name
 
 
+def shown(request: pipeline_tables.Request, stage: str) -> str:
+    """Return the beginning of a stage's text that some caller may have seen."""
+    text = request.texts.get(stage, "")
+    if stage != answer_stage(request.pipeline):
+        return ""
+    if request.journaled:
+        return text[: request.recorded.get(stage, 0)]
+    offsets = [caller.offset for caller in request.callers.values() if caller.stream]
+    return text[: max(offsets, default=0)]
+
+
+def replace(
+    tables,
+    now: float,
+    outbox: ticks.Outbox,
+    request: pipeline_tables.Request,
+    stage: str,
+    text: str,
+) -> None:
+    """Take another attempt's text; one that does not go on from the former is new."""
+    recorded = request.texts.get(stage, "")[: request.recorded.get(stage, 0)]
+    request.texts[stage] = text
+    if text.startswith(recorded):
+        extend(tables, now, outbox, request, stage)
+        return
+    request.generations[stage] = request.generations.get(stage, 0) + 1
+    request.committed[stage] = 0
+    request.recorded[stage] = 0
+    record(tables, now, outbox, request, stage, force=True)
+
+
+def digest(text: str) -> str:
+    """Return the SHA-256 digest of a text."""
+    return hashlib.sha256(text.encode()).hexdigest()
+
+
 def record(
     tables,
     now: float,
     outbox: ticks.Outbox,
     request: pipeline_tables.Request,
     stage: str,
+    force: bool = False,
 ) -> None:
-    """Write what is not committed of a stage's text."""
+    """Write what is not committed of a stage's text; with ``force`` even nothing."""
     offset = request.committed.get(stage, 0)
     text = request.texts.get(stage, "")[offset:]
-    if not text or request.recording:
+    if request.recording or not (text or force):
         return
     request.recording = True
     request.next_record_s = now + _interval_s(request)
-    command = journal.RecordProgress(
-        request_id=request.request_id,
-        stage=stage,
-        offset=offset,
-        text=text,
-        host=tables.settings.host,
-        epoch=request.epoch,
-    )
+    command = _command(tables, request, stage, offset, text)
 
     def on_reply(tables, now, outbox, reply) -> None:
         request.recording = False
+        if request.generations.get(stage, 0) != command.generation:
+            record(tables, now, outbox, request, stage, force=True)
+            return
         if isinstance(reply, journal.ProgressRecorded):
-            request.committed[stage] = max(offset, reply.length)
+            request.committed[stage] = reply.length
             release(outbox, request)
         extend(tables, now, outbox, request, stage)
 
     ownership.write(tables, now, outbox, request, command, on_reply)
 
 
+def record_rest(
+    tables,
+    now: float,
+    outbox: ticks.Outbox,
+    request: pipeline_tables.Request,
+    stage: str,
+) -> None:
+    """Write what has not been sent of a stage's text, beside a write in flight."""
+    offset = request.recorded.get(stage, 0)
+    text = request.texts.get(stage, "")[offset:]
+    if not text:
+        return
+    command = _command(tables, request, stage, offset, text)
+
+    def on_reply(tables, now, outbox, reply) -> None:
+        """The answer that follows tells whether the text is whole."""
+
+    ownership.write(tables, now, outbox, request, command, on_reply)
+
+
 def record_result(
     tables,
     now: float,
@@ -102,8 +157,8 @@
     costly = stage.task is manifest.Task.GENERATE
     if stage.idempotent and not costly and name != answer_stage(request.pipeline):
         return
-    committed = request.committed.get(name, 0)
-    whole = committed > 0 and committed == len(request.texts.get(name, ""))
+    text = request.texts.get(name, "")
+    whole = bool(text) and request.committed.get(name, 0) == len(text)
     command = journal.RecordResult(
         request_id=request.request_id,
         stage=name,
@@ -112,7 +167,7 @@
         usage=usage,
         host=tables.settings.host,
         epoch=request.epoch,
-        progress_length=committed if whole else None,
+        progress_digest=digest(text) if whole else None,
     )
 
     def on_reply(tables, now, outbox, reply) -> None:
@@ -147,3 +202,22 @@
             record(tables, now, outbox, request, stage)
 
     timers.at(tables, request.next_record_s, again)
+
+
+def _command(
+    tables,
+    request: pipeline_tables.Request,
+    stage: str,
+    offset: int,
+    text: str,
+) -> journal.RecordProgress:
+    request.recorded[stage] = offset + len(text)
+    return journal.RecordProgress(
+        request_id=request.request_id,
+        stage=stage,
+        offset=offset,
+        text=text,
+        host=tables.settings.host,
+        epoch=request.epoch,
+        generation=request.generations.get(stage, 0),
+    )
--- a/bitternlever/pipelines/refusals.py
+++ b/bitternlever/pipelines/refusals.py
@@ -78,6 +78,19 @@
     )
 
 
+def garbled(tables, request: pipeline_tables.Request) -> problems.Problem:
+    """Return the problem of a streamed text that must be fetched from its beginning."""
+    return problem(
+        tables,
+        status=502,
+        title="Stream garbled",
+        detail="the text so far is wrong: drop it and fetch it again from offset 0",
+        ran=problems.Ran.UNKNOWN,
+        request_id=request.request_id,
+        retry_after_s=RETRY_AFTER_S,
+    )
+
+
 def outcome_unknown(
     tables,
     request: pipeline_tables.Request,
--- a/bitternlever/pipelines/stages.py
+++ b/bitternlever/pipelines/stages.py
@@ -7,16 +7,15 @@
 
 from bitternlever.admission import dispatch
 from bitternlever.core import ticks
-from bitternlever.entry import lease
 from bitternlever.messages import manifest, problems, requests, upstream
 from bitternlever.pipelines import (
     delivery,
     finish,
+    lapses,
     ownership,
     progress,
     refusals,
     tables as pipeline_tables,
-    takeover,
     timers,
 )
 from bitternlever.routing import budgets, feedback
@@ -145,6 +144,7 @@
         return
     if not _is_whole(attempt, message):
         tables.count("answer_garbled")
+        _begin_anew(tables, now, outbox, attempt)
         _fail(tables, now, outbox, attempt, "length or digest do not match the output")
         return
     output = message.output if message.length is None else attempt.output
@@ -182,17 +182,9 @@
 
 
 def run(tables, now: float, outbox: ticks.Outbox) -> None:
-    """Run what is due; end what an earlier epoch of this host owned."""
-    state = tables.requests
-    epoch = tables.lease.epoch
-    if epoch != state.epoch_seen:
-        state.epoch_seen = epoch
-        takeover.disown_former(tables, now, outbox, epoch)
+    """Run what is due, and what follows from the state of this host's lease."""
+    lapses.run(tables, now, outbox)
     timers.run(tables, now, outbox)
-    if state.parked and lease.holds(tables, now):
-        parked, state.parked = state.parked, []
-        for ready in parked:
-            dispatch.push(tables, now, ready)
 
 
 def expire(
@@ -234,21 +226,18 @@
     """Take a whole output as the stage's one result; other attempts end."""
     request = tables.requests.requests[attempt.request_id]
     name = attempt.stage.name
-    if attempt.hedge and not _continues_released(request, attempt, output):
-        tables.count("hedge_diverged")
-        ownership.forget_attempt(tables, attempt)
-        feedback.finished(tables, now, attempt, usage)
-        return
     ownership.forget_attempt(tables, attempt)
     feedback.finished(tables, now, attempt, usage)
+    if attempt.hedge and not _goes_on_from(progress.shown(request, name), output):
+        tables.count("hedge_diverged")
+        return
     for other in sorted(request.attempts):
         ownership.cancel_attempt(tables, now, outbox, tables.requests.attempts[other])
     request.results[name] = output
     request.cost_ms[name] = request.cost_ms.get(name, 0.0) + usage.busy_ms
     request.failures = 0
     if attempt.stage.task is manifest.Task.GENERATE and isinstance(output, str):
-        request.texts[name] = output
-        progress.extend(tables, now, outbox, request, name)
+        progress.replace(tables, now, outbox, request, name, output)
     if not attempt.stage.idempotent:
         request.completed_once_only = True
     request.stage_index += 1
@@ -257,16 +246,34 @@
     advance(tables, now, outbox, request)
 
 
-def _continues_released(
-    request: pipeline_tables.Request,
-    attempt: pipeline_tables.Attempt,
-    output: Any,
-) -> bool:
+def _goes_on_from(text: str, output: Any) -> bool:
     """A caller's text must not change: a hedge may only go on from what was shown."""
-    text = request.texts.get(attempt.stage.name, "")
     return not text or (isinstance(output, str) and output.startswith(text))
 
 
+def _begin_anew(
+    tables,
+    now: float,
+    outbox: ticks.Outbox,
+    attempt: pipeline_tables.Attempt,
+) -> None:
+    """Forget a text that proved to be garbled; who saw some of it is told so."""
+    request = tables.requests.requests[attempt.request_id]
+    name = attempt.stage.name
+    if attempt.hedge or not request.texts.get(name):
+        return
+    if progress.shown(request, name):
+        streaming = {
+            number: caller
+            for number, caller in request.callers.items()
+            if caller.stream
+        }
+        for number in streaming:
+            del request.callers[number]
+        delivery.problem(tables, outbox, streaming, refusals.garbled(tables, request))
+    progress.replace(tables, now, outbox, request, name, "")
+
+
 def _fail(
     tables,
     now: float,
@@ -334,11 +341,9 @@
     """Let a hedge stand in for its failed primary, if it fits what was shown."""
     attempt = tables.requests.attempts[min(request.attempts)]
     name = attempt.stage.name
-    text = request.texts.get(name, "")
-    if attempt.hedge and attempt.output.startswith(text):
+    if attempt.hedge and attempt.output.startswith(progress.shown(request, name)):
         attempt.hedge = False
-        request.texts[name] = attempt.output
-        progress.extend(tables, now, outbox, request, name)
+        progress.replace(tables, now, outbox, request, name, attempt.output)
         return
     if attempt.hedge:
         ownership.cancel_attempt(tables, now, outbox, attempt)
--- a/bitternlever/pipelines/tables.py
+++ b/bitternlever/pipelines/tables.py
@@ -39,9 +39,11 @@
     """One request on this host.
 
     ``results`` are whole stage outputs by stage name, ``texts`` the streamed output of
-    each stage so far, ``committed`` how much of it the journal holds. ``epoch`` is the
-    lease epoch under which this host owns it. ``unsent`` names the last attempt of a
-    stage that provably never left.
+    each stage so far, ``recorded`` how much of it was sent to the journal and
+    ``committed`` how much it holds; a text that began anew has a higher number in
+    ``generations``. ``epoch`` is the lease epoch
+    under which this host owns it. ``unsent`` names the last attempt of a stage that
+    provably never left.
     """
 
     request_id: str
@@ -64,6 +66,8 @@
     unsent: dict[str, str] = dataclasses.field(default_factory=dict)
     texts: dict[str, str] = dataclasses.field(default_factory=dict)
     committed: dict[str, int] = dataclasses.field(default_factory=dict)
+    recorded: dict[str, int] = dataclasses.field(default_factory=dict)
+    generations: dict[str, int] = dataclasses.field(default_factory=dict)
     recording: bool = False
     next_record_s: float = 0.0
     attempts: set[str] = dataclasses.field(default_factory=set)
@@ -191,9 +195,11 @@
     next_attempt: int = 0
     next_timer: int = 0
     epoch_seen: int = 0
+    lapsed_since_s: float | None = None
     takeover_sequence: int = 0
     takeover_in_flight: bool = False
     next_reconcile_s: float = 0.0
+    unknown_owned: dict[int, set[str]] = dataclasses.field(default_factory=dict)
     drain_requested_s: float | None = None
     drain_answer_expires_s: float | None = None
     drain_forced: bool = False
--- a/bitternlever/pipelines/takeover.py
+++ b/bitternlever/pipelines/takeover.py
@@ -8,7 +8,6 @@
 from bitternlever.pipelines import (
     finish,
     intake,
-    ownership,
     refusals,
     stages,
     tables as pipeline_tables,
@@ -17,12 +16,18 @@
 
 MAXIMUM_TAKEN = 16
 RETRY_PAUSE_S = 0.3
+RECONCILE_INTERVAL_S = 10.0
+RECONCILE_AGE_MS = 5_000
 MILLISECONDS = 1_000
 
 
 def run(tables, now: float, outbox: ticks.Outbox) -> None:
     """Take over waiting requests after a hint, one call at a time."""
     state = tables.requests
+    if lease.holds(tables, now) and now >= state.next_reconcile_s:
+        state.next_reconcile_s = now + RECONCILE_INTERVAL_S
+        for group in range(tables.settings.journal_groups):
+            _reconcile(tables, now, outbox, journal.FIRST_GROUP + group)
     if not tables.orphans_hint or state.takeover_in_flight:
         return
     if state.drain_requested_s is not None or not lease.accepts_work(tables, now):
@@ -35,13 +40,6 @@
         _take(tables, now, outbox, journal.FIRST_GROUP + group)
 
 
-def disown_former(tables, now: float, outbox: ticks.Outbox, epoch: int) -> None:
-    """End the runs that this host owned under another epoch."""
-    for request in list(tables.requests.requests.values()):
-        if request.journaled and request.epoch != epoch:
-            ownership.disown(tables, now, outbox, request)
-
-
 def adopt_state(
     tables,
     now: float,
@@ -63,6 +61,8 @@
         if record.progress:
             request.texts[stage.name] = record.progress
             request.committed[stage.name] = len(record.progress)
+            request.recorded[stage.name] = len(record.progress)
+        request.generations[stage.name] = record.generation
         if record.output is not None:
             request.results[stage.name] = msgspec.json.decode(record.output)
             request.cost_ms[stage.name] = record.busy_ms
@@ -76,6 +76,45 @@
     stages.advance(tables, now, outbox, request)
 
 
+def _reconcile(tables, now: float, outbox: ticks.Outbox, group: int) -> None:
+    """Release requests that this host owns without knowing them, twice in a row.
+
+    Such a request was claimed or taken over by a call whose reply never came.
+    """
+    epoch = tables.lease.epoch
+    command = journal.GetOwned(
+        host=tables.settings.host,
+        epoch=epoch,
+        age_ms=RECONCILE_AGE_MS,
+    )
+
+    def on_outcome(tables, now, outbox, outcome) -> None:
+        state = tables.requests
+        if outcome.is_err() or epoch != tables.lease.epoch:
+            return
+        unknown = set(outcome.ok().request_ids) - set(state.requests)
+        lost = sorted(unknown & state.unknown_owned.get(group, set()))
+        state.unknown_owned[group] = unknown
+        if lost:
+            tables.count("owned_unknown", len(lost))
+            _release(tables, now, outbox, group, lost)
+
+    control_client.call(tables, now, outbox, group, command, on_outcome)
+
+
+def _release(tables, now: float, outbox: ticks.Outbox, group: int, lost) -> None:
+    command = journal.ReleaseRequests(
+        request_ids=lost,
+        host=tables.settings.host,
+        epoch=tables.lease.epoch,
+    )
+
+    def on_outcome(tables, now, outbox, outcome) -> None:
+        """A lost reply is made good by the next round."""
+
+    control_client.call(tables, now, outbox, group, command, on_outcome)
+
+
 def _take(tables, now: float, outbox: ticks.Outbox, group: int) -> None:
     tables.requests.takeover_sequence += 1
     command = journal.TakeOver(
--- a/tests/journal/commands.py
+++ b/tests/journal/commands.py
@@ -1,5 +1,7 @@
 """Commands with the fields that a test does not care about filled in."""
 
+import hashlib
+
 from bitternlever.messages import journal, upstream
 
 WORKSPACE = "cantref"
@@ -38,7 +40,12 @@
     )
 
 
-def progress(offset: int, text: str, host: str = "a", epoch: int = 1):
+def digest(text: str) -> str:
+    """Return a text's SHA-256 digest."""
+    return hashlib.sha256(text.encode()).hexdigest()
+
+
+def progress(offset: int, text: str, host: str = "a", epoch: int = 1, **fields):
     """Make a piece of the stage ``draft``."""
     return journal.RecordProgress(
         request_id="k-1",
@@ -47,6 +54,7 @@
         text=text,
         host=host,
         epoch=epoch,
+        **fields,
     )
 
 
--- a/tests/journal/test_answers.py
+++ b/tests/journal/test_answers.py
@@ -58,7 +58,7 @@
     command = commands.answer(
         b'{"output":',
         progress_stage="draft",
-        length=10,
+        output_digest=commands.digest('rain "now"'),
         body_end=b"}",
     )
 
@@ -71,7 +71,12 @@
 
 def test_an_answer_never_stands_on_progress_that_is_not_there(state):
     machine.apply(state, commands.progress(0, "rai"))
-    command = commands.answer(b"{", progress_stage="draft", length=4, body_end=b"}")
+    command = commands.answer(
+        b"{",
+        progress_stage="draft",
+        output_digest=commands.digest("rain"),
+        body_end=b"}",
+    )
 
     reply = machine.apply(state, command)
 
--- a/tests/journal/test_stages.py
+++ b/tests/journal/test_stages.py
@@ -101,7 +101,12 @@
 
 def test_a_result_may_stand_for_the_recorded_progress(state):
     machine.apply(state, commands.progress(0, "rain"))
-    command = commands.result("a-1", output=b"", stage="draft", progress_length=4)
+    command = commands.result(
+        "a-1",
+        output=b"",
+        stage="draft",
+        progress_digest=commands.digest("rain"),
+    )
 
     reply = machine.apply(state, command)
 
@@ -111,13 +116,28 @@
 
 def test_a_result_never_stands_for_progress_that_is_not_there(state):
     machine.apply(state, commands.progress(0, "ra"))
-    command = commands.result("a-1", output=b"", stage="draft", progress_length=4)
+    command = commands.result(
+        "a-1",
+        output=b"",
+        stage="draft",
+        progress_digest=commands.digest("rain"),
+    )
 
     reply = machine.apply(state, command)
 
     assert reply == journal.ProgressMissing(request_id="k-1", length=2)
 
 
+def test_a_higher_generation_begins_the_progress_anew(state):
+    machine.apply(state, commands.progress(0, "garbled"))
+    machine.apply(state, commands.progress(0, "rain", generation=1))
+
+    late = machine.apply(state, commands.progress(7, "more"))
+
+    assert late.length == len("rain")
+    assert machine.apply(state, commands.get()).progress == "rain"
+
+
 def test_a_full_journal_refuses_progress():
     settings = journal_tables.JournalSettings(maximum_bytes=2_000)
     state = machine.create(settings)
--- a/tests/pipelines/system.py
+++ b/tests/pipelines/system.py
@@ -11,8 +11,8 @@
 
 from bitternlever.core import ticks
 from bitternlever.entry import tables as entry_tables, tick as entry_tick
-from bitternlever.journal import tables as journal_tables
-from bitternlever.messages import directory, frames, requests, upstream
+from bitternlever.journal import machine, tables as journal_tables
+from bitternlever.messages import frames, journal, requests, upstream
 from tests.pipelines import fake_control
 from tests.scenarios import manifests, network, world
 
@@ -27,7 +27,7 @@
 
     ``calls`` are the stage calls in the order in which they left; ``cancels`` their
     cancellations; ``told`` what each caller was sent. ``held`` names pools whose calls
-    stay open until the test answers them.
+    stay open until the test answers them, ``quiet`` hosts that no upstream reaches.
     """
 
     here: world.World
@@ -39,6 +39,8 @@
     told: dict[int, list[Any]] = dataclasses.field(default_factory=dict)
     ended: dict[str, list[str]] = dataclasses.field(default_factory=dict)
     held: set[str] = dataclasses.field(default_factory=set)
+    quiet: set[str] = dataclasses.field(default_factory=set)
+    seen: dict[str, int] = dataclasses.field(default_factory=dict)
     next_caller: int = 0
 
 
@@ -152,6 +154,14 @@
     return [call for call in system.calls if call.call.binding.stage == pool]
 
 
+def next_call(system: System, pool: str) -> requests.CallUpstream:
+    """Wait for the next stage call to a pool and return it."""
+    seen = system.seen.get(pool, 0)
+    until(system, lambda: len(calls_of(system, pool)) > seen)
+    system.seen[pool] = seen + 1
+    return calls_of(system, pool)[seen]
+
+
 def whole(system: System, caller: int) -> requests.WholeAnswer | None:
     """Return a caller's whole answer, if it has one."""
     return _last(system, caller, requests.WholeAnswer)
@@ -235,6 +245,24 @@
     _back(system, call, message)
 
 
+def let_go(system: System) -> None:
+    """Let control apply what it has stalled."""
+    process = system.here.processes[CONTROL]
+    outbox = fake_control.let_go(system.control, system.here.now)
+    world.leave(system.here, process, outbox)
+
+
+def commit(system: System, command: journal.Command) -> None:
+    """Apply a command to the journal without any host's knowledge."""
+    machine.apply(system.control.journal, command)
+
+
+def leave(system: System, host: str, outbox: ticks.Outbox) -> None:
+    """Carry what a direct call into a host's core left behind."""
+    world.leave(system.here, system.here.processes[host], outbox)
+    tell(system, host, requests.CallerGone(caller=0))
+
+
 def cut_off(system: System, host: str) -> None:
     """Cut a host off from control, both ways."""
     network.isolate(system.network, host, [CONTROL])
@@ -260,7 +288,7 @@
 def _announce(system: System) -> None:
     """Announce every upstream to every host, again each second."""
     for process in list(system.here.processes.values()):
-        if process.name == CONTROL:
+        if process.name == CONTROL or process.name in system.quiet:
             continue
         for pool, task in manifests.TASKS.items():
             for number in (1, 2):
@@ -310,14 +338,3 @@
     process = system.here.processes[system.callers[call.attempt]]
     if process.tables.settings.host in call.attempt:
         world.deliver(system.here, process, message)
-
-
-def empty_outbox() -> ticks.Outbox:
-    """Make an outbox for a direct call into the core."""
-    return ticks.Outbox()
-
-
-def host_status(system: System, host: str) -> directory.HostLeaseGranted | None:
-    """Return the lease that the directory holds for a host."""
-    held = system.control.directory.state.hosts.get(host.removeprefix("entry-"))
-    return None if held is None or held.ended else held
--- /dev/null
+++ b/tests/pipelines/test_keys.py
@@ -0,0 +1,88 @@
+"""Idempotency keys: one run and one answer on all hosts."""
+
+from bitternlever.messages import problems, requests
+from tests.pipelines import system
+
+
+def test_the_same_key_on_another_host_joins_the_one_run():
+    here = system.create()
+    here.held.add("engines")
+
+    first = system.submit(here, "entry-1", "question", key="rot")
+    system.until(here, lambda: system.calls_of(here, "engines"))
+    second = system.submit(here, "entry-2", "question", key="rot")
+    third = system.submit(here, "entry-1", "question", key="rot")
+    system.pass_time(here, 0.5)
+    system.answer(here, system.calls_of(here, "engines")[0])
+    system.pass_time(here, 1.0)
+
+    bodies = {system.whole(here, caller).body for caller in (first, second, third)}
+    assert len(bodies) == 1
+    assert len(system.calls_of(here, "engines")) == 1
+
+
+def test_the_same_key_later_gets_the_stored_bytes_on_another_host():
+    here = system.create()
+    first = system.submit(here, "entry-1", "question", key="rot")
+    system.pass_time(here, 1.0)
+
+    second = system.submit(here, "entry-2", "question", key="rot")
+    system.pass_time(here, 1.0)
+
+    assert system.whole(here, second).body == system.whole(here, first).body
+    assert len(system.calls_of(here, "engines")) == 1
+
+
+def test_another_body_under_a_key_in_use_is_refused_on_every_host():
+    here = system.create()
+    here.held.add("engines")
+    system.submit(here, "entry-1", "question", key="rot")
+    system.until(here, lambda: system.calls_of(here, "engines"))
+
+    same_host = system.submit(here, "entry-1", "question", key="rot", input="sun")
+    other_host = system.submit(here, "entry-2", "question", key="rot", input="sun")
+    system.pass_time(here, 0.5)
+
+    for caller in (same_host, other_host):
+        assert system.problem(here, caller).status == 422
+        assert system.problem(here, caller).ran is problems.Ran.NO
+
+
+def test_a_refused_resend_gets_the_answer_that_its_key_has():
+    here = system.create()
+    first = system.submit(here, "entry-1", "question", key="rot")
+    system.pass_time(here, 1.0)
+    system.tell(here, "entry-2", requests.DrainRequested())
+    system.pass_time(here, 0.5)
+    system.tables(here, "entry-2").requests.drain_answer_expires_s = here.here.now
+
+    second = system.submit(here, "entry-2", "question", key="rot")
+    system.until(here, lambda: system.whole(here, second), limit_s=1.0)
+
+    assert system.whole(here, second).body == system.whole(here, first).body
+
+
+def test_an_acknowledged_key_does_not_run_again():
+    here = system.create()
+    first = system.submit(here, "entry-1", "question", key="rot")
+    system.pass_time(here, 1.0)
+    system.acknowledge(here, "entry-2", system.whole(here, first).request_id)
+    system.pass_time(here, 0.5)
+
+    second = system.submit(here, "entry-1", "question", key="rot")
+    system.pass_time(here, 0.5)
+
+    assert system.problem(here, second).status == 410
+    assert system.problem(here, second).ran is problems.Ran.YES
+    assert len(system.calls_of(here, "engines")) == 1
+
+
+def test_a_claim_whose_reply_is_lost_is_made_once():
+    here = system.create()
+    here.network.losses["Claimed"] = 2
+
+    caller = system.submit(here, "entry-1", "question", key="rot")
+    system.pass_time(here, 3.0)
+
+    assert system.whole(here, caller)
+    assert len(system.calls_of(here, "engines")) == 1
