--- /dev/null
+++ b/bitternlever/client/hosts.py
@@ -0,0 +1,64 @@
+"""The host list: kept for its age, fetched from any host that answers."""
+
+import aiohttp
+import msgspec
+
+from bitternlever.client import tables as client_tables
+
+FETCH_TIMEOUT_S = 2.0
+RETRY_S = 1.0
+
+
+async def next_address(client: client_tables.Client) -> str:
+    """Return the preferred address, or after a failure the one that follows it."""
+    if client.clock() >= client.hosts_expire_s:
+        await _fetch(client)
+    addresses = client.hosts or client.settings.addresses
+    return addresses[client.next_host % len(addresses)]
+
+
+def leave(client: client_tables.Client) -> None:
+    """Turn to the next host after one failed or refused."""
+    client.next_host += 1
+
+
+def forget(client: client_tables.Client) -> None:
+    """Drop the list, since a host of it takes no new work any more."""
+    client.hosts_expire_s = 0.0
+    client.next_host = 0
+
+
+async def _fetch(client: client_tables.Client) -> None:
+    """Ask the known hosts one after the other; keep the old list if none answers."""
+    known = [*client.hosts, *client.settings.addresses]
+    for address in dict.fromkeys(known):
+        fetched = await _ask(client, address)
+        if fetched is not None and fetched.hosts:
+            client.hosts = [host.address for host in fetched.hosts]
+            client.hosts_expire_s = client.clock() + fetched.max_age_s
+            client.next_host = 0
+            return
+    client.hosts_expire_s = client.clock() + RETRY_S
+
+
+async def _ask(
+    client: client_tables.Client,
+    address: str,
+) -> client_tables.HostList | None:
+    zone = client.settings.zone
+    timeout = aiohttp.ClientTimeout(
+        total=FETCH_TIMEOUT_S,
+        connect=client_tables.CONNECT_TIMEOUT_S,
+    )
+    try:
+        async with client.session.get(
+            f"{address}/v1/hosts",
+            params={} if zone is None else {"zone": zone},
+            timeout=timeout,
+        ) as response:
+            if response.status != 200:
+                return None
+            data = await response.read()
+        return msgspec.json.decode(data, type=client_tables.HostList)
+    except (TimeoutError, aiohttp.ClientError, OSError, msgspec.MsgspecError):
+        return None
--- a/bitternlever/journal/answers.py
+++ b/bitternlever/journal/answers.py
@@ -75,7 +75,7 @@
         return journal_tables.answered_reply(record)
     ran = _ran(record)
     problem = problems.Problem(
-        type="urn:bitternlever:cancelled",
+        type="cancelled",
         title="Cancelled",
         status=CANCELLED_STATUS,
         detail="the request was cancelled by its caller",
--- a/bitternlever/pipelines/refusals.py
+++ b/bitternlever/pipelines/refusals.py
@@ -3,7 +3,6 @@
 from bitternlever.messages import problems
 from bitternlever.pipelines import tables as pipeline_tables
 
-TYPE_PREFIX = "urn:bitternlever:"
 RETRY_AFTER_S = 1.0
 MAXIMUM_HOSTS = 4
 CANCELLED_STATUS = 409
@@ -20,7 +19,7 @@
 ) -> problems.Problem:
     """Make a problem; one with a time to come back names other hosts as well."""
     return problems.Problem(
-        type=TYPE_PREFIX + title.lower().replace(" ", "-"),
+        type=title.lower().replace(" ", "-"),
         title=title,
         status=status,
         detail=detail,
