--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,3 +1,8 @@
 """Settings of the whole test run."""
 
-pytest_plugins = ["pytester", "tests.known_red"]
+pytest_plugins = [
+    "pytester",
+    "tests.known_red",
+    "tests.scenarios.steps_hosts",
+    "tests.scenarios.steps_requests",
+]
--- a/tests/scenarios/callers.py
+++ b/tests/scenarios/callers.py
@@ -41,16 +41,17 @@
     heard_s: float = 0.0
     answer: Any = None
     problem: problems.Problem | None = None
+    sent_s: float = 0.0
     answered_s: float | None = None
     done: bool = False
 
 
-@dataclasses.dataclass(slots=True)
+@dataclasses.dataclass(slots=True, repr=False)
 class Crowd:
     """All callers by name, and by the number of their open exchange."""
 
     here: world.World
-    network: network.Network
+    wires: network.Network
     by_name: dict[str, Caller] = dataclasses.field(default_factory=dict)
     by_exchange: dict[int, Caller] = dataclasses.field(default_factory=dict)
     numbers: itertools.count = dataclasses.field(
@@ -64,6 +65,7 @@
         return
     name = caller.hosts[caller.exchanges % len(caller.hosts)]
     caller.exchanges += 1
+    caller.sent_s = caller.sent_s or crowd.here.now
     process = crowd.here.processes.get(name)
     if process is None or not process.alive:
         world.after(crowd.here, RECONNECT_S, lambda: send(crowd, caller, again_by_id))
@@ -83,7 +85,7 @@
     caller = crowd.by_exchange.get(message.caller)
     if caller is None or caller.exchange != message.caller:
         return
-    if (process.name, "callers") not in crowd.network.cut:
+    if (process.name, "callers") not in crowd.wires.cut:
         caller.heard_s = crowd.here.now
         RECEIVERS[type(message)](crowd, caller, message)
 
@@ -230,7 +232,7 @@
 
 def _reach(crowd: Crowd, caller: Caller, message: Any) -> None:
     process = caller.host
-    if ("callers", process.name) in crowd.network.cut:
+    if ("callers", process.name) in crowd.wires.cut:
         return
     arrive = lambda: world.deliver(crowd.here, process, message)  # noqa: E731
     world.after(crowd.here, network.LATENCY_S, arrive)
@@ -262,7 +264,7 @@
 
 
 def _record(crowd: Crowd, record: records.Record) -> None:
-    crowd.here.records.append(record)
+    crowd.here.recorded.append(record)
 
 
 def _exchange(caller: Caller) -> str:
--- a/tests/scenarios/cluster.py
+++ b/tests/scenarios/cluster.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from bench.invariants import records
+from bitternlever.consensus import tables as consensus_tables
 from bitternlever.control import tables as control_tables, tick as control_tick
 from bitternlever.entry import tables as entry_tables, tick as entry_tick
 from bitternlever.messages import (
@@ -28,19 +29,19 @@
 )
 
 ZONES = ["hall-a", "hall-b", "hall-c"]
-OPERATOR_PATIENCE_S = 5.0
+SNAPSHOT_AFTER_ENTRIES = 64
 
 
-@dataclasses.dataclass(slots=True)
+@dataclasses.dataclass(slots=True, repr=False)
 class Cluster:
     """Everything that a scenario can reach."""
 
     here: world.World
-    network: network.Network
+    wires: network.Network
     fleet: upstreams.Fleet
-    shell: shell.Shell
+    dialler: shell.Shell
     crowd: callers.Crowd
-    disks: dict[str, disks.Disk] = dataclasses.field(default_factory=dict)
+    storage: dict[str, disks.Disk] = dataclasses.field(default_factory=dict)
     control: list[str] = dataclasses.field(default_factory=list)
     entry: list[str] = dataclasses.field(default_factory=list)
     runs: dict[str, int] = dataclasses.field(default_factory=dict)
@@ -54,13 +55,13 @@
     """Make an empty system; ``seed`` fixes every random choice in it."""
     here = world.World(random=random.Random(seed))
     wires = network.Network()
-    fleet = upstreams.Fleet(here=here, network=wires)
+    fleet = upstreams.Fleet(here=here, wires=wires)
     return Cluster(
         here=here,
-        network=wires,
+        wires=wires,
         fleet=fleet,
-        shell=shell.Shell(here=here, network=wires, fleet=fleet),
-        crowd=callers.Crowd(here=here, network=wires),
+        dialler=shell.Shell(here=here, wires=wires, fleet=fleet),
+        crowd=callers.Crowd(here=here, wires=wires),
     )
 
 
@@ -105,8 +106,20 @@
     upstreams.announce(cluster.fleet, name)
 
 
+def leaders(cluster: Cluster, group: int) -> list[str]:
+    """Return the live hosts that hold themselves for a group's leader, newest last."""
+    found = []
+    for name in cluster.control:
+        process = cluster.here.processes[name]
+        replica = process.tables.groups[group].replica
+        lives = process.alive and not process.frozen
+        if lives and replica.role is consensus_tables.Role.LEADER:
+            found.append((replica.term, name))
+    return [name for _, name in sorted(found)]
+
+
 def _control_tables(cluster: Cluster, name: str) -> control_tables.ControlTables:
-    disk = cluster.disks.setdefault(name, new_disk(f"{name}-disk-1"))
+    disk = cluster.storage.setdefault(name, new_disk(f"{name}-disk-1"))
     disk.waiting.clear()
     settings = control_tables.ControlSettings(
         node=name,
@@ -115,6 +128,7 @@
         disk=disk.synced.disk,
         nodes={each: network.link(each) for each in cluster.control},
         zones={each: _zone(each) for each in cluster.control},
+        snapshot_after_entries=SNAPSHOT_AFTER_ENTRIES,
     )
     held = disks.read(disk)
     return control_tables.create(
@@ -152,20 +166,20 @@
         if view.number != cluster.seen.get(run, 0):
             cluster.seen[run] = view.number
             record = records.ManifestSeen(run, view.number, view.digest, now)
-            cluster.here.records.append(record)
+            cluster.here.recorded.append(record)
     return outbox
 
 
 def _send(cluster: Cluster, process: world.Process, message: Any) -> None:
     match message:
         case frames.SendPeer():
-            network.send(cluster.here, cluster.network, process.name, message)
+            network.send(cluster.here, cluster.wires, process.name, message)
         case consensus.WriteLog() | consensus.WriteSnapshot():
-            disks.write(cluster.here, cluster.disks[process.name], process, message)
+            disks.write(cluster.here, cluster.storage[process.name], process, message)
         case requests.CallUpstream():
-            shell.call(cluster.shell, process, message)
+            shell.call(cluster.dialler, process, message)
         case requests.CancelUpstream():
-            shell.cancel(cluster.shell, message)
+            shell.cancel(cluster.dialler, message)
         case requests.OperatorAnswered():
             _answer_operator(cluster, message.caller, message.reply)
         case requests.ProblemAnswer() if message.caller in cluster.operators:
@@ -185,4 +199,4 @@
     if isinstance(reply, directory.ManifestAccepted):
         now = cluster.here.now
         record = records.ManifestAccepted(operator, reply.number, reply.digest, now)
-        cluster.here.records.append(record)
+        cluster.here.recorded.append(record)
--- a/tests/scenarios/disks.py
+++ b/tests/scenarios/disks.py
@@ -12,7 +12,7 @@
 SYNC_S = 0.0003
 
 
-@dataclasses.dataclass(slots=True)
+@dataclasses.dataclass(slots=True, repr=False)
 class Disk:
     """What is synced, what still waits to be, and how slow or broken the disk is."""
 
--- /dev/null
+++ b/tests/scenarios/manifests.feature
@@ -0,0 +1,99 @@
+Feature: An accepted manifest is in force everywhere within seconds and never reverts
+
+  Background:
+    Given 3 control hosts and 3 entry hosts
+    And manifest 1 is in force
+
+  Scenario: In force everywhere within two seconds
+    When operator "anna" applies manifest 2 through "entry-1"
+    And 2 seconds pass
+    Then operator "anna" was told "ManifestAccepted"
+    And manifest 2 is in force on "entry-1"
+    And manifest 2 is in force on "entry-2"
+    And manifest 2 is in force on "entry-3"
+
+  Scenario: Two operators race with equal numbers
+    When operator "anna" applies manifest 2 "red" through "entry-1"
+    And operator "bodil" applies manifest 2 "blue" through "entry-2"
+    And 3 seconds pass
+    Then exactly one of operators "anna" and "bodil" was accepted
+
+  Scenario: Two operators race and both resend
+    When the next 2 "ManifestAccepted" are lost
+    And the next 2 "ManifestConflict" are lost
+    And operator "anna" applies manifest 2 "red" through "entry-1"
+    And operator "bodil" applies manifest 2 "blue" through "entry-2"
+    And 5 seconds pass
+    And operator "bodil" applies manifest 2 "blue" through "entry-3"
+    And operator "anna" applies manifest 2 "red" through "entry-2"
+    And 5 seconds pass
+    Then exactly one of operators "anna" and "bodil" was accepted
+
+  Scenario: A resend after a lost answer gets the first result
+    When the next 1 "ManifestAccepted" are lost
+    And operator "anna" applies manifest 2 "red" through "entry-1"
+    And 5 seconds pass
+    And operator "anna" applies manifest 2 "red" through "entry-2"
+    And 3 seconds pass
+    Then operator "anna" was told "ManifestAccepted"
+
+  Scenario: A resend after a newer manifest does not bring the old one back
+    When operator "anna" applies manifest 2 "red" through "entry-1"
+    And 3 seconds pass
+    And operator "bodil" applies manifest 3 "blue" through "entry-2"
+    And 3 seconds pass
+    And operator "anna" applies manifest 2 "red" through "entry-1"
+    And 3 seconds pass
+    Then manifest 3 is in force on "entry-1"
+    And manifest 3 is in force on "entry-3"
+
+  Scenario: Every control host is killed
+    When operator "anna" applies manifest 2 through "entry-1"
+    And 2 seconds pass
+    And "control-1" loses power
+    And "control-2" loses power
+    And "control-3" loses power
+    And 5 seconds pass
+    And "control-1" starts again
+    And "control-2" starts again
+    And "control-3" starts again
+    And 5 seconds pass
+    And "entry-2" is killed
+    And "entry-2" starts again
+    And 5 seconds pass
+    Then manifest 2 is in force on "entry-2"
+
+  Scenario: A torn write
+    When operator "anna" applies manifest 2 through "entry-1"
+    And "control-1" loses power in a write
+    And "control-2" loses power in a write
+    And 3 seconds pass
+    And "control-1" starts again
+    And "control-2" starts again
+    And 10 seconds pass
+    And operator "anna" applies manifest 2 through "entry-1"
+    And 5 seconds pass
+    Then operator "anna" was told "ManifestAccepted"
+    And manifest 2 is in force on "entry-3"
+
+  Scenario: Restart after hundreds of changes
+    When 300 manifests are applied one after the other
+    And "control-1" loses power
+    And "control-2" loses power
+    And "control-3" loses power
+    And "entry-2" is killed
+    And "control-1" starts again
+    And "control-2" starts again
+    And "control-3" starts again
+    And "entry-2" starts again
+    And 10 seconds pass
+    Then manifest 301 is in force on "entry-2"
+
+  Scenario: An isolated entry host serves no old manifest past the bound
+    When "entry-1" is cut off from control
+    And operator "anna" applies manifest 2 through "entry-2"
+    And 5 seconds pass
+    And "reseller" sends a "question" to "entry-1"
+    And 2 seconds pass
+    Then "reseller" was refused and told that it ran "no"
+    And operator "anna" was told "ManifestAccepted"
--- a/tests/scenarios/shell.py
+++ b/tests/scenarios/shell.py
@@ -21,7 +21,7 @@
     over: bool = False
 
 
-@dataclasses.dataclass(slots=True)
+@dataclasses.dataclass(slots=True, repr=False)
 class Shell:
     """The open calls of all entry hosts by attempt.
 
@@ -30,7 +30,7 @@
     """
 
     here: world.World
-    network: network.Network
+    wires: network.Network
     fleet: upstreams.Fleet
     calls: dict[str, Call] = dataclasses.field(default_factory=dict)
     silenced: set[tuple[str, str]] = dataclasses.field(default_factory=set)
@@ -53,7 +53,7 @@
             return
         _watch(shell, opened, sent.first_byte_timeout_s)
         way = (process.name, sent.upstream)
-        if way in shell.network.cut or way in shell.silenced:
+        if way in shell.wires.cut or way in shell.silenced:
             shell.silenced.discard(way)
             return
         world.after(shell.here, network.LATENCY_S, lambda: _reach(shell, opened))
@@ -75,7 +75,7 @@
 
     def back(message: Any) -> None:
         way = (opened.sent.upstream, opened.process.name)
-        if way not in shell.network.cut:
+        if way not in shell.wires.cut:
             _arrive(shell, opened, message)
 
     upstreams.take(shell.fleet, opened.sent, answer)
--- /dev/null
+++ b/tests/scenarios/steps_hosts.py
@@ -0,0 +1,218 @@
+"""Steps about hosts, disks, the network and time."""
+
+import functools
+
+import pytest
+from pytest_bdd import given, parsers, then, when
+
+from bench.invariants import checks
+from bitternlever.messages import directory
+from tests.scenarios import cluster as clusters, disks, manifests, network, world
+
+SEED = 7
+SETTLE_S = 5.0
+QUIET_S = 40.0
+
+
+@pytest.fixture
+def cluster():
+    """Give a scenario its system, and judge what was recorded at its end."""
+    made = clusters.create(SEED)
+    yield made
+    world.pass_time(made.here, QUIET_S)
+    assert checks.check(made.here.recorded) == []
+
+
+@given(parsers.parse("{control:d} control hosts and {entry:d} entry hosts"))
+def start_hosts(cluster, control, entry):
+    cluster.control = [f"control-{number + 1}" for number in range(control)]
+    cluster.entry = [f"entry-{number + 1}" for number in range(entry)]
+    for name in cluster.control + cluster.entry:
+        clusters.start(cluster, name)
+    world.pass_time(cluster.here, SETTLE_S)
+
+
+@given(parsers.parse("manifest {number:d} is in force"))
+def put_in_force(cluster, number):
+    clusters.apply(cluster, "first", cluster.entry[0], manifests.put(number))
+    world.pass_time(cluster.here, SETTLE_S)
+    assert cluster.seen[f"{cluster.entry[-1]}-1"] == number
+
+
+@when(parsers.parse('"{name}" is killed'))
+def kill(cluster, name):
+    world.kill(cluster.here, name)
+
+
+@when(parsers.parse('"{name}" freezes'))
+def freeze(cluster, name):
+    world.freeze(cluster.here, name)
+
+
+@when(parsers.parse('"{name}" wakes'))
+def thaw(cluster, name):
+    world.thaw(cluster.here, name)
+
+
+@when(parsers.parse('"{name}" starts again'))
+def start_again(cluster, name):
+    clusters.start(cluster, name)
+
+
+@when(
+    parsers.re(
+        r'"(?P<name>[^"]+)" is (?P<fate>killed|frozen) (?P<order>before|after) '
+        r'it sends "(?P<message>\w+)"',
+    ),
+)
+def end_at_message(cluster, name, fate, order, message):
+    act = world.kill if fate == "killed" else world.freeze
+
+    def trigger(process, sent):
+        if process.name != name or message not in network.names(sent):
+            return False
+        strike = functools.partial(act, cluster.here, name)
+        if order == "before":
+            strike()
+        else:
+            world.after(cluster.here, 0.0, strike)
+        return True
+
+    cluster.here.triggers.append(trigger)
+
+
+@when(parsers.re(r'"(?P<name>[^"]+)" is cut off(?P<extent> from control| from all)'))
+def cut_off(cluster, name, extent):
+    others = list(cluster.control)
+    if extent == " from all":
+        others += [*cluster.entry, *cluster.fleet.by_name, "callers"]
+    network.isolate(cluster.wires, name, others)
+
+
+@when("the network heals")
+def heal(cluster):
+    network.heal(cluster.wires)
+
+
+@when(parsers.parse('the next {count:d} "{message}" are lost'))
+def lose(cluster, count, message):
+    cluster.wires.losses[message] = count
+
+
+@when(parsers.parse('{share:d} in 100 "{message}" are lost'))
+def lose_share(cluster, share, message):
+    cluster.wires.loss_share[message] = share / 100
+
+
+@when(parsers.parse('"{message}" takes {delay:g} seconds'))
+def delay(cluster, message, delay):
+    cluster.wires.delays_s[message] = delay
+
+
+@when(parsers.parse("messages cross by up to {duration:g} seconds"))
+def cross(cluster, duration):
+    cluster.wires.crossing_s = duration
+
+
+@when(parsers.re(r'"(?P<name>[^"]+)" loses (?P<what>its disk|power|power in a write)'))
+def lose_disk(cluster, name, what):
+    world.kill(cluster.here, name)
+    disk = cluster.storage[name]
+    disks.lose_power(disk, torn=what == "power in a write")
+    if what == "its disk":
+        number = int(disk.synced.disk.rpartition("-")[2]) + 1
+        cluster.storage[name] = clusters.new_disk(f"{name}-disk-{number}")
+
+
+@when(parsers.parse('the disk of "{name}" takes {duration:g} seconds to sync'))
+def slow_disk(cluster, name, duration):
+    cluster.storage[name].sync_s = duration
+
+
+@when(parsers.parse('the replica of "{old}" is replaced on "{new}"'))
+def replace(cluster, old, new):
+    number = int(cluster.storage[old].synced.disk.rpartition("-")[2])
+    lost = number - 1 if old == new else number
+    command = directory.ReplaceReplica(old, f"{old}-disk-{lost}", new)
+    clusters.apply(cluster, "replacer", cluster.entry[0], command)
+
+
+@when(
+    parsers.re(
+        r'operator "(?P<operator>\w+)" applies manifest (?P<number>\d+)'
+        r'(?: "(?P<variant>\w+)")? through "(?P<host>[^"]+)"',
+    ),
+)
+def apply_manifest(cluster, operator, number, variant, host):
+    put = manifests.put(int(number), variant or "")
+    clusters.apply(cluster, operator, host, put)
+
+
+@when(parsers.parse("{count:d} manifests are applied one after the other"))
+def apply_many(cluster, count):
+    for number in range(2, count + 2):
+        put = manifests.put(number)
+        clusters.apply(cluster, "pipeline", cluster.entry[0], put)
+        world.pass_time(cluster.here, 0.1)
+
+
+@when(parsers.parse("{duration:g} seconds pass"))
+def pass_time(cluster, duration):
+    world.pass_time(cluster.here, duration)
+
+
+@then(parsers.parse('manifest {number:d} is in force on "{name}"'))
+def in_force(cluster, number, name):
+    run = f"{name}-{cluster.runs[name]}"
+    assert cluster.seen.get(run) == number
+
+
+@then(parsers.parse('operator "{operator}" was told "{reply}"'))
+def was_told(cluster, operator, reply):
+    replies = [type(each).__name__ for each in cluster.replies.get(operator, [])]
+    assert replies[-1:] == [reply], replies
+
+
+@then(parsers.parse('"{name}" has ended and cut off nothing'))
+def ended_cleanly(cluster, name):
+    assert cluster.ended.get(name) == []
+
+
+@when(
+    parsers.re(
+        r"the leader of group (?P<group>\d+) "
+        r"(?P<fate>is killed|freezes|is cut off from all)",
+    ),
+)
+def strike_leader(cluster, group, fate):
+    name = clusters.leaders(cluster, int(group))[-1]
+    if fate == "is killed":
+        world.kill(cluster.here, name)
+    elif fate == "freezes":
+        world.freeze(cluster.here, name)
+    else:
+        cut_off(cluster, name, " from all")
+
+
+@when("every frozen host wakes")
+def thaw_all(cluster):
+    for process in cluster.here.processes.values():
+        if process.frozen:
+            world.thaw(cluster.here, process.name)
+
+
+@then(parsers.parse("a control host leads group {group:d}"))
+def somebody_leads(cluster, group):
+    assert clusters.leaders(cluster, group)
+
+
+@then(parsers.parse("no control host leads group {group:d}"))
+def nobody_leads(cluster, group):
+    assert clusters.leaders(cluster, group) == []
+
+
+@then(parsers.parse('exactly one of operators "{first}" and "{second}" was accepted'))
+def one_accepted(cluster, first, second):
+    replies = [cluster.replies[name][-1] for name in (first, second)]
+    kinds = sorted(type(reply).__name__ for reply in replies)
+    assert kinds == ["ManifestAccepted", "ManifestConflict"], replies
--- /dev/null
+++ b/tests/scenarios/steps_requests.py
@@ -0,0 +1,184 @@
+"""Steps about callers and upstreams."""
+
+from pytest_bdd import given, parsers, then, when
+
+from bench.invariants import records
+from bitternlever.messages import requests
+from tests.scenarios import callers, cluster as clusters, manifests, world
+
+
+@given(parsers.parse("{count:d} upstreams in each pool"))
+def start_upstreams(cluster, count):
+    for pool in manifests.TASKS:
+        for number in range(count):
+            clusters.add_upstream(cluster, f"{pool}-{number + 1}", pool)
+    world.pass_time(cluster.here, 2.0)
+
+
+@when(
+    parsers.re(
+        r'"(?P<name>\w+)" sends a "(?P<kind>[\w-]+)" to "(?P<host>[^"]+)"'
+        r'(?P<stream> as a stream)?(?: with key "(?P<key>\w+)")?'
+        r'(?: for "(?P<other>\w+)")?',
+    ),
+)
+def send(cluster, name, kind, host, stream, key, other):
+    first = cluster.entry.index(host)
+    caller = callers.Caller(
+        name=name,
+        workspace="cantref",
+        pipeline=manifests.PIPELINE_OF[kind],
+        kind=kind,
+        durable=kind in manifests.DURABLE_KINDS,
+        key=key,
+        stream=bool(stream),
+        hosts=cluster.entry[first:] + cluster.entry[:first],
+        input={"marker": other or name},
+    )
+    cluster.crowd.by_name[name] = caller
+    callers.send(cluster.crowd, caller)
+
+
+@when(parsers.parse('{count:d} callers send a "{kind}" within {duration:g} seconds'))
+def send_many(cluster, count, kind, duration):
+    for number in range(count):
+        host = cluster.entry[number % len(cluster.entry)]
+        name = f"{kind.replace('-', '')}{number}"
+        send(cluster, name, kind, host, None, name, None)
+        world.pass_time(cluster.here, duration / count)
+
+
+@when(parsers.parse('"{name}" hangs up'))
+def hang_up(cluster, name):
+    caller = cluster.crowd.by_name[name]
+    callers.hang_up(cluster.crowd, caller)
+    caller.done = True
+
+
+@when(parsers.parse('"{name}" cancels'))
+def cancel(cluster, name):
+    callers.cancel(cluster.crowd, cluster.crowd.by_name[name])
+
+
+@when(parsers.parse('"{name}" is drained'))
+def drain(cluster, name):
+    process = cluster.here.processes[name]
+    world.deliver(cluster.here, process, requests.DrainRequested())
+
+
+@when(parsers.parse('upstream "{name}" leaves'))
+def leave(cluster, name):
+    cluster.fleet.by_name[name].announcement.leaving = True
+
+
+@when(parsers.parse('upstream "{name}" falls silent'))
+def fall_silent(cluster, name):
+    fake = cluster.fleet.by_name[name]
+    fake.talking = False
+    fake.faults.add("silent")
+
+
+@when(parsers.parse('upstream "{name}" dies'))
+def die(cluster, name):
+    cluster.fleet.by_name[name].alive = False
+
+
+@when(parsers.parse('upstream "{name}" is "{fault}"'))
+def misbehave(cluster, name, fault):
+    cluster.fleet.by_name[name].faults.add(fault)
+
+
+@when(parsers.parse('upstreams of "{pool}" take {duration:g} seconds'))
+def straggle(cluster, pool, duration):
+    for fake in cluster.fleet.by_name.values():
+        if fake.announcement.pool == pool:
+            fake.service_s = duration
+
+
+@when(parsers.parse('upstream "{name}" takes {duration:g} seconds'))
+def straggle_alone(cluster, name, duration):
+    cluster.fleet.by_name[name].service_s = duration
+
+
+@when("late answers still reach their hosts")
+def linger(cluster):
+    cluster.dialler.lingering = True
+
+
+@when(parsers.parse('the connection from "{host}" to "{name}" goes silent'))
+def silence(cluster, host, name):
+    cluster.dialler.silenced.add((host, name))
+
+
+@then(parsers.parse('"{name}" holds its whole answer'))
+def holds_answer(cluster, name):
+    caller = cluster.crowd.by_name[name]
+    assert caller.answer is not None, caller.problem
+
+
+@then(parsers.parse('"{name}" holds its whole answer within {duration:g} seconds'))
+def holds_answer_within(cluster, name, duration):
+    holds_answer(cluster, name)
+    caller = cluster.crowd.by_name[name]
+    assert caller.answered_s - caller.sent_s <= duration
+
+
+@then(parsers.parse("every caller holds its whole answer"))
+def all_hold_answers(cluster):
+    for name in cluster.crowd.by_name:
+        holds_answer(cluster, name)
+
+
+@then(parsers.parse('"{name}" was refused and told that it ran "{ran}"'))
+def was_refused(cluster, name, ran):
+    caller = cluster.crowd.by_name[name]
+    assert caller.answer is None
+    assert caller.problem is not None
+    assert caller.problem.ran.value == ran, caller.problem
+
+
+@then(parsers.parse('"{name}" and "{other}" hold the same answer'))
+def same_answer(cluster, name, other):
+    holds_answer(cluster, name)
+    first, second = (cluster.crowd.by_name[each] for each in (name, other))
+    assert first.answer == second.answer
+
+
+@then(parsers.parse('"{name}" was refused with status {status:d}'))
+def refused_with(cluster, name, status):
+    problem = cluster.crowd.by_name[name].problem
+    assert problem is not None
+    assert problem.status == status, problem
+
+
+@then(parsers.parse('stage "{stage}" of "{name}" ran {count:d} times'))
+def ran(cluster, stage, name, count):
+    digest = records.digest(cluster.crowd.by_name[name].input)
+    found = [
+        call
+        for call in cluster.here.recorded
+        if isinstance(call, records.StageCalled)
+        and (call.input_digest, call.stage) == (digest, stage)
+    ]
+    assert len(found) == count, found
+
+
+@when(parsers.parse('upstream "{name}" is cut off from "{host}"'))
+def cut_off_upstream(cluster, name, host):
+    cluster.wires.cut.add((name, host))
+
+
+@then(parsers.parse('upstream "{name}" got no call in the last {duration:g} seconds'))
+def got_no_call(cluster, name, duration):
+    since_s = cluster.here.now - duration
+    calls = [
+        each
+        for each in cluster.here.recorded
+        if isinstance(each, records.StageCalled) and each.upstream == name
+    ]
+    assert [call for call in calls if call.time_s >= since_s] == []
+
+
+@then(parsers.parse('"{name}" has an outcome'))
+def has_outcome(cluster, name):
+    assert cluster.crowd.by_name[name].done
--- /dev/null
+++ b/tests/scenarios/test_scenarios.py
@@ -0,0 +1,5 @@
+"""Run every scenario of this folder."""
+
+import pytest_bdd
+
+pytest_bdd.scenarios(".")
--- a/tests/scenarios/upstreams.py
+++ b/tests/scenarios/upstreams.py
@@ -34,12 +34,12 @@
     former: requests.UpstreamFinished | None = None
 
 
-@dataclasses.dataclass(slots=True)
+@dataclasses.dataclass(slots=True, repr=False)
 class Fleet:
     """All fake upstreams by name."""
 
     here: world.World
-    network: network.Network
+    wires: network.Network
     by_name: dict[str, Upstream] = dataclasses.field(default_factory=dict)
 
 
@@ -53,13 +53,13 @@
         return
     fake.announcement.sequence += 1
     for process in fleet.here.processes.values():
-        reached = (name, process.name) not in fleet.network.cut
+        reached = (name, process.name) not in fleet.wires.cut
         if process.name.startswith("entry-") and process.alive and reached:
             word = requests.UpstreamAnnounced(copy.copy(fake.announcement))
             world.deliver(fleet.here, process, word)
             if word.announcement.leaving:
                 left = records.LeavingAnnounced(name, fleet.here.now)
-                fleet.here.records.append(left)
+                fleet.here.recorded.append(left)
 
 
 def take(fleet: Fleet, sent: requests.CallUpstream, answer: Answer) -> None:
@@ -83,14 +83,15 @@
             return
         start = len(output) * index // WORDS
         text = output[start : len(output) * (index + 1) // WORDS]
-        if sent.call.stream and start >= len(sent.call.resume_output):
+        if sent.call.stream:
             answer(requests.UpstreamPart(sent.attempt, offset=start, text=text))
         if index + 1 == WORDS:
             _finish(fleet, sent, output, answer)
             return
         world.after(fleet.here, fake.service_s / WORDS, lambda: part(index + 1))
 
-    world.after(fleet.here, fake.service_s / WORDS, lambda: part(0))
+    first = len(sent.call.resume_output) * WORDS // len(output)
+    world.after(fleet.here, fake.service_s / WORDS, lambda: part(first))
 
 
 def _finish(
@@ -151,7 +152,7 @@
         time_s=fleet.here.now,
         **fields,
     )
-    fleet.here.records.append(record)
+    fleet.here.recorded.append(record)
 
 
 def _finished(sent: requests.CallUpstream, output: str) -> requests.UpstreamFinished:
--- a/tests/scenarios/world.py
+++ b/tests/scenarios/world.py
@@ -14,7 +14,7 @@
 MAXIMUM_EVENTS = 400_000
 
 
-@dataclasses.dataclass(slots=True, eq=False)
+@dataclasses.dataclass(slots=True, repr=False, eq=False)
 class Process:
     """One run of a program: its core, what it still has to take, and its state.
 
@@ -33,7 +33,7 @@
     due_s: float = float("inf")
 
 
-@dataclasses.dataclass(slots=True)
+@dataclasses.dataclass(slots=True, repr=False)
 class World:
     """The present, what is still to happen, and what was recorded."""
 
@@ -44,7 +44,7 @@
     )
     numbers: itertools.count = dataclasses.field(default_factory=itertools.count)
     processes: dict[str, Process] = dataclasses.field(default_factory=dict)
-    records: list[records.Record] = dataclasses.field(default_factory=list)
+    recorded: list[records.Record] = dataclasses.field(default_factory=list)
     triggers: list[Callable[[Process, Any], bool]] = dataclasses.field(
         default_factory=list,
     )
