Replace replicas in one safe sequence, and try the failures of disks and links

Cause: an emptied disk could not be replaced, and a successor was taken from an identity heard at the founding, so that the lost disk would have been taken as its own successor (seen as «node control-b is a voter already»). Identities count for two seconds now.

--- a/bitternlever/consensus/founding.py
+++ b/bitternlever/consensus/founding.py
@@ -14,6 +14,8 @@
 from bitternlever.messages import consensus, frames
 
 ASK_INTERVAL_S = 0.3
+IDENTITY_VALID_S = 2.0
+MAXIMUM_IDENTITIES = 64
 FIRST_TERM = 1
 
 
@@ -63,7 +65,9 @@
 ) -> None:
     """Found the group when every initial node is empty, or adopt its founding."""
     settings = replica.settings
-    replica.identities[reply.replica.node] = reply
+    node = reply.replica.node
+    if len(replica.identities) < MAXIMUM_IDENTITIES or node in replica.identities:
+        replica.identities[node] = tables.Identity(reply, now)
     if replica.membership is not None:
         return
     founder = min(settings.nodes)
@@ -82,15 +86,17 @@
     for node in settings.nodes:
         if node == settings.identity.node:
             continue
-        reply = replica.identities.get(node)
-        if reply is None or reply.member:
+        known = replica.identities.get(node)
+        if known is None or known.reply.member:
+            return
+        if now >= known.received_s + IDENTITY_VALID_S:
             return
     _found(replica, now)
 
 
 def _found(replica: tables.Replica, now: float) -> None:
     settings = replica.settings
-    disks = {node: reply.replica for node, reply in replica.identities.items()}
+    disks = {node: known.reply.replica for node, known in replica.identities.items()}
     disks[settings.identity.node] = settings.identity
     voters = [disks[node] for node in sorted(settings.nodes)]
     _begin(replica, now, consensus.Membership(voters=voters))
@@ -110,6 +116,7 @@
             data=msgspec.msgpack.encode(founding),
         ),
     )
+    replica.identities.clear()
     disk.set_hard_state(replica, max(replica.term, FIRST_TERM), replica.voted_for)
     elections.reset_timer(replica, now)
 
--- a/bitternlever/consensus/replacement.py
+++ b/bitternlever/consensus/replacement.py
@@ -9,12 +9,12 @@
 import msgspec
 import result
 
-from bitternlever.consensus import commits, log as consensus_log, tables
+from bitternlever.consensus import commits, founding, log as consensus_log, tables
 from bitternlever.core import ticks
 from bitternlever.messages import consensus, directory, frames
 
 CAUGHT_UP_ENTRIES = 64
-RECENT_ELECTION_TIMEOUTS = 2.0
+RECENT_ELECTION_TIMEOUTS = 0.5
 
 Outcome = result.Result[directory.ReplaceProgress, directory.ReplaceRefused]
 
@@ -29,6 +29,7 @@
     """Begin a replacement as leader, or tell how far the same one has come."""
     membership = replica.membership
     if membership.replacing is not None:
+        _renew_learner(replica, now, outbox)
         return _progress_of(membership, old, new_node)
     if old not in membership.voters:
         if any(voter.node == new_node for voter in membership.voters):
@@ -39,7 +40,7 @@
     reason = _risk(replica, now, old)
     if reason is not None:
         return _refuse(reason)
-    successor = _successor(replica, outbox, new_node)
+    successor = _successor(replica, now, outbox, new_node)
     if successor is None:
         return _refuse(f"node {new_node} has not answered with an empty disk yet")
     if successor in membership.voters:
@@ -73,25 +74,6 @@
     _change(replica, consensus.Membership(voters=voters))
 
 
-def abandon_learner(replica: tables.Replica, successor: consensus.ReplicaId) -> bool:
-    """Replace a learner whose disk is gone by its node's present disk."""
-    membership = replica.membership
-    if membership.replacing is None or not _settled(replica):
-        return False
-    old, new = membership.replacing
-    if new not in membership.learners or new.node != successor.node:
-        return False
-    if new == successor:
-        return False
-    changed = consensus.Membership(
-        voters=membership.voters,
-        learners=[successor],
-        replacing=(old, successor),
-    )
-    _change(replica, changed)
-    return True
-
-
 def _risk(
     replica: tables.Replica,
     now: float,
@@ -145,10 +127,11 @@
 
 def _successor(
     replica: tables.Replica,
+    now: float,
     outbox: ticks.Outbox,
     node: str,
 ) -> consensus.ReplicaId | None:
-    """Return the node's empty replica, and ask for it again."""
+    """Return the node's empty replica as lately heard, and ask for it again."""
     settings = replica.settings
     question = consensus.IdentityRequest(
         group=settings.group,
@@ -156,10 +139,26 @@
         zone=settings.zone,
     )
     outbox.send(frames.SendPeer(node=node, message=question))
-    reply = replica.identities.get(node)
-    if reply is None or reply.member:
+    known = replica.identities.get(node)
+    if known is None or now >= known.received_s + founding.IDENTITY_VALID_S:
         return None
-    return reply.replica
+    return None if known.reply.member else known.reply.replica
+
+
+def _renew_learner(replica: tables.Replica, now: float, outbox: ticks.Outbox) -> None:
+    """Go on with the node's present disk where the learner's disk is gone."""
+    old, new = replica.membership.replacing
+    if new not in replica.membership.learners or not _settled(replica):
+        return
+    successor = _successor(replica, now, outbox, new.node)
+    if successor is None or successor == new:
+        return
+    changed = consensus.Membership(
+        voters=replica.membership.voters,
+        learners=[successor],
+        replacing=(old, successor),
+    )
+    _change(replica, changed)
 
 
 def _progress_of(
--- a/bitternlever/consensus/tables.py
+++ b/bitternlever/consensus/tables.py
@@ -115,6 +115,14 @@
     transfer: Transfer | None = None
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Identity:
+    """A node's word on its disk, and when it came."""
+
+    reply: consensus.IdentityReply
+    received_s: float
+
+
 @dataclasses.dataclass(slots=True)
 class PendingWrite:
     """A write that is not yet synced."""
@@ -214,7 +222,7 @@
     office: Office = dataclasses.field(default_factory=Office)
     receiving: Receiving | None = None
     held: list[tuple[int, Any]] = dataclasses.field(default_factory=list)
-    identities: dict[str, consensus.IdentityReply] = dataclasses.field(
+    identities: dict[str, Identity] = dataclasses.field(
         default_factory=dict,
     )
     ask_at_s: float = 0.0
--- a/bitternlever/control/answers.py
+++ b/bitternlever/control/answers.py
@@ -22,6 +22,11 @@
     journal.ExpireRequests,
 )
 CONTROL_COMMANDS = (journal.FenceHost,)
+FROM_MEMORY = (
+    directory.RenewHostLease,
+    directory.AcquireOrderLease,
+    directory.GetStatus,
+)
 
 
 def receive(
@@ -53,7 +58,7 @@
 ) -> None:
     """Execute a call where this process leads its group."""
     group = tables.groups.get(call.group)
-    if group is None or not group.machine.accepts(call.command):
+    if group is None or not _accepts(group, call.command):
         tables.count("call_for_another_group")
         return
     replica = group.replica
@@ -66,12 +71,21 @@
     command = call.command
     if isinstance(command, group.machine.reads):
         _read(group, now, outbox, call, on_answer)
-    elif isinstance(command, _DIRECTORY_HANDLERS):
+    elif isinstance(command, directory.ReplaceReplica):
+        reply = replace(tables, group, now, outbox, command)
+        on_answer(now, outbox, _reply(call, reply))
+    elif isinstance(command, FROM_MEMORY):
         _lead_directory(tables, group, now, outbox, call, on_answer)
     else:
         _propose(tables, group, now, outbox, call, on_answer)
 
 
+def _accepts(group: control_tables.Group, command: calls.Command) -> bool:
+    if isinstance(command, directory.ReplaceReplica):
+        return True
+    return group.machine.accepts(command)
+
+
 def _allowed(node: str, command: calls.Command) -> bool:
     if isinstance(command, LEADER_COMMANDS):
         return False
@@ -147,7 +161,7 @@
             on_answer(at, later, _busy(call, NOT_READY_S))
             return
         office.enter(tables, at)
-        reply = _from_memory(tables, group, at, later, call.command)
+        reply = _from_memory(tables, at, call.command)
         if isinstance(reply, directory.GrantOrderLease):
             _propose(tables, group, at, later, call, on_answer, reply)
             return
@@ -159,20 +173,16 @@
 
 def _from_memory(
     tables: control_tables.ControlTables,
-    group: control_tables.Group,
     now: float,
-    outbox: ticks.Outbox,
-    command: directory.Command | directory.ReplaceReplica,
+    command: directory.Command,
 ) -> directory.Reply | directory.GrantOrderLease:
     match command:
         case directory.RenewHostLease():
             return leader.renew(tables.directory, tables.memory, now, command)
         case directory.AcquireOrderLease():
             return leader.order_lease(tables.directory, tables.memory, now, command)
-        case directory.GetStatus():
-            return status.read(tables, now)
         case _:
-            return replace(tables, group, now, outbox, command)
+            return status.read(tables, now)
 
 
 def replace(
@@ -218,11 +228,3 @@
         group=call.group,
         leader=replica.leader.node if known else None,
     )
-
-
-_DIRECTORY_HANDLERS = (
-    directory.RenewHostLease,
-    directory.AcquireOrderLease,
-    directory.GetStatus,
-    directory.ReplaceReplica,
-)
--- a/tests/consensus/harness.py
+++ b/tests/consensus/harness.py
@@ -32,6 +32,7 @@
     run: int = 0
     wake_s: float = 0.0
     frozen: bool = False
+    sync_held: bool = False
     inbox: list[Any] = dataclasses.field(default_factory=list)
     writes: list[Any] = dataclasses.field(default_factory=list)
 
@@ -50,7 +51,6 @@
         self.disks = itertools.count(1)
         self.cut = set()
         self.loss = 0.0
-        self.sync_before_ack = True
         self.replies = {}
         self.entry_messages = []
         self.next_call = 0
@@ -73,7 +73,8 @@
         """Start a process from what its disk holds."""
         node = self.nodes[name]
         node.run += 1
-        node.inbox, node.writes, node.frozen = [], [], False
+        node.inbox, node.writes = [], []
+        node.frozen = node.sync_held = False
         held = copy.deepcopy(node.durable)
         settings = control_tables.ControlSettings(
             node=name,
@@ -163,13 +164,10 @@
         for message in outbox.messages:
             if isinstance(message, frames.SendPeer):
                 self.send(node, message)
-            elif self.sync_before_ack:
-                node.writes.append(message)
-                self.post(self.random.uniform(*SYNC_S), node, message)
             else:
                 node.writes.append(message)
-                event = consensus.LogSynced(message.group, message.write_id)
-                self.post(0.0, node, event)
+                if not node.sync_held:
+                    self.post(self.random.uniform(*SYNC_S), node, message)
         self.check(node)
 
     def post(self, delay_s, node, message):
--- /dev/null
+++ b/tests/consensus/test_replacement.py
@@ -0,0 +1,226 @@
+"""The replacement of a replica, and the death of whoever drives it."""
+
+import pytest
+
+from bitternlever.consensus import tables as consensus_tables
+from bitternlever.messages import consensus, directory
+from tests.consensus import harness
+
+SECONDS = 20.0
+
+
+def started(nodes=3, seed=0, **settings):
+    cluster = harness.Cluster(nodes=nodes, seed=seed, **settings)
+    cluster.run(3.0)
+    for number in range(1, 4):
+        cluster.ask(harness.manifest(number, b"%d" % number))
+    return cluster
+
+
+def followers(cluster):
+    leader = cluster.leader()
+    return [name for name in cluster.names if name != leader]
+
+
+def identity(cluster, name):
+    return cluster.replica(name).settings.identity
+
+
+def replace(cluster, old, new_node, seconds=SECONDS):
+    """Send the command again until the replacement is done or refused."""
+    command = directory.ReplaceReplica(old.node, old.disk, new_node)
+    end = cluster.now + seconds
+    reply = None
+    while cluster.now < end:
+        reply = cluster.ask(command)
+        if getattr(reply, "step", None) == "done":
+            return reply
+        cluster.run(0.2)
+    return reply
+
+
+def voters(cluster):
+    return set(cluster.replica(cluster.leader()).membership.voters)
+
+
+def lost_one(cluster):
+    """Empty one follower's disk; return its old and its new identity."""
+    name = followers(cluster)[0]
+    old = identity(cluster, name)
+    cluster.lose_disk(name)
+    cluster.run(2.0)
+    return old, identity(cluster, name)
+
+
+def test_an_emptied_disk_is_replaced_by_its_nodes_new_one():
+    cluster = started()
+    old, new = lost_one(cluster)
+
+    assert replace(cluster, old, new.node).step == "done"
+
+    assert old not in voters(cluster)
+    assert new in voters(cluster)
+    assert len(voters(cluster)) == 3
+
+
+def test_a_spare_node_replaces_a_dead_one():
+    cluster = started()
+    old = identity(cluster, followers(cluster)[0])
+    cluster.kill(old.node)
+    cluster.add("control-z")
+    cluster.run(1.0)
+
+    assert replace(cluster, old, "control-z").step == "done"
+    assert identity(cluster, "control-z") in voters(cluster)
+
+
+def test_a_second_loss_right_after_the_repair_loses_nothing():
+    for seed in range(10):
+        cluster = started(seed=seed)
+        old, new = lost_one(cluster)
+        assert replace(cluster, old, new.node).step == "done"
+        others = [name for name in cluster.names if name != new.node]
+
+        cluster.lose_disk(others[seed % 2])
+        cluster.run(4.0)
+
+        assert cluster.ask(directory.GetManifest()).number == 3
+        cluster.check_acknowledged()
+
+
+def test_the_old_voter_stays_until_its_successor_is_synced():
+    cluster = started()
+    old, new = lost_one(cluster)
+    cluster.nodes[new.node].sync_held = True
+
+    reply = replace(cluster, old, new.node, seconds=5.0)
+
+    assert reply.step == "learner"
+    assert old in voters(cluster)
+    assert new not in voters(cluster)
+
+
+@pytest.mark.parametrize("nodes", [3, 5])
+def test_a_replacement_is_refused_while_one_more_loss_would_cost_the_quorum(nodes):
+    """A sound voter is to leave while as many are silent as the group can bear."""
+    cluster = started(nodes=nodes)
+    old = identity(cluster, followers(cluster)[0])
+    silent = followers(cluster)[-(nodes // 2) :]
+    for name in silent:
+        cluster.kill(name)
+    cluster.add("control-z")
+    cluster.run(2.0)
+
+    reply = cluster.ask(directory.ReplaceReplica(old.node, old.disk, "control-z"))
+
+    assert "losing one more host would lose the quorum" in reply.reason
+    assert all(name in reply.reason for name in silent)
+    assert old in voters(cluster)
+
+
+def test_a_learner_that_lost_its_disk_again_is_taken_with_the_new_one():
+    cluster = started()
+    old, new = lost_one(cluster)
+    cluster.nodes[new.node].sync_held = True
+    command = directory.ReplaceReplica(old.node, old.disk, new.node)
+    while cluster.replica(cluster.leader()).membership.replacing is None:
+        cluster.ask(command)
+    cluster.lose_disk(new.node)
+    newest = identity(cluster, new.node)
+
+    assert replace(cluster, old, new.node).step == "done"
+    assert newest in voters(cluster)
+    assert new not in voters(cluster)
+
+
+def test_a_learner_that_stays_silent_is_never_promoted():
+    cluster = started()
+    old, new = lost_one(cluster)
+    command = directory.ReplaceReplica(old.node, old.disk, new.node)
+    while cluster.replica(cluster.leader()).membership.replacing is None:
+        cluster.ask(command)
+        cluster.kill(new.node)
+    cluster.run(10.0)
+
+    assert new not in voters(cluster)
+    assert cluster.ask(harness.manifest(4)).number == 4
+
+
+def test_a_resent_replacement_that_is_done_says_so():
+    cluster = started()
+    old, new = lost_one(cluster)
+    replace(cluster, old, new.node)
+
+    assert replace(cluster, old, new.node).step == "done"
+
+
+def test_two_replacements_do_not_mix():
+    cluster = started(nodes=5)
+    old, new = lost_one(cluster)
+    cluster.nodes[new.node].sync_held = True
+    command = directory.ReplaceReplica(old.node, old.disk, new.node)
+    while cluster.replica(cluster.leader()).membership.replacing is None:
+        cluster.ask(command)
+    other = next(n for n in followers(cluster) if n != new.node)
+    second = identity(cluster, other)
+
+    reply = cluster.ask(directory.ReplaceReplica(second.node, second.disk, second.node))
+
+    assert f"the replacement of {old.node}" in reply.reason
+
+
+@pytest.mark.parametrize("step", ["learner", "voter", "removal"])
+@pytest.mark.parametrize("seed", range(5))
+def test_the_sequence_goes_on_after_the_leaders_death(step, seed):
+    """Five voters: one disk lost, and the leader dies as soon as a step is taken."""
+    cluster = started(nodes=5, seed=seed)
+    old, new = lost_one(cluster)
+    command = directory.ReplaceReplica(old.node, old.disk, new.node)
+    cluster.ask(command)
+    end = cluster.now + SECONDS
+    while not _reached(cluster, step, old, new) and cluster.now < end:
+        cluster.call(command, to=cluster.leader())
+        cluster.run(0.002)
+    assert _reached(cluster, step, old, new)
+    cluster.kill(cluster.leader())
+    cluster.run(4.0)
+
+    assert replace(cluster, old, new.node).step == "done"
+    assert (old in voters(cluster), new in voters(cluster)) == (False, True)
+    cluster.check_acknowledged()
+
+
+def _reached(cluster, step, old, new):
+    membership = cluster.replica(cluster.leader()).membership
+    if step == "learner":
+        return new in membership.learners or new in membership.voters
+    if step == "voter":
+        return new in membership.voters
+    return new in membership.voters and old not in membership.voters
+
+
+def test_journal_groups_are_replaced_with_the_directory():
+    cluster = started(journal_groups=2)
+    old, new = lost_one(cluster)
+
+    assert replace(cluster, old, new.node).step == "done"
+
+    for group in range(3):
+        leader = cluster.replica(cluster.leader(group), group)
+        assert new in leader.membership.voters
+        assert old not in leader.membership.voters
+
+
+def test_a_replica_that_left_does_not_lead_again():
+    cluster = started()
+    old = identity(cluster, followers(cluster)[0])
+    cluster.add("control-z")
+    cluster.run(1.0)
+    assert replace(cluster, old, "control-z").step == "done"
+
+    cluster.run(5.0)
+
+    assert cluster.leader() != old.node
+    role = cluster.replica(old.node).role
+    assert role is not consensus_tables.Role.LEADER
+    assert consensus.ReplicaId(old.node, old.disk) not in voters(cluster)
