--- a/bitternlever/control/machines.py
+++ b/bitternlever/control/machines.py
@@ -8,11 +8,13 @@
 
 from bitternlever.consensus import tables as consensus_tables
 from bitternlever.directory import state as directory_state
-from bitternlever.journal import machine as journal_machine, tables as journal_tables
+from bitternlever.journal import (
+    leader as journal_leader,
+    machine as journal_machine,
+    tables as journal_tables,
+)
 from bitternlever.messages import calls, directory, journal
 
-MILLISECONDS = 1_000
-
 encode_command = msgspec.msgpack.Encoder().encode
 _decode_directory = msgspec.msgpack.Decoder(directory.Command).decode
 _decode_journal = msgspec.msgpack.Decoder(journal.Command).decode
@@ -37,13 +39,6 @@
     lead: Callable[[float, Any, Propose, Hint], None]
 
 
-@dataclasses.dataclass(slots=True)
-class JournalHolder:
-    """The present state of a journal group; a snapshot replaces it."""
-
-    machine: journal_tables.JournalTables
-
-
 def of_directory(tables: directory_state.Directory) -> Machine:
     """Return group 0's machine over these tables."""
 
@@ -66,28 +61,28 @@
     )
 
 
-def of_journal(maximum_bytes: int, answer_retention_s: float) -> Machine:
+def of_journal(group: int, settings: journal_tables.JournalSettings) -> Machine:
     """Return the machine of a journal group."""
-    settings = journal_tables.JournalSettings(
-        maximum_bytes=maximum_bytes,
-        answer_retention_ms=int(answer_retention_s * MILLISECONDS),
-    )
-    held = JournalHolder(journal_machine.create(settings))
+    tables = journal_machine.create(settings)
+    memory = journal_leader.Memory()
 
     def apply(data: bytes) -> Any:
-        return journal_machine.apply(held.machine, _decode_journal(data))
+        return journal_machine.apply(tables, _decode_journal(data))
 
     def restore(data: bytes) -> None:
-        held.machine = journal_machine.restore(data, settings)
+        journal_machine.restore(tables, data)
+
+    def lead(now: float, outbox: Any, propose: Propose, hint: Hint) -> None:
+        journal_leader.run(tables, memory, group, now, outbox, propose, hint)
 
     return Machine(
         replicated=consensus_tables.StateMachine(
             apply=apply,
-            snapshot=lambda: journal_machine.snapshot(held.machine),
+            snapshot=lambda: journal_machine.snapshot(tables),
             restore=restore,
         ),
         accepts=lambda command: isinstance(command, journal.Command),
         reads=journal_machine.READS,
-        read=lambda command: journal_machine.apply(held.machine, command),
-        lead=lambda now, outbox, propose, hint: None,
+        read=lambda command: journal_machine.read(tables, command),
+        lead=lead,
     )
--- a/bitternlever/journal/machine.py
+++ b/bitternlever/journal/machine.py
@@ -63,17 +63,21 @@
     return msgspec.msgpack.encode(saved)
 
 
-def restore(
-    data: bytes,
-    settings: journal_tables.JournalSettings | None = None,
-) -> journal_tables.JournalTables:
-    """Make the state that a snapshot holds."""
+def restore(machine: journal_tables.JournalTables, data: bytes) -> None:
+    """Replace the whole state by a snapshot's."""
     saved = msgspec.msgpack.decode(data, type=journal_tables.Saved)
-    machine = create(settings)
+    journal_tables.clear(machine)
     machine.clock_ms = saved.clock_ms
     machine.fences = saved.fences
     machine.takeovers = saved.takeovers
     for record in saved.records:
         record.size = 0
         journal_tables.add(machine, record)
-    return machine
+
+
+def read(
+    machine: journal_tables.JournalTables,
+    command: journal.GetRequest | journal.GetOwned,
+) -> journal.Reply:
+    """Answer a command of ``READS`` from the applied state."""
+    return APPLIERS[type(command)](machine, command)
