Run scenarios over the whole system under virtual time

Cause: the promises have to hold while hosts, disks, links and upstreams fail, in pairs too, and the same way on every run.

After every scenario the invariants judge what stand-ins and callers recorded. A fake engine that resumed a whole text never ended; mended here.

--- a/tests/scenarios/cluster.py
+++ b/tests/scenarios/cluster.py
@@ -112,8 +112,10 @@
     for name in cluster.control:
         process = cluster.here.processes[name]
         replica = process.tables.groups[group].replica
-        lives = process.alive and not process.frozen
-        if lives and replica.role is consensus_tables.Role.LEADER:
+        if (
+            world.lives(cluster.here, name)
+            and replica.role is consensus_tables.Role.LEADER
+        ):
             found.append((replica.term, name))
     return [name for _, name in sorted(found)]
 
--- a/tests/scenarios/control.feature
+++ b/tests/scenarios/control.feature
@@ -78,3 +78,18 @@
     And "control-2" starts again
     And 40 seconds pass
     Then every caller holds its whole answer
+
+  Scenario: The leader dies in the middle of a replacement
+    When operator "anna" applies manifest 2 through "entry-1"
+    And "control-3" loses its disk
+    And "control-3" starts again
+    And the replica of "control-3" begins to be replaced on "control-3"
+    And the leader of group 0 is killed
+    And 3 seconds pass
+    And every killed control host starts again
+    And 3 seconds pass
+    And the replica of "control-3" is replaced on "control-3"
+    And operator "bodil" applies manifest 3 through "entry-1"
+    And 3 seconds pass
+    Then operator "bodil" was told "ManifestAccepted"
+    And manifest 3 is in force on "entry-3"
--- a/tests/scenarios/steps_hosts.py
+++ b/tests/scenarios/steps_hosts.py
@@ -11,7 +11,10 @@
 
 SEED = 7
 SETTLE_S = 5.0
-QUIET_S = 40.0
+SHORTEST_END_S = 3.0
+REPLACE_INTERVAL_S = 0.5
+MAXIMUM_REPLACE_COMMANDS = 60
+LONGEST_END_S = 60.0
 
 
 @pytest.fixture
@@ -19,10 +22,17 @@
     """Give a scenario its system, and judge what was recorded at its end."""
     made = clusters.create(SEED)
     yield made
-    world.pass_time(made.here, QUIET_S)
+    end_s = made.here.now + LONGEST_END_S
+    world.pass_time(made.here, SHORTEST_END_S)
+    while made.here.now < end_s and not _all_done(made):
+        world.pass_time(made.here, SHORTEST_END_S)
     assert checks.check(made.here.recorded) == []
 
 
+def _all_done(cluster):
+    return all(caller.done for caller in cluster.crowd.by_name.values())
+
+
 @given(parsers.parse("{control:d} control hosts and {entry:d} entry hosts"))
 def start_hosts(cluster, control, entry):
     cluster.control = [f"control-{number + 1}" for number in range(control)]
@@ -129,12 +139,26 @@
     cluster.storage[name].sync_s = duration
 
 
-@when(parsers.parse('the replica of "{old}" is replaced on "{new}"'))
-def replace(cluster, old, new):
+@when(
+    parsers.re(
+        r'the replica of "(?P<old>[^"]+)" (?P<extent>is|begins to be) replaced '
+        r'on "(?P<new>[^"]+)"',
+    ),
+)
+def replace(cluster, old, extent, new):
+    """Send the command as the operator's tool does: until it is done, or once."""
     number = int(cluster.storage[old].synced.disk.rpartition("-")[2])
     lost = number - 1 if old == new else number
     command = directory.ReplaceReplica(old, f"{old}-disk-{lost}", new)
-    clusters.apply(cluster, "replacer", cluster.entry[0], command)
+    for _ in range(MAXIMUM_REPLACE_COMMANDS):
+        host = next(name for name in cluster.entry if world.lives(cluster.here, name))
+        clusters.apply(cluster, "replacer", host, command)
+        world.pass_time(cluster.here, REPLACE_INTERVAL_S)
+        last = cluster.replies.get("replacer", [None])[-1]
+        begun = isinstance(last, directory.ReplaceProgress)
+        if begun and (last.step == "done" or extent == "begins to be"):
+            return
+    raise AssertionError(last)
 
 
 @when(
@@ -194,6 +218,13 @@
         cut_off(cluster, name, " from all")
 
 
+@when("every killed control host starts again")
+def start_control_again(cluster):
+    for name in cluster.control:
+        if not cluster.here.processes[name].alive:
+            clusters.start(cluster, name)
+
+
 @when("every frozen host wakes")
 def thaw_all(cluster):
     for process in cluster.here.processes.values():
--- a/tests/scenarios/upstreams.py
+++ b/tests/scenarios/upstreams.py
@@ -77,6 +77,9 @@
     def part(index: int) -> None:
         if not fake.alive or sent.attempt in fake.cancelled or "silent" in fake.faults:
             return
+        if index == WORDS:
+            _finish(fleet, sent, output, answer)
+            return
         if index == WORDS // 2 and "dying" in fake.faults:
             fake.alive = False
             answer(_failed(sent, "the connection was reset"))
@@ -85,10 +88,8 @@
         text = output[start : len(output) * (index + 1) // WORDS]
         if sent.call.stream:
             answer(requests.UpstreamPart(sent.attempt, offset=start, text=text))
-        if index + 1 == WORDS:
-            _finish(fleet, sent, output, answer)
-            return
-        world.after(fleet.here, fake.service_s / WORDS, lambda: part(index + 1))
+        step_s = fake.service_s / WORDS if index + 1 < WORDS else 0.0
+        world.after(fleet.here, step_s, lambda: part(index + 1))
 
     first = len(sent.call.resume_output) * WORDS // len(output)
     world.after(fleet.here, fake.service_s / WORDS, lambda: part(first))
--- a/tests/scenarios/world.py
+++ b/tests/scenarios/world.py
@@ -96,6 +96,12 @@
     within(world, process, take)
 
 
+def lives(world: World, name: str) -> bool:
+    """Tell whether a process runs and is not frozen."""
+    process = world.processes.get(name)
+    return process is not None and process.alive and not process.frozen
+
+
 def kill(world: World, name: str) -> None:
     """End a process at once."""
     world.processes[name].alive = False
