Let the scenarios' callers drop a text that they are told is garbled

A streaming caller kept the text of an attempt whose end mark did not match, and went on from it under its key, so that the whole answer could not be made. The rule for clients is to drop the text when the problem `stream-garbled` says so and to fetch it again from offset 0; the fake caller broke that rule. The check of the outcome is unchanged and as strict.

Seen failing: test_streams_from_an_upstream_that_answers_fault[garbled], "no call made the output that farmer-7 got".

--- a/tests/scenarios/callers.py
+++ b/tests/scenarios/callers.py
@@ -13,6 +13,7 @@
 PATIENCE_S = 6.0
 RECONNECT_S = 0.2
 MAXIMUM_EXCHANGES = 60
+GARBLED_TYPE = "stream-garbled"
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -159,6 +160,9 @@
     _record(crowd, record)
     crowd.by_exchange.pop(caller.exchange, None)
     caller.exchange = 0
+    if problem.type == GARBLED_TYPE:
+        caller.text = ""
+        caller.pieces = []
     if caller.key is None or problem.retry_after_s is None:
         caller.done = True
         return
