--- a/bitternlever/journal/answers.py
+++ b/bitternlever/journal/answers.py
@@ -22,7 +22,7 @@
         return refusal
     body = command.body
     if command.progress_stage is not None:
-        state = stages.stage_state(record, command.progress_stage)
+        state = stages.stage_state(tables, record, command.progress_stage)
         text = stages.whole_progress(state, command.output_digest)
         if text is None:
             return journal.ProgressMissing(
@@ -47,18 +47,15 @@
     tables: journal_tables.JournalTables,
     command: journal.Acknowledge,
 ) -> journal.Reply:
-    """Drop the body of an answer that its caller holds, and keep that it was given."""
+    """Record that a caller holds the answer: its body goes soon, its key stays."""
     record = _record_of(tables, command.request_id, command.workspace)
     if record is None:
         return journal.RequestUnknown(request_id=command.request_id)
     if record.answer is None:
         return _open_reply(record, offset=0)
-    if not record.answer.acknowledged:
-        expires_ms = journal_tables.expires_ms(tables, record)
-        tables.answered.discard((expires_ms, record.request_id))
-        record.answer.acknowledged = True
-        record.answer.answered_ms = tables.clock_ms
-        record.answer.body = b""
+    if record.answer.acknowledged_ms is None:
+        journal_tables.unlink(tables, record)
+        record.answer.acknowledged_ms = tables.clock_ms
         journal_tables.add(tables, record)
     return journal.Acknowledged(request_id=command.request_id)
 
@@ -137,7 +134,7 @@
     tables: journal_tables.JournalTables,
     command: journal.ExpireRequests,
 ) -> journal.Reply:
-    """Advance the clock and drop the listed answers that are past their retention."""
+    """Advance the clock and drop listed answers, or their bodies, that are past use."""
     tables.clock_ms += max(0, command.elapsed_ms)
     count = 0
     for request_id in command.request_ids:
@@ -146,8 +143,14 @@
             continue
         if journal_tables.expires_ms(tables, record) > tables.clock_ms:
             continue
-        journal_tables.remove(tables, record)
         count += 1
+        if record.answer.acknowledged_ms is None or record.answer.dropped:
+            journal_tables.remove(tables, record)
+            continue
+        journal_tables.unlink(tables, record)
+        record.answer.dropped = True
+        record.answer.body = b""
+        journal_tables.add(tables, record)
     return journal.RequestsExpired(count=count)
 
 
--- a/bitternlever/journal/ownership.py
+++ b/bitternlever/journal/ownership.py
@@ -210,7 +210,11 @@
 
 def _has_room(tables: journal_tables.JournalTables, command: journal.Claim) -> bool:
     settings = tables.settings
-    if len(tables.records) >= settings.maximum_requests:
-        return False
     size = journal_tables.RECORD_OVERHEAD_BYTES + len(command.body)
-    return journal_tables.has_room(tables, settings.claim_share, size)
+
+    def fits() -> bool:
+        if len(tables.records) >= settings.maximum_requests:
+            return False
+        return journal_tables.has_room(tables, settings.claim_share, size)
+
+    return journal_tables.make_room(tables, fits)
--- a/bitternlever/journal/stages.py
+++ b/bitternlever/journal/stages.py
@@ -20,7 +20,7 @@
     refusal = refuse_writer(tables, record, command)
     if refusal is not None:
         return refusal
-    state = stage_state(record, command.stage)
+    state = stage_state(tables, record, command.stage)
     replaceable = (None, command.attempt, command.replaces)
     if state.output is not None or state.started_attempt not in replaceable:
         return journal.StageStartedBefore(
@@ -46,7 +46,7 @@
     refusal = refuse_writer(tables, record, command)
     if refusal is not None:
         return refusal
-    state = stage_state(record, command.stage)
+    state = stage_state(tables, record, command.stage)
     if command.generation > state.generation:
         _restart(state, command.generation)
     fits = command.offset <= state.progress_length
@@ -73,7 +73,7 @@
     refusal = refuse_writer(tables, record, command)
     if refusal is not None:
         return refusal
-    state = stage_state(record, command.stage)
+    state = stage_state(tables, record, command.stage)
     if state.started_attempt not in (None, command.attempt):
         return journal.StageStartedBefore(
             request_id=command.request_id,
@@ -111,14 +111,16 @@
 
 
 def stage_state(
+    tables: journal_tables.JournalTables,
     record: journal_tables.Record,
     stage: str,
 ) -> journal_tables.StageState:
-    """Return the state of a stage, made empty at its first use."""
+    """Return the state of a stage, made empty and counted at its first use."""
     state = record.stages.get(stage)
     if state is None:
         state = journal_tables.StageState(stage=stage)
         record.stages[stage] = state
+        journal_tables.resize(tables, record)
     return state
 
 
--- a/bitternlever/journal/tables.py
+++ b/bitternlever/journal/tables.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+from collections.abc import Callable
 
 import msgspec
 import sortedcontainers
@@ -29,14 +30,15 @@
 
 
 class Answer(msgspec.Struct):
-    """A final answer; an acknowledged one has lost its body."""
+    """A final answer; an acknowledged one loses its body after a while."""
 
     status: int
     body: bytes
     length: int
     output_digest: str
     answered_ms: int
-    acknowledged: bool = False
+    acknowledged_ms: int | None = None
+    dropped: bool = False
 
 
 class Record(msgspec.Struct):
@@ -83,13 +85,16 @@
     """Bounds of one journal group.
 
     Claims are refused above ``claim_share`` of the bytes, progress and results above
-    ``result_share``: the rest is left for answers.
+    ``result_share``: the rest is left for answers. An acknowledged answer keeps its
+    body for ``acknowledged_body_ms``, for others who wait for it, and its key for at
+    least ``acknowledged_key_ms``: where there is room, for the whole retention.
     """
 
     maximum_bytes: int = 16_000_000
     maximum_requests: int = 50_000
     answer_retention_ms: int = 3_600_000
-    acknowledged_retention_ms: int = 60_000
+    acknowledged_body_ms: int = 15_000
+    acknowledged_key_ms: int = 60_000
     claim_share: float = 0.7
     result_share: float = 0.9
 
@@ -98,8 +103,8 @@
 class JournalTables:
     """Records by id, with indexes of owners, orphans and answers past their use.
 
-    ``orphans`` is ordered by deadline. ``answered`` is ordered by the time at which an
-    answer may be dropped.
+    ``orphans`` is ordered by deadline, ``answered`` by the time at which an answer or
+    its body may be dropped, ``acknowledged`` by the time of the acknowledgement.
     """
 
     settings: JournalSettings
@@ -115,6 +120,9 @@
     answered: sortedcontainers.SortedSet = dataclasses.field(
         default_factory=sortedcontainers.SortedSet,
     )
+    acknowledged: sortedcontainers.SortedSet = dataclasses.field(
+        default_factory=sortedcontainers.SortedSet,
+    )
 
 
 def clear(tables: JournalTables) -> None:
@@ -127,6 +135,7 @@
     tables.owned = {}
     tables.orphans.clear()
     tables.answered.clear()
+    tables.acknowledged.clear()
 
 
 def add(tables: JournalTables, record: Record) -> None:
@@ -135,6 +144,8 @@
     resize(tables, record)
     if record.answer is not None:
         tables.answered.add((expires_ms(tables, record), record.request_id))
+        if record.answer.acknowledged_ms is not None:
+            tables.acknowledged.add(_acknowledged_key(record))
         return
     if record.host:
         tables.owned.setdefault(record.host, set()).add(record.request_id)
@@ -145,20 +156,31 @@
 def remove(tables: JournalTables, record: Record) -> None:
     """Drop a record from the tables and their indexes."""
     unlink(tables, record)
-    if record.answer is not None:
-        tables.answered.discard((expires_ms(tables, record), record.request_id))
     tables.size -= record.size
     del tables.records[record.request_id]
 
 
 def unlink(tables: JournalTables, record: Record) -> None:
-    """Take a record out of the indexes of owners and orphans."""
+    """Take a record out of all indexes."""
     owned = tables.owned.get(record.host)
     if owned is not None:
         owned.discard(record.request_id)
         if not owned:
             del tables.owned[record.host]
     tables.orphans.discard((record.deadline_ms, record.request_id))
+    if record.answer is not None:
+        tables.answered.discard((expires_ms(tables, record), record.request_id))
+        tables.acknowledged.discard(_acknowledged_key(record))
+
+
+def make_room(tables: JournalTables, fits: Callable[[], bool]) -> bool:
+    """Drop the oldest acknowledged keys until a claim fits; tell whether it does."""
+    newest_ms = tables.clock_ms - tables.settings.acknowledged_key_ms
+    while not fits():
+        if not tables.acknowledged or tables.acknowledged[0][0] > newest_ms:
+            return False
+        remove(tables, tables.records[tables.acknowledged[0][1]])
+    return True
 
 
 def own(tables: JournalTables, record: Record, host: str, epoch: int) -> None:
@@ -185,12 +207,12 @@
 
 
 def expires_ms(tables: JournalTables, record: Record) -> int:
-    """Return the time at which an answered record may be dropped."""
+    """Return the time at which an answer, or its body alone, may be dropped."""
     settings = tables.settings
-    retention_ms = settings.answer_retention_ms
-    if record.answer.acknowledged:
-        retention_ms = min(retention_ms, settings.acknowledged_retention_ms)
-    return record.answer.answered_ms + retention_ms
+    answer = record.answer
+    if answer.acknowledged_ms is None or answer.dropped:
+        return answer.answered_ms + settings.answer_retention_ms
+    return answer.acknowledged_ms + settings.acknowledged_body_ms
 
 
 def is_fenced(tables: JournalTables, host: str, epoch: int) -> bool:
@@ -212,5 +234,9 @@
         body=answer.body,
         length=answer.length,
         output_digest=answer.output_digest,
-        acknowledged=answer.acknowledged,
+        acknowledged=answer.dropped,
     )
+
+
+def _acknowledged_key(record: Record) -> tuple[int, str]:
+    return (record.answer.acknowledged_ms or 0, record.request_id)
--- a/bitternlever/messages/journal.py
+++ b/bitternlever/messages/journal.py
@@ -185,7 +185,7 @@
 
 
 class Acknowledge(msgspec.Struct, tag=True, frozen=True):
-    """The caller holds the answer: its body may be dropped."""
+    """The caller holds the answer: its body may be dropped before its key."""
 
     request_id: str
     workspace: str
--- a/tests/journal/test_answers.py
+++ b/tests/journal/test_answers.py
@@ -3,12 +3,13 @@
 import msgspec
 import pytest
 
-from bitternlever.journal import leader, machine
+from bitternlever.journal import leader, machine, tables as journal_tables
 from bitternlever.messages import journal, problems
 from tests.journal import commands
 
 RETENTION_MS = 3_600_000
-ACKNOWLEDGED_MS = 60_000
+BODY_MS = 15_000
+KEY_MS = 60_000
 
 
 @pytest.fixture
@@ -115,11 +116,22 @@
     assert cancel(state).body == b"first"
 
 
+def test_an_acknowledged_answer_stays_for_others_who_wait(state):
+    machine.apply(state, commands.answer(b"first"))
+    acknowledge(state)
+    expire(state, BODY_MS - 1)
+
+    reply = machine.apply(state, commands.claim(host="b", epoch=2))
+
+    assert reply.body == b"first"
+
+
 def test_an_acknowledged_answer_loses_its_body_and_keeps_its_key(state):
     machine.apply(state, commands.answer(b"first"))
     size = state.size
 
     acknowledge(state)
+    expire(state, BODY_MS)
 
     reply = machine.apply(state, commands.claim(host="b", epoch=2))
     assert reply.acknowledged
@@ -139,11 +151,31 @@
     assert state.size == 0
 
 
-def test_an_acknowledged_answer_is_dropped_sooner(state):
+def test_an_acknowledged_key_stays_for_the_whole_retention(state):
     machine.apply(state, commands.answer(b"first"))
     acknowledge(state)
+    expire(state, BODY_MS)
+
+    expire(state, RETENTION_MS - BODY_MS - 1)
+    assert state.records
+    expire(state, 1)
+    assert not state.records
+
+
+def test_acknowledged_keys_make_room_for_claims_when_they_are_old_enough():
+    settings = journal_tables.JournalSettings(maximum_requests=1)
+    state = machine.create(settings)
+    machine.apply(state, commands.claim())
+    machine.apply(state, commands.answer(b"first"))
+    acknowledge(state)
+
+    expire(state, KEY_MS - 1)
+    early = machine.apply(state, commands.claim("k-2"))
+    expire(state, 1)
+    late = machine.apply(state, commands.claim("k-2"))
 
-    assert expire(state, ACKNOWLEDGED_MS) == 1
+    assert isinstance(early, journal.JournalFull)
+    assert late == journal.Claimed(request_id="k-2")
 
 
 def test_an_open_request_never_expires(state):
--- a/tests/journal/test_machine.py
+++ b/tests/journal/test_machine.py
@@ -70,6 +70,7 @@
     assert straight.size == resumed.size
     assert list(straight.orphans) == list(resumed.orphans)
     assert list(straight.answered) == list(resumed.answered)
+    assert list(straight.acknowledged) == list(resumed.acknowledged)
 
 
 @SAME
--- a/tests/pipelines/test_keys.py
+++ b/tests/pipelines/test_keys.py
@@ -1,6 +1,6 @@
 """Idempotency keys: one run and one answer on all hosts."""
 
-from bitternlever.messages import problems, requests
+from bitternlever.messages import journal, problems, requests
 from tests.pipelines import system
 
 
@@ -68,6 +68,9 @@
     system.pass_time(here, 1.0)
     system.acknowledge(here, "entry-2", system.whole(here, first).request_id)
     system.pass_time(here, 0.5)
+    request_id = system.whole(here, first).request_id
+    drop = journal.ExpireRequests(request_ids=[request_id], elapsed_ms=60_000)
+    system.commit(here, drop)
 
     second = system.submit(here, "entry-1", "question", key="rot")
     system.pass_time(here, 0.5)
