--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -42,7 +42,7 @@
         for name, module in sorted(known.items()):
             print(f"{name:18} {summary(module)}")
         return 0
-    module = known.get(arguments[0])
+    module = known.get(arguments[0].replace("-", "_"))
     if module is None:
         names = ", ".join(sorted(known))
         print(f"no experiment {arguments[0]!r}; known are: {names}", file=sys.stderr)
--- /dev/null
+++ b/tests/consensus/disturbances.py
@@ -0,0 +1,141 @@
+"""Random disturbances of a cluster, for property tests and long random runs."""
+
+import random
+
+from bitternlever.messages import directory
+from tests.consensus import harness
+
+SETTLE_S = 8.0
+REPLACE_S = 30.0
+
+
+class Disturber:
+    """A cluster under disturbance; at most one lost disk waits for replacement."""
+
+    def __init__(self, nodes, seed):
+        self.cluster = harness.Cluster(
+            nodes=nodes,
+            seed=seed,
+            snapshot_after_entries=15,
+        )
+        self.cluster.run(3.0)
+        self.lost = None
+        self.bodies = 0
+
+    def put(self, raced):
+        """Put the next manifest, as one or as two operators, to all nodes."""
+        newest = max(
+            (
+                node.tables.directory.state.number
+                for node in self.cluster.nodes.values()
+                if node.tables is not None
+            ),
+            default=0,
+        )
+        for _ in range(2 if raced else 1):
+            self.bodies += 1
+            self.cluster.call(harness.manifest(newest + 1, b"%d" % self.bodies))
+
+    def wait(self, seconds):
+        self.cluster.run(seconds)
+
+    def kill(self, position):
+        name = self._name(position)
+        if self.cluster.nodes[name].tables is not None:
+            self.cluster.kill(name)
+
+    def restart(self):
+        for name, node in self.cluster.nodes.items():
+            if node.tables is None:
+                self.cluster.start(name)
+
+    def isolate(self, position):
+        self.cluster.isolate(self._name(position))
+
+    def cut_one_way(self, position, other):
+        self.cluster.cut.add((self._name(position), self._name(other)))
+
+    def lose_messages(self, share):
+        self.cluster.loss = share
+
+    def heal(self):
+        self.cluster.heal()
+
+    def freeze(self, position):
+        node = self.cluster.nodes[self._name(position)]
+        node.frozen = node.tables is not None
+
+    def thaw(self):
+        for node in self.cluster.nodes.values():
+            node.frozen = False
+
+    def lose_disk(self, position):
+        """Empty a disk, unless an earlier one still waits for its replacement."""
+        if self.lost is not None:
+            return
+        name = self._name(position)
+        self.lost = directory.ReplaceReplica(
+            old_node=name,
+            old_disk=self.cluster.nodes[name].durable.disk,
+            new_node=name,
+        )
+        self.cluster.lose_disk(name)
+
+    def replace(self):
+        """Ask all nodes to replace the lost disk, as the operator's tool would."""
+        if self.lost is None:
+            return
+        call_id = self.cluster.call(self.lost)
+        self.cluster.run(0.3)
+        reply = self.cluster.replies.get(call_id)
+        if getattr(reply, "step", None) == "done":
+            self.lost = None
+
+    def settle(self):
+        """End all disturbances; then everything accepted must be there."""
+        self.heal()
+        self.thaw()
+        self.restart()
+        self.cluster.run(SETTLE_S)
+        end = self.cluster.now + REPLACE_S
+        while self.lost is not None and self.cluster.now < end:
+            self.replace()
+        assert self.lost is None, "the lost disk was not replaced"
+        assert self.cluster.leader() is not None, "no leader after all has healed"
+        self.cluster.run(1.0)
+        self.cluster.check_acknowledged()
+        number = self.cluster.nodes[self.cluster.leader()].tables.directory.state.number
+        reply = self.cluster.ask(harness.manifest(number + 1, b"settled"))
+        assert isinstance(reply, directory.ManifestAccepted), "writes do not go on"
+
+    def _name(self, position):
+        return self.cluster.names[position % len(self.cluster.names)]
+
+
+def run_random(seed, steps, nodes):
+    """Disturb a cluster with random steps; an AssertionError is a violation."""
+    chooser = random.Random(seed)
+    disturber = Disturber(nodes, seed)
+    choices = [
+        lambda: disturber.put(chooser.random() < 0.3),
+        lambda: disturber.put(raced=False),
+        lambda: disturber.wait(chooser.uniform(0.001, 0.05)),
+        lambda: disturber.wait(chooser.uniform(0.1, 3.0)),
+        lambda: disturber.kill(chooser.randrange(nodes)),
+        disturber.restart,
+        lambda: disturber.isolate(chooser.randrange(nodes)),
+        lambda: disturber.cut_one_way(
+            chooser.randrange(nodes),
+            chooser.randrange(nodes),
+        ),
+        lambda: disturber.lose_messages(chooser.choice([0.0, 0.05, 0.3])),
+        disturber.heal,
+        lambda: disturber.freeze(chooser.randrange(nodes)),
+        disturber.thaw,
+        lambda: disturber.lose_disk(chooser.randrange(nodes)),
+        disturber.replace,
+    ]
+    for _ in range(steps):
+        chooser.choice(choices)()
+    disturber.settle()
+    return disturber
--- a/tests/consensus/harness.py
+++ b/tests/consensus/harness.py
@@ -33,6 +33,7 @@
     wake_s: float = 0.0
     frozen: bool = False
     sync_held: bool = False
+    synced_s: float = 0.0
     inbox: list[Any] = dataclasses.field(default_factory=list)
     writes: list[Any] = dataclasses.field(default_factory=list)
 
@@ -72,7 +73,7 @@
     def start(self, name):
         """Start a process from what its disk holds."""
         node = self.nodes[name]
-        node.run += 1
+        node.run = next(self.order)
         node.inbox, node.writes = [], []
         node.frozen = node.sync_held = False
         held = copy.deepcopy(node.durable)
@@ -92,7 +93,7 @@
     def kill(self, name):
         """End a process; each write on its way is kept or lost in order."""
         node = self.nodes[name]
-        node.run += 1
+        node.run = next(self.order)
         node.tables = None
         kept = self.random.randint(0, len(node.writes))
         for message in node.writes[:kept]:
@@ -167,7 +168,9 @@
             else:
                 node.writes.append(message)
                 if not node.sync_held:
-                    self.post(self.random.uniform(*SYNC_S), node, message)
+                    node.synced_s = max(self.now, node.synced_s)
+                    node.synced_s += self.random.uniform(*SYNC_S)
+                    self.post(node.synced_s - self.now, node, message)
         self.check(node)
 
     def post(self, delay_s, node, message):
