Take a learner whose start was never committed, and count order leases from commit

A leader began a replacement, its learner took the uncommitted membership, and the next leader's log overrode it; the learner then called itself a member and was refused as a successor for good. An identity now says whether the replica votes, and only voters are refused.

--- a/bitternlever/consensus/founding.py
+++ b/bitternlever/consensus/founding.py
@@ -52,6 +52,7 @@
         group=replica.settings.group,
         replica=replica.settings.identity,
         member=replica.membership is not None,
+        voter=tables.is_voter(replica),
         founding=_founding(replica),
         zone=replica.settings.zone,
     )
--- a/bitternlever/consensus/replacement.py
+++ b/bitternlever/consensus/replacement.py
@@ -42,7 +42,9 @@
         return _refuse(reason)
     successor = _successor(replica, now, outbox, new_node)
     if successor is None:
-        return _refuse(f"node {new_node} has not answered with an empty disk yet")
+        return _refuse(
+            f"node {new_node} has not answered with a disk that is no voter yet"
+        )
     if successor in membership.voters:
         return _refuse(f"node {new_node} is a voter already")
     changed = consensus.Membership(
@@ -131,7 +133,7 @@
     outbox: ticks.Outbox,
     node: str,
 ) -> consensus.ReplicaId | None:
-    """Return the node's empty replica as lately heard, and ask for it again."""
+    """Return the node's replica, no voter, as lately heard, and ask for it again."""
     settings = replica.settings
     question = consensus.IdentityRequest(
         group=settings.group,
@@ -142,7 +144,7 @@
     known = replica.identities.get(node)
     if known is None or now >= known.received_s + founding.IDENTITY_VALID_S:
         return None
-    return None if known.reply.member else known.reply.replica
+    return None if known.reply.voter else known.reply.replica
 
 
 def _renew_learner(replica: tables.Replica, now: float, outbox: ticks.Outbox) -> None:
--- a/bitternlever/control/answers.py
+++ b/bitternlever/control/answers.py
@@ -114,8 +114,7 @@
             uncertain = calls.ControlUncertain(call_id=call.call_id, group=call.group)
             on_answer(at, later, uncertain)
             return
-        if isinstance(command, directory.AcquireHostLease):
-            leader.acquired(tables.directory, tables.memory, at, command)
+        _start_timers(tables, at, command)
         on_answer(at, later, _reply(call, outcome.ok()))
 
     commits.propose(
@@ -126,6 +125,19 @@
     )
 
 
+def _start_timers(
+    tables: control_tables.ControlTables,
+    now: float,
+    command: calls.Command,
+) -> None:
+    """Count a lease from its commit."""
+    match command:
+        case directory.AcquireHostLease():
+            leader.acquired(tables.directory, tables.memory, now, command)
+        case directory.GrantOrderLease():
+            leader.order_granted(tables.directory, tables.memory, now)
+
+
 def _read(
     group: control_tables.Group,
     now: float,
--- a/bitternlever/directory/leader.py
+++ b/bitternlever/directory/leader.py
@@ -100,6 +100,17 @@
     return commands
 
 
+def order_granted(
+    tables: directory_state.Directory,
+    memory: Memory,
+    now: float,
+) -> None:
+    """Start the timer of an order lease that was just committed."""
+    memory.order_fencing = tables.state.order_lease.fencing
+    memory.order_expires_s = now + tables.order_lease_s
+    memory.order_quiet_until_s = now + tables.order_quiet_s
+
+
 def order_lease(
     tables: directory_state.Directory,
     memory: Memory,
@@ -109,9 +120,7 @@
     """Renew the order lease, refuse it, or return the grant to propose."""
     lease = tables.state.order_lease
     if memory.order_fencing != lease.fencing:
-        memory.order_fencing = lease.fencing
-        memory.order_expires_s = now + tables.order_lease_s
-        memory.order_quiet_until_s = now + tables.order_quiet_s
+        order_granted(tables, memory, now)
     host = tables.state.hosts.get(command.host)
     if host is None or host.ended or host.epoch != command.epoch:
         return directory.HostLeaseLost(host=command.host, epoch=command.epoch)
--- a/bitternlever/messages/consensus.py
+++ b/bitternlever/messages/consensus.py
@@ -134,6 +134,8 @@
 class IdentityReply(msgspec.Struct, tag=True, frozen=True):
     """Tell this node's disk and whether the replica on it has a membership.
 
+    ``voter`` tells whether it is a voter there; one that only learns may still be
+    the successor of a voter, for instance when its learning was never committed.
     ``founding`` is the group's first membership, sent by the node that formed it to
     replicas that may adopt it.
     """
@@ -141,6 +143,7 @@
     group: int
     replica: ReplicaId
     member: bool
+    voter: bool = False
     founding: Membership | None = None
     zone: str = ""
 
--- a/tests/consensus/test_failures.py
+++ b/tests/consensus/test_failures.py
@@ -4,7 +4,7 @@
 
 from bitternlever.consensus import elections, tables as consensus_tables
 from bitternlever.core import ticks
-from bitternlever.messages import calls, consensus, directory
+from bitternlever.messages import calls, consensus, directory, frames
 from tests.consensus import harness
 
 
@@ -227,3 +227,26 @@
         cluster.kill(former)
         cluster.run(3.0)
         assert cluster.leader() not in (None, former)
+
+
+def test_a_restarted_voter_keeps_the_promise_it_gave_to_its_leader():
+    """Within the lease that its answer gave, it helps nobody else into office."""
+    cluster = started()
+    leader, (first, second) = cluster.leader(), followers(cluster)
+    cluster.kill(first)
+    cluster.start(first)
+    replica = cluster.replica(second)
+    request = consensus.VoteRequest(
+        group=0,
+        term=replica.term + 1,
+        candidate=replica.settings.identity,
+        last_index=replica.commit_index + 9,
+        last_term=replica.term,
+        pre_vote=False,
+    )
+    cluster.cut |= {(leader, first), (first, leader)}
+    received = frames.PeerReceived(second, "tcp://second", request)
+    cluster.post(0.1, cluster.nodes[first], received)
+    cluster.run(0.2)
+
+    assert cluster.replica(first).voted_for != replica.settings.identity
--- a/tests/consensus/test_replacement.py
+++ b/tests/consensus/test_replacement.py
@@ -146,6 +146,26 @@
     assert cluster.ask(harness.manifest(4)).number == 4
 
 
+def test_a_learner_whose_start_was_never_committed_is_taken_again():
+    """The leader that began dies, cut off with its learner; the next one begins."""
+    cluster = started()
+    old, new = lost_one(cluster)
+    former = cluster.leader()
+    other = next(n for n in cluster.names if n not in (former, new.node))
+    command = directory.ReplaceReplica(old.node, old.disk, new.node)
+    cluster.ask(command, seconds=0.3)
+    cluster.cut |= {(former, other), (other, former)}
+    cluster.call(command, to=former)
+    cluster.run(0.3)
+    assert cluster.replica(new.node).membership.replacing is not None
+    cluster.kill(former)
+    cluster.heal()
+    cluster.start(former)
+    cluster.run(4.0)
+
+    assert replace(cluster, old, new.node).step == "done"
+
+
 def test_a_resent_replacement_that_is_done_says_so():
     cluster = started()
     old, new = lost_one(cluster)
