--- a/bitternlever/admission/dispatch.py
+++ b/bitternlever/admission/dispatch.py
@@ -5,7 +5,7 @@
 
 from bitternlever.core import ticks
 from bitternlever.pipelines import tables as pipeline_tables
-from bitternlever.routing import choice, tables as routing_tables
+from bitternlever.routing import choice, policies, tables as routing_tables
 
 Launch = Callable[
     [Any, float, ticks.Outbox, pipeline_tables.ReadyStage, routing_tables.Placement],
@@ -28,7 +28,10 @@
 
 def run(tables, now: float, outbox: ticks.Outbox, launch: Launch) -> None:
     """Launch what can be launched now, the most urgent first."""
-    waiting = sorted(tables.admission.ready.values(), key=_order)
+    order = _order
+    if tables.settings.policy == policies.FIRST_COME_FIRST_SERVED:
+        order = _arrival
+    waiting = sorted(tables.admission.ready.values(), key=order)
     for ready in waiting:
         placement = choice.choose(tables, now, ready)
         if placement.is_err():
@@ -41,3 +44,7 @@
 
 def _order(ready: pipeline_tables.ReadyStage) -> tuple[int, float, str]:
     return (ready.priority, ready.deadline_s, ready.request_id)
+
+
+def _arrival(ready: pipeline_tables.ReadyStage) -> tuple[float, str]:
+    return (ready.enqueued_s, ready.request_id)
--- a/bitternlever/routing/choice.py
+++ b/bitternlever/routing/choice.py
@@ -4,11 +4,18 @@
 
 from bitternlever.gossip import membership
 from bitternlever.pipelines import tables as pipeline_tables
-from bitternlever.routing import tables as routing_tables
+from bitternlever.routing import policies, tables as routing_tables
 
 RETRY_AFTER_S = 0.5
 DEFAULT_PREDICTION_S = 0.1
 
+CHOOSERS: dict[str, policies.Choose] = {
+    policies.PREDICTED: policies.least_in_flight,
+    policies.ROUND_ROBIN: policies.round_robin,
+    policies.LEAST_IN_FLIGHT: policies.least_in_flight,
+    policies.FIRST_COME_FIRST_SERVED: policies.least_in_flight,
+}
+
 
 def choose(
     tables,
@@ -16,27 +23,16 @@
     ready: pipeline_tables.ReadyStage,
 ) -> result.Result[routing_tables.Placement, routing_tables.NoPlacement]:
     """Choose an upstream of the stage's pool with room under its limit."""
-    loads = tables.routing.loads
-    best = None
-    best_load = 0
-    for upstream in membership.serving(tables, now, ready.stage):
-        name = upstream.announcement.name
-        if name in ready.excluded:
-            continue
-        load = loads.setdefault(name, routing_tables.UpstreamLoad())
-        load.limit = upstream.announcement.concurrency
-        if len(load.in_flight) >= load.limit:
-            continue
-        if best is None or len(load.in_flight) < best_load:
-            best = upstream.announcement
-            best_load = len(load.in_flight)
-    if best is None:
+    candidates = _with_room(tables, now, ready)
+    if not candidates:
         return result.Err(
             routing_tables.NoPlacement(
                 reason=f"no upstream of pool {ready.stage.pool} has room",
                 retry_after_s=RETRY_AFTER_S,
             ),
         )
+    choose_among = CHOOSERS[tables.settings.policy]
+    best = choose_among(tables, now, ready, candidates).announcement
     return result.Ok(
         routing_tables.Placement(
             upstream=best.name,
@@ -44,3 +40,21 @@
             predicted_s=DEFAULT_PREDICTION_S,
         ),
     )
+
+
+def _with_room(
+    tables,
+    now: float,
+    ready: pipeline_tables.ReadyStage,
+) -> policies.Candidates:
+    loads = tables.routing.loads
+    candidates = []
+    for upstream in membership.serving(tables, now, ready.stage):
+        announcement = upstream.announcement
+        if announcement.name in ready.excluded:
+            continue
+        load = loads.setdefault(announcement.name, routing_tables.UpstreamLoad())
+        load.limit = announcement.concurrency
+        if len(load.in_flight) < load.limit:
+            candidates.append(upstream)
+    return candidates
--- a/bitternlever/routing/tables.py
+++ b/bitternlever/routing/tables.py
@@ -21,7 +21,7 @@
     loads: dict[str, UpstreamLoad] = dataclasses.field(default_factory=dict)
     retry_tokens: float = 0.0
     hedge_tokens: float = 0.0
-    policy: str = "predicted"
+    turns: dict[str, int] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
