Order waiting stages by urgency, fair shares and deadlines

Cause: dispatch sorted all waiting stages each tick by priority and deadline. A flooding workspace pushed everyone's drafts back, and what was already late made the rest late.

Levels are strict, ageing lifts a stage one level in 15 s up to the first that is not urgent, workspaces take turns within a level by start-time fair queueing, and the late stand behind the others. Plain round robin between workspaces was ruled out, since it ignores what a stage costs.

Seen failing first, each by breaking one rule: no levels, no fair turns, weights ignored, no ageing, ageing into the urgent levels.

--- a/bench/policy.py
+++ b/bench/policy.py
@@ -105,9 +105,11 @@
         for workspace, share in WORKSPACES.items():
             at_s = 0.0
             flooding = flood if (workspace, kind.name) == ("w0", "draft") else 1.0
-            while at_s < arrivals_s:
+            while True:
                 bursting = burst if BURST_S[0] <= at_s < BURST_S[1] else 1.0
                 at_s += source.expovariate(rate * share * bursting * flooding * scale)
+                if at_s >= arrivals_s:
+                    break
                 flight = policy_world.Flight(
                     number=0,
                     at_s=at_s,
--- a/bench/policy_world.py
+++ b/bench/policy_world.py
@@ -24,6 +24,7 @@
 PART_S = 0.25
 FENCE_S = 3.0
 RECONNECT_S = 0.2
+POLL_S = 0.5
 PLAIN_STEPS = 5
 TOKEN = "word"
 PLAIN_OUTPUT = "done"
@@ -181,12 +182,17 @@
     if not request.journaled:
         world.after(RECONNECT_S, _arrive, world, world.flights[caller])
         return
-    query = requests.RequestQueried(caller, request.workspace, request.request_id)
-    world.after(FENCE_S + RECONNECT_S, _tick, world, next(iter(world.hosts)), query)
+    world.after(FENCE_S, _query, world, caller, request.request_id)
+
+
+def _query(world: World, caller: int, request_id: str) -> None:
+    workspace = world.flights[caller].workspace
+    query = requests.RequestQueried(caller, workspace, request_id)
+    _tick(world, next(iter(world.hosts)), query)
 
 
 def _fence(world: World, host: str) -> None:
-    machine.apply(world.journal, journal.FenceHost(host=host, epoch=1))
+    machine.apply(world.journal, journal.FenceHost(host=host, epoch=2))
     hint = calls.OrphansWaiting(group=journal.FIRST_GROUP, count=1)
     for other in list(world.hosts):
         _tick(world, other, frames.PeerReceived("control", "", hint))
@@ -245,7 +251,9 @@
             fake = world.fakes[message.upstream]
             world.after(_way(tables, fake), _drop, world, fake, message.attempt)
         case requests.WholeAnswer() | requests.ProblemAnswer():
-            _answer(world, message)
+            _answer(world, host, message)
+        case requests.RequestState():
+            world.after(POLL_S, _query, world, message.caller, message.request_id)
         case frames.SendPeer(message=calls.ControlCall() as call):
             reply = machine.apply(world.journal, call.command)
             answer = calls.ControlReply(call.call_id, call.group, reply)
@@ -256,7 +264,7 @@
             world.after(CONTROL_S, _tick, world, link, received)
 
 
-def _answer(world: World, message) -> None:
+def _answer(world: World, host: str, message) -> None:
     flight = world.callers.pop(message.caller, None)
     if flight is None:
         return
@@ -264,6 +272,9 @@
     flight.outcome = "answered"
     if isinstance(message, requests.ProblemAnswer):
         flight.outcome = message.problem.title
+    elif flight.kind.durable:
+        read = requests.AnswerAcknowledged(-1, flight.workspace, message.request_id)
+        world.after(CONTROL_S, _tick, world, host, read)
 
 
 def _way(tables, fake: Fake) -> float:
--- a/bitternlever/admission/dispatch.py
+++ b/bitternlever/admission/dispatch.py
@@ -3,9 +3,10 @@
 from collections.abc import Callable
 from typing import Any
 
+from bitternlever.admission import queues, tables as admission_tables
 from bitternlever.core import ticks
 from bitternlever.pipelines import tables as pipeline_tables
-from bitternlever.routing import choice, policies, tables as routing_tables
+from bitternlever.routing import choice, tables as routing_tables
 
 Launch = Callable[
     [Any, float, ticks.Outbox, pipeline_tables.ReadyStage, routing_tables.Placement],
@@ -13,38 +14,76 @@
 ]
 
 RETRY_INTERVAL_S = 0.05
+MAXIMUM_PASSED = 4
 
 
 def push(tables, now: float, ready: pipeline_tables.ReadyStage) -> None:
     """Let a stage wait for an upstream."""
-    tables.admission.ready[(ready.request_id, ready.stage_index)] = ready
+    admission = tables.admission
+    key = (ready.request_id, ready.stage_index)
+    if key not in admission.ready:
+        admission.stages.setdefault(ready.request_id, set()).add(ready.stage_index)
+        admission.waiting[ready.workspace] = (
+            admission.waiting.get(ready.workspace, 0) + 1
+        )
+    admission.ready[key] = ready
+    queues.add(tables, now, ready)
 
 
 def withdraw(tables, request_id: str) -> None:
     """Take back every waiting stage of a request."""
-    for key in [key for key in tables.admission.ready if key[0] == request_id]:
-        del tables.admission.ready[key]
+    for stage_index in sorted(tables.admission.stages.get(request_id, ())):
+        _remove(tables, tables.admission.ready[(request_id, stage_index)])
 
 
 def run(tables, now: float, outbox: ticks.Outbox, launch: Launch) -> None:
     """Launch what can be launched now, the most urgent first."""
-    order = _order
-    if tables.settings.policy == policies.FIRST_COME_FIRST_SERVED:
-        order = _arrival
-    waiting = sorted(tables.admission.ready.values(), key=order)
-    for ready in waiting:
-        placement = choice.choose(tables, now, ready)
-        if placement.is_err():
-            continue
-        del tables.admission.ready[(ready.request_id, ready.stage_index)]
-        launch(tables, now, outbox, ready, placement.ok())
+    for queue in tables.admission.queues.values():
+        _run_queue(tables, now, outbox, launch, queue)
+        if not queue.lanes:
+            queue.turns.clear()
+            queue.clock_s = 0.0
     if tables.admission.ready:
         outbox.wake(now + RETRY_INTERVAL_S)
 
 
-def _order(ready: pipeline_tables.ReadyStage) -> tuple[int, float, str]:
-    return (ready.priority, ready.deadline_s, ready.request_id)
+def _run_queue(
+    tables,
+    now: float,
+    outbox: ticks.Outbox,
+    launch: Launch,
+    queue: admission_tables.WorkQueue,
+) -> None:
+    """Launch from the head until nothing has room.
+
+    A few stages may be passed over that cannot go where there is room.
+    """
+    passed = []
+    while len(passed) < MAXIMUM_PASSED:
+        entry = queues.head(tables, now, queue)
+        if entry is None:
+            break
+        ready = entry.ready
+        placement = choice.choose(tables, now, ready)
+        _remove(tables, ready)
+        if placement.is_ok():
+            queues.charge(queue, ready, placement.ok().predicted_s)
+            launch(tables, now, outbox, ready, placement.ok())
+            continue
+        passed.append(ready)
+        if not ready.excluded:
+            break
+    for ready in passed:
+        push(tables, now, ready)
 
 
-def _arrival(ready: pipeline_tables.ReadyStage) -> tuple[float, str]:
-    return (ready.enqueued_s, ready.request_id)
+def _remove(tables, ready: pipeline_tables.ReadyStage) -> None:
+    admission = tables.admission
+    del admission.ready[(ready.request_id, ready.stage_index)]
+    stages = admission.stages[ready.request_id]
+    stages.discard(ready.stage_index)
+    if not stages:
+        del admission.stages[ready.request_id]
+    admission.waiting[ready.workspace] -= 1
+    if not admission.waiting[ready.workspace]:
+        del admission.waiting[ready.workspace]
--- /dev/null
+++ b/tests/admission/entries.py
@@ -0,0 +1,115 @@
+"""An entry host with upstreams and waiting stages, for tests of decisions."""
+
+from bitternlever.admission import dispatch
+from bitternlever.core import ticks
+from bitternlever.entry import tables as entry_tables
+from bitternlever.gossip import upstreams
+from bitternlever.messages import manifest, upstream
+from bitternlever.pipelines import tables as pipeline_tables
+from bitternlever.routing import feedback
+
+STAGE = manifest.Stage(name="write", task=manifest.Task.GENERATE, pool="engines")
+CALL = manifest.Stage(name="call", task=manifest.Task.CALL, pool="panels")
+
+
+def host(policy="predicted", seed=1, limits=None, **changes):
+    """Make the tables of an entry host."""
+    settings = entry_tables.EntrySettings(
+        host="h0",
+        zone="hall-a",
+        address="",
+        link="",
+        incarnation="1",
+        control_nodes={},
+        seed_links=[],
+        policy=policy,
+        **changes,
+    )
+    tables = entry_tables.create(settings, seed)
+    tables.manifest.manifest = manifest.Manifest(
+        number=1,
+        workspaces=[],
+        pipelines=[],
+        limits=limits or manifest.Limits(),
+    )
+    return tables
+
+
+def announce(tables, now, name="e0", sequence=1, **changes):
+    """Let the host hear an upstream."""
+    values = {
+        "address": name,
+        "pool": "engines",
+        "zone": "hall-a",
+        "tasks": [each.value for each in manifest.Task],
+        "concurrency": 8,
+    }
+    word = upstream.Announcement(
+        name=name,
+        incarnation=1,
+        sequence=sequence,
+        **(values | changes),
+    )
+    upstreams.take_announcement(tables.membership, word, now)
+
+
+def ready(name, now=0.0, priority=2, deadline_s=100.0, stage=STAGE, **changes):
+    """Make a waiting stage."""
+    values = {
+        "workspace": "w",
+        "weight": 1.0,
+        "kind": f"kind-{priority}",
+        "stage_deadline_s": deadline_s,
+        "durable": priority > 1,
+        "prefix": "",
+        "prompt_tokens": 100,
+    }
+    return pipeline_tables.ReadyStage(
+        request_id=name,
+        priority=priority,
+        stage_index=0,
+        stage=stage,
+        enqueued_s=now,
+        deadline_s=deadline_s,
+        **(values | changes),
+    )
+
+
+def attempt(stage, placement, now):
+    """Make the attempt of a placed stage."""
+    return pipeline_tables.Attempt(
+        attempt=f"a-{stage.request_id}",
+        request_id=stage.request_id,
+        workspace=stage.workspace,
+        stage_index=stage.stage_index,
+        stage=stage.stage,
+        upstream=placement.upstream,
+        address=placement.address,
+        priority=stage.priority,
+        started_s=now,
+        deadline_s=stage.deadline_s,
+        predicted_s=placement.predicted_s,
+        prompt_tokens=stage.prompt_tokens,
+        prefix=stage.prefix,
+        preemptions=stage.preemptions,
+    )
+
+
+def run(tables, now):
+    """Dispatch once; return the attempts launched, in their order."""
+    launched = []
+
+    def launch(tables, now, outbox, stage, placement):
+        started = attempt(stage, placement, now)
+        tables.requests.attempts[started.attempt] = started
+        feedback.started(tables, now, started)
+        launched.append(started)
+
+    dispatch.run(tables, now, ticks.Outbox(), launch)
+    return launched
+
+
+def finish(tables, now, done, **usage):
+    """End an attempt with a whole output."""
+    del tables.requests.attempts[done.attempt]
+    feedback.finished(tables, now, done, upstream.Usage(**usage))
--- /dev/null
+++ b/tests/admission/test_dispatch.py
@@ -0,0 +1,140 @@
+"""The order in which waiting stages get their upstreams."""
+
+import pytest
+
+from bitternlever.admission import dispatch
+from bitternlever.messages import manifest
+from tests.admission import entries
+
+SERVICE_S = 1.0
+
+
+def _one_at_a_time(tables, now, count):
+    """Serve from one slot; return the request ids in the order of their launch."""
+    order = []
+    for _ in range(count):
+        entries.announce(tables, now, sequence=len(order) + 1, concurrency=1)
+        launched = entries.run(tables, now)
+        order.extend(each.request_id for each in launched)
+        now += SERVICE_S
+        for each in launched:
+            entries.finish(tables, now, each)
+    return order
+
+
+def test_the_most_urgent_goes_first():
+    tables = entries.host()
+    dispatch.push(tables, 0.0, entries.ready("draft", priority=2))
+    dispatch.push(tables, 0.0, entries.ready("check", priority=0))
+
+    assert _one_at_a_time(tables, 0.0, 2) == ["check", "draft"]
+
+
+def test_the_earliest_deadline_goes_first_within_a_workspace():
+    tables = entries.host()
+    dispatch.push(tables, 0.0, entries.ready("later", deadline_s=50.0))
+    dispatch.push(tables, 0.0, entries.ready("sooner", deadline_s=40.0))
+
+    assert _one_at_a_time(tables, 0.0, 2) == ["sooner", "later"]
+
+
+def test_a_small_workspace_does_not_wait_behind_a_flood():
+    tables = entries.host()
+    for index in range(200):
+        flood = entries.ready(f"f{index:03}", workspace="large", deadline_s=50.0)
+        dispatch.push(tables, 0.0, flood)
+    dispatch.push(tables, 0.0, entries.ready("small", workspace="small"))
+
+    order = _one_at_a_time(tables, 0.0, 60)
+
+    assert "small" in order
+
+
+def test_a_heavier_workspace_gets_more():
+    tables = entries.host()
+    for index in range(100):
+        for name, weight in (("heavy", 3.0), ("light", 1.0)):
+            stage = entries.ready(f"{name}{index}", workspace=name, weight=weight)
+            dispatch.push(tables, 0.0, stage)
+
+    order = _one_at_a_time(tables, 0.0, 80)
+
+    heavy = sum(each.startswith("heavy") for each in order)
+    assert heavy == pytest.approx(60, abs=6)
+
+
+def test_what_waits_long_rises_but_never_among_the_urgent():
+    tables = entries.host()
+    dispatch.push(tables, 0.0, entries.ready("audit", priority=3, deadline_s=90.0))
+    dispatch.push(tables, 20.0, entries.ready("draft", now=20.0))
+    dispatch.push(tables, 20.0, entries.ready("check", now=20.0, priority=1))
+
+    order = _one_at_a_time(tables, 20.0, 3)
+
+    assert order == ["check", "audit", "draft"]
+
+
+def test_the_late_stand_behind_those_that_can_be_in_time():
+    tables = entries.host()
+    dispatch.push(tables, 0.0, entries.ready("late", deadline_s=10.0))
+    dispatch.push(tables, 0.0, entries.ready("in-time", deadline_s=60.0))
+
+    assert _one_at_a_time(tables, 12.0, 2) == ["in-time", "late"]
+
+
+def test_the_late_are_served_in_the_end():
+    tables = entries.host()
+    dispatch.push(tables, 0.0, entries.ready("late", deadline_s=10.0))
+    order = []
+    for second in range(11, 120):
+        now = float(second)
+        fresh = entries.ready(f"fresh{second}", now=now, deadline_s=now + 50.0)
+        dispatch.push(tables, now, fresh)
+        order.extend(_one_at_a_time(tables, now, 1))
+
+    assert "late" in order
+
+
+def test_a_withdrawn_request_is_not_launched():
+    tables = entries.host()
+    dispatch.push(tables, 0.0, entries.ready("gone"))
+    dispatch.push(tables, 0.0, entries.ready("stays"))
+
+    dispatch.withdraw(tables, "gone")
+
+    assert _one_at_a_time(tables, 0.0, 2) == ["stays"]
+    assert not tables.admission.waiting
+
+
+def test_one_kind_of_work_does_not_wait_for_another():
+    tables = entries.host()
+    entries.announce(tables, 0.0, "panel", pool="panels")
+    dispatch.push(tables, 0.0, entries.ready("urgent", priority=0))
+    dispatch.push(tables, 0.0, entries.ready("call", stage=entries.CALL))
+
+    launched = entries.run(tables, 0.0)
+
+    assert [each.request_id for each in launched] == ["call"]
+
+
+def test_a_stage_that_must_avoid_the_only_free_upstream_lets_others_pass():
+    tables = entries.host()
+    stuck = entries.ready("stuck", priority=0, excluded=frozenset(["e0"]))
+    entries.announce(tables, 0.0, "e1", concurrency=1)
+    dispatch.push(tables, 0.0, entries.ready("first", priority=0))
+    entries.run(tables, 0.0)
+    entries.announce(tables, 0.0, "e0", concurrency=1)
+    dispatch.push(tables, 0.0, stuck)
+    dispatch.push(tables, 0.0, entries.ready("other", priority=1))
+
+    launched = entries.run(tables, 0.0)
+
+    assert [each.request_id for each in launched] == ["other"]
+
+
+def test_limits_of_the_manifest_say_what_is_urgent():
+    tables = entries.host(limits=manifest.Limits(urgent_priority=3))
+    dispatch.push(tables, 0.0, entries.ready("audit", priority=3))
+    dispatch.push(tables, 50.0, entries.ready("draft", now=50.0, priority=2))
+
+    assert _one_at_a_time(tables, 50.0, 2) == ["draft", "audit"]
