Batch the engine stand-in's calls by the engine model

It keeps the KV of a call cut short and exports or imports it; orders load models from the weight store at its rate and change the role.

--- a/standins/__main__.py
+++ b/standins/__main__.py
@@ -11,6 +11,7 @@
 import cappa
 from aiohttp import web
 
+from bitternlever.messages import upstream
 from standins import (
     announcer,
     engine,
@@ -91,10 +92,14 @@
     stop: asyncio.Event,
 ) -> None:
     is_engine = settings.kind is standin_settings.StandInKind.ENGINE
-    run = engine.run if is_engine else plain.run
-    stand_in = server.create(settings, run)
-    runner = await _listen(server.create_app(stand_in), settings)
-    announcing = announcer.create(settings, stand_in.recorder, lambda message: None)
+    stand_in, app = engine.create(settings) if is_engine else plain.create(settings)
+    runner = await _listen(app, settings)
+
+    def describe(message: upstream.Announcement) -> None:
+        if is_engine:
+            engine.describe(app[engine.ENGINE], message)
+
+    announcing = announcer.create(settings, stand_in.recorder, describe)
     async with aiohttp.ClientSession() as session:
         task = asyncio.ensure_future(announcer.run(announcing, session))
         await stop.wait()
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -1,46 +1,71 @@
-"""The model engine: continuous batching, streams, resumption and cancelling."""
+"""The model engine: continuous batching, streams, resumption, cancelling, KV."""
 
-import asyncio
 import dataclasses
+import time
 
 import msgspec
 from aiohttp import web
 
 from bench.invariants import records
 from bitternlever.messages import upstream
-from standins import faults, server, words
+from standins import (
+    engine_batch,
+    engine_orders,
+    faults,
+    server,
+    settings as standin_settings,
+    words,
+)
+
+MAXIMUM_CACHE_EVENTS = 64
+
+
+class KeptKv(msgspec.Struct, forbid_unknown_fields=True):
+    """The exported KV of one request, here only its length in tokens."""
+
+    tokens: int
 
 
 @dataclasses.dataclass(slots=True)
-class Generation:
-    """One call's text: all its words and how many were there before it."""
+class Engine:
+    """An engine stand-in: its batch, and what orders have made of it."""
 
-    words: list[str]
-    done: int
-    busy_ms: float = 0.0
+    batch: engine_batch.Batch
+    orders: engine_orders.Orders
 
-    @property
-    def text(self) -> str:
-        """Return the whole text."""
-        return "".join(self.words)
 
+ENGINE = web.AppKey("engine", Engine)
 
-def begin(call: upstream.StageCall) -> Generation | None:
-    """Return the generation that goes on from ``resume_output``, if one can."""
-    all_words = words.tokens_of(
-        call.model,
-        call.binding.request,
-        [call.input, call.previous],
-        call.maximum_output_tokens,
+
+def create(
+    settings: standin_settings.Settings,
+) -> tuple[server.StandIn, web.Application]:
+    """Make an engine and its HTTP application."""
+    stand_in = server.create(settings, run)
+    app = server.create_app(stand_in)
+    app[ENGINE] = Engine(
+        batch=engine_batch.create(settings, stand_in.faults),
+        orders=engine_orders.create(settings),
+    )
+    app.router.add_put("/v1/engine", _order)
+    app.router.add_get("/v1/kv/{request}", _export_kv)
+    app.router.add_put("/v1/kv/{request}", _import_kv)
+    app.cleanup_ctx.append(_background)
+    return stand_in, app
+
+
+def describe(engine: Engine, message: upstream.Announcement) -> None:
+    """Add models, role, load and cache events to an announcement."""
+    now = time.monotonic()
+    message.models = sorted(engine.orders.models)
+    message.adapters = sorted(engine.orders.adapters)
+    message.role = engine.orders.role
+    message.load = engine_batch.report(engine.batch, now)
+    message.cache_events = engine_batch.cache_events(
+        engine.batch,
+        now,
+        MAXIMUM_CACHE_EVENTS,
     )
-    done = 0
-    length = 0
-    while length < len(call.resume_output) and done < len(all_words):
-        length += len(all_words[done])
-        done += 1
-    if "".join(all_words[:done]) != call.resume_output:
-        return None
-    return Generation(words=all_words, done=done)
 
 
 async def run(
@@ -49,24 +74,50 @@
     call: upstream.StageCall,
 ) -> web.StreamResponse:
     """Generate the text of one call, streamed where the call asks for it."""
-    generation = begin(call)
-    if generation is None:
+    engine = request.app[ENGINE]
+    if not engine_orders.holds(engine.orders, call.model):
+        return server.refusal(503, f"the model {call.model!r} is not loaded here")
+    inputs = [call.input, call.previous]
+    all_words = words.tokens_of(
+        call.model,
+        call.binding.request,
+        inputs,
+        call.maximum_output_tokens,
+    )
+    done = words_done(all_words, call.resume_output)
+    if done is None:
         return server.refusal(400, "resume_output is no beginning of the output")
+    prompt = msgspec.json.encode(inputs)
+    generation = engine_batch.submit(engine.batch, call, all_words, done, prompt)
+    if generation is None:
+        return server.refusal(503, "too many calls wait here")
     stand_in.recorder.called(call)
-    async with stand_in.slots:
+    try:
         if call.stream:
             return await _stream(stand_in, request, call, generation)
         return await _whole(stand_in, request, call, generation)
+    finally:
+        engine_batch.withdraw(engine.batch, call, generation)
+
+
+def words_done(all_words: list[str], resume_output: str) -> int | None:
+    """Return how many words ``resume_output`` holds, None if it holds another text."""
+    done = 0
+    length = 0
+    while length < len(resume_output) and done < len(all_words):
+        length += len(all_words[done])
+        done += 1
+    return done if "".join(all_words[:done]) == resume_output else None
 
 
 async def _whole(
     stand_in: server.StandIn,
     request: web.Request,
     call: upstream.StageCall,
-    generation: Generation,
+    generation: engine_batch.Generation,
 ) -> web.Response:
-    for _ in generation.words[generation.done :]:
-        await _step(stand_in, generation)
+    while generation.ready < len(generation.words):
+        await _wait(generation)
     await faults.hold(stand_in.faults, request.transport)
     faults.break_stream(stand_in.faults, request, stand_in.faults.fault.after_parts)
     text = generation.text
@@ -87,7 +138,7 @@
     stand_in: server.StandIn,
     request: web.Request,
     call: upstream.StageCall,
-    generation: Generation,
+    generation: engine_batch.Generation,
 ) -> web.StreamResponse:
     response = web.StreamResponse()
     response.content_type = "application/x-ndjson"
@@ -95,7 +146,8 @@
     await response.prepare(request)
     offset = len(call.resume_output)
     for number, word in enumerate(generation.words[generation.done :]):
-        await _step(stand_in, generation)
+        while generation.ready <= generation.done + number:
+            await _wait(generation)
         await faults.hold(stand_in.faults, request.transport)
         faults.break_stream(stand_in.faults, request, number)
         await _line(response, upstream.StreamPart(offset=offset, text=word))
@@ -117,14 +169,60 @@
     await response.write(msgspec.json.encode(message) + b"\n")
 
 
-async def _step(stand_in: server.StandIn, generation: Generation) -> None:
-    step_ms = stand_in.settings.step_ms * faults.factor(stand_in.faults)
-    await asyncio.sleep(step_ms / 1_000)
-    generation.busy_ms += step_ms
+async def _wait(generation: engine_batch.Generation) -> None:
+    generation.changed.clear()
+    await generation.changed.wait()
 
 
-def _usage(generation: Generation) -> upstream.Usage:
+def _usage(generation: engine_batch.Generation) -> upstream.Usage:
     return upstream.Usage(
-        busy_ms=generation.busy_ms,
+        busy_ms=generation.job.busy_s * 1_000,
+        prompt_tokens=generation.job.prompt_tokens,
+        cached_tokens=generation.job.cached_tokens,
         output_tokens=len(generation.words) - generation.done,
     )
+
+
+async def _order(request: web.Request) -> web.Response:
+    stand_in = request.app[server.STAND_IN]
+    try:
+        order = msgspec.json.decode(await request.read(), type=upstream.EngineOrder)
+    except msgspec.MsgspecError as error:
+        return server.refusal(400, str(error))
+    orders = request.app[ENGINE].orders
+    taken = engine_orders.take(orders, order)
+    stand_in.recorder.ordered(order, taken)
+    if not taken:
+        body = {"detail": "an old fencing number", "fencing_in_force": orders.fencing}
+        return web.json_response(body, status=409)
+    return web.json_response({"fencing": order.fencing})
+
+
+async def _export_kv(request: web.Request) -> web.Response:
+    kept = request.app[ENGINE].batch.kept_kv
+    tokens = kept.pop(request.match_info["request"], None)
+    if tokens is None:
+        return server.refusal(404, "no KV of this request is kept here")
+    return web.json_response({"tokens": tokens})
+
+
+async def _import_kv(request: web.Request) -> web.Response:
+    try:
+        body = msgspec.json.decode(await request.read(), type=KeptKv)
+    except msgspec.MsgspecError as error:
+        return server.refusal(400, str(error))
+    batch = request.app[ENGINE].batch
+    engine_batch.keep_kv(batch, request.match_info["request"], body.tokens)
+    return web.json_response({"tokens": body.tokens})
+
+
+async def _background(app: web.Application):
+    """Run the batch's steps and the loading of models beside the HTTP side."""
+    engine = app[ENGINE]
+    tasks = [
+        server.spawn(engine_batch.run(engine.batch)),
+        server.spawn(engine_orders.run(engine.orders)),
+    ]
+    yield
+    for task in tasks:
+        task.cancel()
--- a/standins/plain.py
+++ b/standins/plain.py
@@ -7,7 +7,15 @@
 
 from bench.invariants import records
 from bitternlever.messages import upstream
-from standins import faults, server, words
+from standins import faults, server, settings as standin_settings, words
+
+
+def create(
+    settings: standin_settings.Settings,
+) -> tuple[server.StandIn, web.Application]:
+    """Make a plain stand-in and its HTTP application."""
+    stand_in = server.create(settings, run)
+    return stand_in, server.create_app(stand_in)
 
 
 async def run(
--- a/standins/server.py
+++ b/standins/server.py
@@ -2,7 +2,8 @@
 
 import asyncio
 import dataclasses
-from collections.abc import Awaitable, Callable
+import logging
+from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any
 
 import msgspec
@@ -16,6 +17,8 @@
 MAXIMUM_CALLS = 2_000
 RETRY_AFTER_S = 0.2
 
+logger = logging.getLogger(__name__)
+
 Run = Callable[["StandIn", web.Request, upstream.StageCall], Awaitable[Any]]
 
 
@@ -61,6 +64,19 @@
     return app
 
 
+def spawn(coroutine: Coroutine[Any, Any, None]) -> asyncio.Task:
+    """Start a background task; its failure ends the process with a traceback."""
+    task = asyncio.ensure_future(coroutine)
+    task.add_done_callback(_raise_failure)
+    return task
+
+
+def _raise_failure(task: asyncio.Task) -> None:
+    if not task.cancelled() and task.exception() is not None:
+        logger.error("a background task failed", exc_info=task.exception())
+        asyncio.get_running_loop().stop()
+
+
 def refusal(status: int, detail: str) -> web.Response:
     """Answer a call that was not run."""
     headers = {"Retry-After": str(RETRY_AFTER_S)} if status in (429, 503) else None
--- a/tests/standins/test_stand_ins.py
+++ b/tests/standins/test_stand_ins.py
@@ -10,7 +10,7 @@
 
 from bench.invariants import files, records
 from bitternlever.messages import upstream
-from standins import engine, plain, server, settings as standin_settings, words
+from standins import engine, plain, settings as standin_settings, words
 
 
 def create(kind, tmp_path, **values):
@@ -23,14 +23,14 @@
         step_ms=1.0,
         **values,
     )
-    run = engine.run if kind is standin_settings.StandInKind.ENGINE else plain.run
-    return server.create(settings, run)
+    is_engine = kind is standin_settings.StandInKind.ENGINE
+    return engine.create(settings) if is_engine else plain.create(settings)
 
 
 @contextlib.asynccontextmanager
-async def client_of(stand_in):
+async def client_of(made):
     """Serve a stand-in on a free port."""
-    test_server = test_utils.TestServer(server.create_app(stand_in))
+    test_server = test_utils.TestServer(made[1])
     async with test_utils.TestClient(test_server) as client:
         yield client
 
