--- a/standins/__main__.py
+++ b/standins/__main__.py
@@ -47,7 +47,7 @@
     adapters: Text = ""
     weight_store: Text = ""
     checks_fencing: Flag = False
-    non_idempotent: Flag = False
+    non_idempotent: Text = ""
     concurrency: Number = 8
     service_ms: Milliseconds = 4.0
     step_ms: Milliseconds = 4.0
@@ -61,7 +61,7 @@
     host, _, port = arguments.listen.rpartition(":")
     values = dataclasses.asdict(arguments)
     del values["listen"]
-    for name in ("entries", "models", "adapters"):
+    for name in ("entries", "models", "adapters", "non_idempotent"):
         values[name] = tuple(part for part in values[name].split(",") if part)
     return standin_settings.Settings(host=host, port=int(port), **values)
 
--- /dev/null
+++ b/standins/processes.py
@@ -0,0 +1,111 @@
+"""Start processes for the demo and the experiments, and end every one of them."""
+
+import asyncio
+import contextlib
+import dataclasses
+import os
+import pathlib
+import signal
+import socket
+import sys
+from collections.abc import AsyncIterator
+
+ROOT = pathlib.Path(__file__).parents[1]
+TERMINATE_S = 6.0
+SECOND_TERMINATE_S = 2.0
+LOG_TAIL_LINES = 15
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Command:
+    """A process to start: its name, the module with its arguments, its settings."""
+
+    name: str
+    arguments: list[str]
+    environment: dict[str, str] = dataclasses.field(default_factory=dict)
+
+
+@dataclasses.dataclass(slots=True)
+class Processes:
+    """The started processes by name; each writes its log into ``folder``."""
+
+    folder: pathlib.Path
+    running: dict[str, asyncio.subprocess.Process] = dataclasses.field(
+        default_factory=dict,
+    )
+
+    def log(self, name: str) -> pathlib.Path:
+        """Return the path of a process's log."""
+        return self.folder / f"{name}.log"
+
+    def dead(self) -> list[str]:
+        """Return the names of the processes that have ended."""
+        return [
+            name
+            for name, process in self.running.items()
+            if process.returncode is not None
+        ]
+
+    def log_tail(self, name: str) -> str:
+        """Return the last lines of a process's log."""
+        lines = self.log(name).read_text(errors="replace").splitlines()
+        return "\n".join(lines[-LOG_TAIL_LINES:])
+
+
+@contextlib.asynccontextmanager
+async def manage(folder: pathlib.Path) -> AsyncIterator[Processes]:
+    """Hold processes that are all ended when the block is left, for any reason."""
+    processes = Processes(folder=folder)
+    try:
+        yield processes
+    finally:
+        await asyncio.shield(stop(processes, list(processes.running)))
+
+
+async def start(processes: Processes, command: Command) -> None:
+    """Start one process in a session of its own, so that Ctrl-C ends it in order."""
+    environment = {**os.environ, "PYTHONPATH": str(ROOT), **command.environment}
+    with processes.log(command.name).open("ab") as log:
+        processes.running[command.name] = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            *command.arguments,
+            env=environment,
+            stdin=asyncio.subprocess.DEVNULL,
+            stdout=log,
+            stderr=log,
+            start_new_session=True,
+        )
+
+
+async def stop(processes: Processes, names: list[str]) -> dict[str, int]:
+    """End processes: SIGTERM, a second one, then SIGKILL; return their exit codes."""
+    chosen = {name: processes.running[name] for name in names}
+    for number, limit_s in (
+        (signal.SIGTERM, TERMINATE_S),
+        (signal.SIGTERM, SECOND_TERMINATE_S),
+        (signal.SIGKILL, SECOND_TERMINATE_S),
+    ):
+        left = [each for each in chosen.values() if each.returncode is None]
+        if not left:
+            break
+        for process in left:
+            with contextlib.suppress(ProcessLookupError):
+                process.send_signal(number)
+        await asyncio.wait(
+            [asyncio.ensure_future(process.wait()) for process in left],
+            timeout=limit_s,
+        )
+    return {name: process.returncode for name, process in chosen.items()}
+
+
+def free_ports(count: int) -> list[int]:
+    """Return TCP ports that are free on the loopback interface now."""
+    sockets = [socket.socket() for _ in range(count)]
+    try:
+        for each in sockets:
+            each.bind(("127.0.0.1", 0))
+        return [each.getsockname()[1] for each in sockets]
+    finally:
+        for each in sockets:
+            each.close()
--- a/standins/records.py
+++ b/standins/records.py
@@ -11,11 +11,11 @@
 class Recorder:
     """Write the records of one stand-in; without a folder it only counts."""
 
-    __slots__ = ("append", "count", "idempotent", "name")
+    __slots__ = ("append", "count", "name", "non_idempotent")
 
     def __init__(self, settings: standin_settings.Settings) -> None:
         self.name = settings.name
-        self.idempotent = not settings.non_idempotent
+        self.non_idempotent = settings.non_idempotent
         self.count = 0
         self.append = None
         if settings.records:
@@ -32,7 +32,7 @@
                 stage=binding.stage,
                 attempt=binding.attempt,
                 epoch=binding.epoch,
-                idempotent=self.idempotent,
+                idempotent=binding.stage not in self.non_idempotent,
                 input_digest=records.digest(call.input),
                 time_s=time.monotonic(),
             ),
--- a/standins/settings.py
+++ b/standins/settings.py
@@ -27,7 +27,10 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Settings:
-    """What one stand-in is, where it listens and to whom it announces itself."""
+    """What one stand-in is, where it listens and to whom it announces itself.
+
+    ``non_idempotent`` names the stages whose calls may run only once; it is recorded.
+    """
 
     kind: StandInKind
     name: str
@@ -47,7 +50,7 @@
     step_ms: float = 4.0
     cache_prefixes: int = 64
     bytes_per_s: int = 2_000_000_000
-    non_idempotent: bool = False
+    non_idempotent: tuple[str, ...] = ()
     seed: int = 1
 
     @property
--- /dev/null
+++ b/standins/site.py
@@ -0,0 +1,286 @@
+"""A whole system on the loopback interface: both programs and all stand-ins."""
+
+import asyncio
+import dataclasses
+import pathlib
+import secrets
+import time
+
+import aiohttp
+import msgspec
+
+from bitternlever.messages import manifest
+from standins import processes as standin_processes, settings as standin_settings
+
+EXAMPLES = standin_processes.ROOT / "examples"
+ZONES = {
+    "cantref": ("hall-a", "hall-b", "hall-c"),
+    "sheetal": ("deesa", "palanpur", "mehsana"),
+}
+LETTERS = "abcdefghi"
+CONTROL_NODES = 3
+ENTRY_HOSTS = 3
+ENGINES = 2
+READY_S = 30.0
+POLL_S = 0.1
+KIND_OF_TASK = {
+    manifest.Task.GENERATE: standin_settings.StandInKind.ENGINE,
+    manifest.Task.ENCODE: standin_settings.StandInKind.ENCODER,
+    manifest.Task.RETRIEVE: standin_settings.StandInKind.RETRIEVER,
+    manifest.Task.RERANK: standin_settings.StandInKind.RERANKER,
+    manifest.Task.CALL: standin_settings.StandInKind.SERVICE,
+}
+
+
+@dataclasses.dataclass(slots=True)
+class Site:
+    """One system: where its entry hosts answer, its tokens, its stand-ins."""
+
+    example: str
+    folder: pathlib.Path
+    manifest: manifest.Manifest
+    entries: list[str]
+    control_links: list[str]
+    entry_links: list[str]
+    zones: tuple[str, ...]
+    stand_ins: dict[str, str] = dataclasses.field(default_factory=dict)
+    operator_token: str = dataclasses.field(default_factory=secrets.token_hex)
+    upstream_token: str = dataclasses.field(default_factory=secrets.token_hex)
+    cluster_key: str = dataclasses.field(default_factory=secrets.token_hex)
+
+    @property
+    def manifest_path(self) -> pathlib.Path:
+        """Return the path of the example's manifest."""
+        return EXAMPLES / f"{self.example}.json"
+
+    def spans(self, name: str) -> pathlib.Path:
+        """Return the file to which a process writes its spans."""
+        return self.folder / f"{name}.spans.jsonl"
+
+    def operator_environment(self) -> dict[str, str]:
+        """Return the settings of the operator's tool."""
+        return {
+            "BITTERNLEVER_ENTRY": ",".join(self.entries),
+            "BITTERNLEVER_OPERATOR_TOKEN": self.operator_token,
+        }
+
+
+def create(example: str, folder: pathlib.Path) -> Site:
+    """Choose addresses for the system of an example."""
+    ports = standin_processes.free_ports(CONTROL_NODES + 2 * ENTRY_HOSTS)
+    control, rest = ports[:CONTROL_NODES], ports[CONTROL_NODES:]
+    links, http = rest[:ENTRY_HOSTS], rest[ENTRY_HOSTS:]
+    body = (EXAMPLES / f"{example}.json").read_bytes()
+    return Site(
+        example=example,
+        folder=folder,
+        manifest=msgspec.json.decode(body, type=manifest.Manifest),
+        entries=[f"http://127.0.0.1:{port}" for port in http],
+        control_links=[f"tcp://127.0.0.1:{port}" for port in control],
+        entry_links=[f"tcp://127.0.0.1:{port}" for port in links],
+        zones=ZONES[example],
+    )
+
+
+def control_commands(site: Site) -> list[standin_processes.Command]:
+    """Return the control processes to start."""
+    hosts = [f"control-{letter}" for letter in LETTERS[: len(site.control_links)]]
+    nodes = _pairs(hosts, site.control_links)
+    zones = _pairs(hosts, _zone_of_each(site, hosts))
+    return [
+        standin_processes.Command(
+            name=host,
+            arguments=[
+                "bitternlever.commands.daemon",
+                "control",
+                f"--host={host}",
+                f"--zone={zone}",
+                f"--listen={link}",
+                f"--nodes={nodes}",
+                f"--zones={zones}",
+                f"--data-folder={site.folder / host}",
+                f"--spans-file={site.spans(host)}",
+            ],
+            environment={"BITTERNLEVER_CLUSTER_KEY": site.cluster_key},
+        )
+        for host, zone, link in zip(
+            hosts,
+            _zone_of_each(site, hosts),
+            site.control_links,
+            strict=True,
+        )
+    ]
+
+
+def entry_commands(site: Site) -> list[standin_processes.Command]:
+    """Return the entry processes to start."""
+    hosts = [f"entry-{letter}" for letter in LETTERS[: len(site.entries)]]
+    controls = [f"control-{letter}" for letter in LETTERS[: len(site.control_links)]]
+    nodes = _pairs(controls, site.control_links)
+    return [
+        standin_processes.Command(
+            name=host,
+            arguments=[
+                "bitternlever.commands.daemon",
+                "entry",
+                f"--host={host}",
+                f"--zone={zone}",
+                f"--listen={link}",
+                f"--http-listen={address.removeprefix('http://')}",
+                f"--address={address}",
+                f"--control-nodes={nodes}",
+                f"--seed-links={','.join(site.entry_links)}",
+                f"--spans-file={site.spans(host)}",
+                "--host-list-max-age-s=1",
+            ],
+            environment={
+                "BITTERNLEVER_CLUSTER_KEY": site.cluster_key,
+                "BITTERNLEVER_OPERATOR_TOKEN": site.operator_token,
+                "BITTERNLEVER_UPSTREAM_TOKEN": site.upstream_token,
+            },
+        )
+        for host, zone, link, address in zip(
+            hosts,
+            _zone_of_each(site, hosts),
+            site.entry_links,
+            site.entries,
+            strict=True,
+        )
+    ]
+
+
+def stand_in_commands(site: Site) -> list[standin_processes.Command]:
+    """Return the stand-ins that the manifest needs, and the weight store."""
+    wanted = _wanted_stand_ins(site.manifest)
+    ports = standin_processes.free_ports(len(wanted) + 1)
+    store = f"127.0.0.1:{ports[0]}"
+    commands = [_stand_in_command("weight-store", "weight-store", store, [])]
+    for number, (name, kind, pool) in enumerate(wanted):
+        listen = f"127.0.0.1:{ports[number + 1]}"
+        site.stand_ins[name] = f"http://{listen}"
+        options = [
+            f"--zone={site.zones[number % len(site.zones)]}",
+            f"--pool={pool}",
+            f"--entries={','.join(site.entries)}",
+            f"--token={site.upstream_token}",
+            f"--records={site.folder / 'records'}",
+        ]
+        once = _non_idempotent(site.manifest, pool)
+        if once:
+            options.append(f"--non-idempotent={','.join(once)}")
+        if kind is standin_settings.StandInKind.ENGINE:
+            options += _engine_options(site.manifest, pool, number, store)
+        commands.append(_stand_in_command(kind.value, name, listen, options))
+    return commands
+
+
+async def wait_until_ready(
+    site: Site,
+    running: standin_processes.Processes,
+    upstreams: list[str],
+) -> str:
+    """Wait until every entry host accepts work and knows ``upstreams``.
+
+    Return nothing, or what is still missing when the time is up.
+    """
+    end_s = time.monotonic() + READY_S
+    missing = "nothing was asked"
+    async with aiohttp.ClientSession() as session:
+        while time.monotonic() < end_s:
+            dead = running.dead()
+            if dead:
+                return f"ended: {', '.join(dead)}"
+            missing = await _missing(site, session, upstreams)
+            if not missing:
+                return ""
+            await asyncio.sleep(POLL_S)
+    return missing
+
+
+async def _missing(
+    site: Site,
+    session: aiohttp.ClientSession,
+    upstreams: list[str],
+) -> str:
+    for address in site.entries:
+        try:
+            async with session.get(f"{address}/readyz") as response:
+                if response.status != 200:
+                    return f"{address} is not ready"
+            if not upstreams:
+                continue
+            headers = {"Authorization": f"Bearer {site.operator_token}"}
+            async with session.get(
+                f"{address}/v1/upstreams",
+                headers=headers,
+            ) as response:
+                known = (await response.json()).get("upstreams", [])
+        except (aiohttp.ClientError, TimeoutError) as error:
+            return f"{address}: {type(error).__name__}"
+        serving = {
+            upstream["announcement"]["name"]
+            for upstream in known
+            if upstream["serving"]
+        }
+        absent = sorted(set(upstreams) - serving)
+        if absent:
+            return f"{address} does not know {', '.join(absent)}"
+    return ""
+
+
+def _wanted_stand_ins(
+    whole: manifest.Manifest,
+) -> list[tuple[str, standin_settings.StandInKind, str]]:
+    kinds = {}
+    for pipeline in whole.pipelines:
+        for stage in pipeline.stages:
+            kinds.setdefault(stage.pool, KIND_OF_TASK[stage.task])
+    wanted = []
+    for pool, kind in sorted(kinds.items()):
+        count = ENGINES if kind is standin_settings.StandInKind.ENGINE else 1
+        wanted += [(f"{pool}-{number + 1}", kind, pool) for number in range(count)]
+    return wanted
+
+
+def _non_idempotent(whole: manifest.Manifest, pool: str) -> list[str]:
+    return sorted(
+        {
+            stage.name
+            for pipeline in whole.pipelines
+            for stage in pipeline.stages
+            if stage.pool == pool and not stage.idempotent
+        },
+    )
+
+
+def _engine_options(
+    whole: manifest.Manifest,
+    pool: str,
+    number: int,
+    store: str,
+) -> list[str]:
+    models = [model.name for model in whole.models if model.pool == pool]
+    options = [f"--models={','.join(models)}", f"--weight-store=http://{store}"]
+    return [*options, "--checks-fencing"] if number % 2 else options
+
+
+def _stand_in_command(
+    kind: str,
+    name: str,
+    listen: str,
+    options: list[str],
+) -> standin_processes.Command:
+    return standin_processes.Command(
+        name=name,
+        arguments=["standins", kind, f"--name={name}", f"--listen={listen}", *options],
+    )
+
+
+def _zone_of_each(site: Site, hosts: list[str]) -> list[str]:
+    return [site.zones[number % len(site.zones)] for number in range(len(hosts))]
+
+
+def _pairs(names: list[str], values: list[str]) -> str:
+    return ",".join(
+        f"{name}={value}" for name, value in zip(names, values, strict=True)
+    )
