--- a/standins/demo.py
+++ b/standins/demo.py
@@ -4,7 +4,6 @@
 """
 
 import asyncio
-import contextlib
 import dataclasses
 import pathlib
 import secrets
@@ -24,7 +23,6 @@
 EXIT_NOT_WHOLE = 1
 EXIT_NOT_STARTED = 3
 EXIT_INTERRUPTED = 130
-OPERATOR_LIMIT_S = 30.0
 TOKEN_SUFFIX = "-example-token"
 
 EXAMPLE = cappa.Arg(long=True, choices=sorted(site.ZONES), help="Which example to run.")
@@ -59,11 +57,7 @@
     """Run the demo in ``folder`` and return its exit code."""
     begin_s = time.monotonic()
     system = site.create(example, folder)
-    commands = [
-        *site.control_commands(system),
-        *site.entry_commands(system),
-        *site.stand_in_commands(system),
-    ]
+    commands = site.commands(system)
     async with standin_processes.manage(folder) as running:
         say(f"starting {len(commands)} processes: {_names(commands)}")
         for command in commands:
@@ -92,23 +86,9 @@
     """Apply the manifest with the operator's tool and wait until it is in force."""
     path = system.manifest_path.relative_to(standin_processes.ROOT)
     say(f"\n$ bitternlever manifest apply {path} --wait")
-    command = standin_processes.Command(
-        name="operator",
-        arguments=[
-            "bitternlever.commands.operator",
-            "manifest",
-            "apply",
-            str(system.manifest_path),
-            "--wait",
-        ],
-        environment=system.operator_environment(),
-    )
-    await standin_processes.start(running, command)
-    process = running.running["operator"]
-    with contextlib.suppress(TimeoutError):
-        await asyncio.wait_for(process.wait(), OPERATOR_LIMIT_S)
-    say(running.log_tail("operator"))
-    return process.returncode == 0
+    applied = await site.apply(system, running)
+    say(running.log_tail(site.OPERATOR))
+    return applied
 
 
 async def _send_all(system: site.Site) -> list[Sent]:
--- a/standins/site.py
+++ b/standins/site.py
@@ -1,6 +1,7 @@
 """A whole system on the loopback interface: both programs and all stand-ins."""
 
 import asyncio
+import contextlib
 import dataclasses
 import pathlib
 import secrets
@@ -17,10 +18,13 @@
     "cantref": ("hall-a", "hall-b", "hall-c"),
     "sheetal": ("deesa", "palanpur", "mehsana"),
 }
+OWN_MANIFEST = "manifest.json"
 LETTERS = "abcdefghi"
 CONTROL_NODES = 3
 ENTRY_HOSTS = 3
 ENGINES = 2
+OPERATOR = "operator"
+OPERATOR_LIMIT_S = 30.0
 READY_S = 30.0
 POLL_S = 0.1
 KIND_OF_TASK = {
@@ -44,14 +48,16 @@
     entry_links: list[str]
     zones: tuple[str, ...]
     stand_ins: dict[str, str] = dataclasses.field(default_factory=dict)
+    service_ms: float = 4.0
     operator_token: str = dataclasses.field(default_factory=secrets.token_hex)
     upstream_token: str = dataclasses.field(default_factory=secrets.token_hex)
     cluster_key: str = dataclasses.field(default_factory=secrets.token_hex)
 
     @property
     def manifest_path(self) -> pathlib.Path:
-        """Return the path of the example's manifest."""
-        return EXAMPLES / f"{self.example}.json"
+        """Return the path of the manifest: the example's, or the one in the folder."""
+        own = self.folder / OWN_MANIFEST
+        return own if own.exists() else EXAMPLES / f"{self.example}.json"
 
     def spans(self, name: str) -> pathlib.Path:
         """Return the file to which a process writes its spans."""
@@ -65,16 +71,22 @@
         }
 
 
-def create(example: str, folder: pathlib.Path) -> Site:
-    """Choose addresses for the system of an example."""
+def create(
+    example: str,
+    folder: pathlib.Path,
+    own_manifest: manifest.Manifest | None = None,
+) -> Site:
+    """Choose addresses for the system of an example, or of a manifest of its own."""
     ports = standin_processes.free_ports(CONTROL_NODES + 2 * ENTRY_HOSTS)
     control, rest = ports[:CONTROL_NODES], ports[CONTROL_NODES:]
     links, http = rest[:ENTRY_HOSTS], rest[ENTRY_HOSTS:]
-    body = (EXAMPLES / f"{example}.json").read_bytes()
+    whole = own_manifest or load(example)
+    if own_manifest is not None:
+        (folder / OWN_MANIFEST).write_bytes(msgspec.json.encode(own_manifest))
     return Site(
         example=example,
         folder=folder,
-        manifest=msgspec.json.decode(body, type=manifest.Manifest),
+        manifest=whole,
         entries=[f"http://127.0.0.1:{port}" for port in http],
         control_links=[f"tcp://127.0.0.1:{port}" for port in control],
         entry_links=[f"tcp://127.0.0.1:{port}" for port in links],
@@ -82,6 +94,12 @@
     )
 
 
+def load(example: str) -> manifest.Manifest:
+    """Return the manifest of an example."""
+    body = (EXAMPLES / f"{example}.json").read_bytes()
+    return msgspec.json.decode(body, type=manifest.Manifest)
+
+
 def control_commands(site: Site) -> list[standin_processes.Command]:
     """Return the control processes to start."""
     hosts = [f"control-{letter}" for letter in LETTERS[: len(site.control_links)]]
@@ -161,6 +179,7 @@
         options = [
             f"--zone={site.zones[number % len(site.zones)]}",
             f"--pool={pool}",
+            f"--service-ms={site.service_ms}",
             f"--entries={','.join(site.entries)}",
             f"--token={site.upstream_token}",
             f"--records={site.folder / 'records'}",
@@ -174,6 +193,42 @@
     return commands
 
 
+async def apply(site: Site, running: standin_processes.Processes) -> bool:
+    """Apply the manifest with the operator's tool and wait until it is in force."""
+    command = standin_processes.Command(
+        name=OPERATOR,
+        arguments=[
+            "bitternlever.commands.operator",
+            "manifest",
+            "apply",
+            str(site.manifest_path),
+            "--wait",
+        ],
+        environment=site.operator_environment(),
+    )
+    await standin_processes.start(running, command)
+    process = running.running[OPERATOR]
+    with contextlib.suppress(TimeoutError):
+        await asyncio.wait_for(process.wait(), OPERATOR_LIMIT_S)
+    return process.returncode == 0
+
+
+async def start(site: Site, running: standin_processes.Processes) -> str:
+    """Start every process and wait; return nothing, or what is still missing."""
+    for command in commands(site):
+        await standin_processes.start(running, command)
+    return await wait_until_ready(site, running, sorted(site.stand_ins))
+
+
+def commands(site: Site) -> list[standin_processes.Command]:
+    """Return all processes to start: both programs and the stand-ins."""
+    return [
+        *control_commands(site),
+        *entry_commands(site),
+        *stand_in_commands(site),
+    ]
+
+
 async def wait_until_ready(
     site: Site,
     running: standin_processes.Processes,
