--- a/standins/demo.py
+++ b/standins/demo.py
@@ -73,7 +73,7 @@
         codes = await standin_processes.stop(running, list(running.running))
     in_order = _report_ends(codes)
     _report(system, sent)
-    whole = all(not each.received.faults for each in sent)
+    whole = all(each.received.whole for each in sent)
     say(f"\n{'everything was whole' if whole else 'NOT everything was whole'}")
     say(f"finished after {time.monotonic() - begin_s:.1f} s")
     return EXIT_WHOLE if whole and in_order else EXIT_NOT_WHOLE
@@ -173,7 +173,7 @@
 
 
 def _report(system: site.Site, sent: list[Sent]) -> None:
-    longest = max(sent, key=lambda each: (each.stages, each.received.pieces))
+    longest = max(sent, key=lambda each: (each.stages, len(each.received.pieces)))
     say(f"\ntrace {longest.trace} of the {longest.kind}, a span for each hop")
     spans = demo_report.read_spans(system.folder.glob("*.spans.jsonl"), longest.trace)
     for line in demo_report.trace_lines(spans):
--- a/standins/demo_report.py
+++ b/standins/demo_report.py
@@ -72,7 +72,7 @@
 def answer_lines(name: str, entry: str, received: callers.Received) -> list[str]:
     """Return an answer as lines."""
     state = "whole" if not received.faults else "NOT WHOLE"
-    pieces = f", {received.pieces} pieces" if received.pieces else ""
+    pieces = f", {len(received.pieces)} pieces" if received.pieces else ""
     lines = [
         "",
         f"{name}: {state} (HTTP {received.status}{pieces}, {entry}, "
