--- a/bench/load.py
+++ b/bench/load.py
@@ -59,6 +59,7 @@
             print(f"the system is not ready: {missing}", file=sys.stderr)
             return EXIT_NOT_READY
         ended = await _load(options, system, running, write)
+        await site.stop(running)
     run_records = files.read(folder / "records")
     return _report(options, ended, checks.check(run_records), len(run_records))
 
--- /dev/null
+++ b/bitternlever/checks/settings_page.py
@@ -0,0 +1,49 @@
+"""The page of all settings: ``python -m bitternlever.checks.settings_page``.
+
+The committed file ``docs/ref/settings.md`` is what this prints.
+"""
+
+import sys
+
+from bitternlever.conf import settings
+
+HEAD = """\
+# Settings
+
+Every setting is a flag (`--http-listen`) and an environment variable
+(`BITTERNLEVER_HTTP_LISTEN`); the flag goes first. All are checked at the start: every
+fault is listed with the value and what is allowed, and the program ends with exit code
+2. `bitternlever config check entry|control` does the same without starting anything.
+
+This page is printed by `python -m bitternlever.checks.settings_page`.
+"""
+TABLE_HEAD = "| flag | variable | default | meaning |\n| --- | --- | --- | --- |"
+SECTIONS = (
+    ("Both programs", settings.COMMON),
+    ("`bitternleverd entry`", settings.ENTRY),
+    ("`bitternleverd control`", settings.CONTROL),
+)
+
+
+def generate() -> str:
+    """Return the page."""
+    parts = [HEAD]
+    for title, group in SECTIONS:
+        common = () if group is settings.COMMON else settings.COMMON
+        rows = [_row(setting) for setting in group if setting not in common]
+        parts.append("\n".join([f"## {title}\n", TABLE_HEAD, *rows, ""]))
+    return "\n".join(parts)
+
+
+def _row(setting: settings.Setting) -> str:
+    if setting.default is None:
+        default = "must be set"
+    else:
+        default = f"`{setting.default}`" if setting.default else "empty"
+    secret = " Secret: give it as a variable." if setting.secret else ""
+    cells = (f"`{setting.flag}`", f"`{setting.variable}`", default)
+    return f"| {' | '.join(cells)} | {setting.help}{secret} |"
+
+
+if __name__ == "__main__":
+    sys.stdout.write(generate())
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -70,7 +70,7 @@
             return EXIT_NOT_STARTED
         sent = await _send_all(system)
         say("\nstopping every process")
-        codes = await standin_processes.stop(running, list(running.running))
+        codes = await site.stop(running)
     in_order = _report_ends(codes)
     _report(system, sent)
     whole = all(each.received.whole for each in sent)
--- a/standins/site.py
+++ b/standins/site.py
@@ -220,6 +220,21 @@
     return await wait_until_ready(site, running, sorted(site.stand_ins))
 
 
+async def stop(running: standin_processes.Processes) -> dict[str, int]:
+    """End every process in order: entry hosts, stand-ins, control; return the codes.
+
+    Entry hosts drain with their upstreams and control still there.
+    """
+    names = list(running.running)
+    first = [name for name in names if name.startswith("entry-")]
+    last = [name for name in names if name.startswith("control-")]
+    between = [name for name in names if name not in {*first, *last}]
+    codes = {}
+    for group in (first, between, last):
+        codes |= await standin_processes.stop(running, group)
+    return codes
+
+
 def commands(site: Site) -> list[standin_processes.Command]:
     """Return all processes to start: both programs and the stand-ins."""
     return [
