--- a/tests/consensus/test_failures.py
+++ b/tests/consensus/test_failures.py
@@ -2,7 +2,8 @@
 
 import pytest
 
-from bitternlever.consensus import elections, tables as consensus_tables
+from bitternlever.consensus import commits, elections, tables as consensus_tables
+from bitternlever.control import machines
 from bitternlever.core import ticks
 from bitternlever.messages import calls, consensus, directory, frames
 from tests.consensus import harness
@@ -105,6 +106,7 @@
     cluster.ask(harness.manifest(1))
     former = cluster.leader()
     cluster.nodes[former].frozen = True
+    cluster.isolate(former)
     cluster.run(3.0)
     cluster.ask(harness.manifest(2))
     call_id = cluster.call(directory.GetManifest(), to=former)
@@ -140,19 +142,104 @@
     assert call_id not in cluster.replies
 
 
+def ask_for_vote(cluster, name, candidate, terms_ahead=1):
+    """Ask a voter for its vote, as a candidate with a long log would."""
+    replica = cluster.replica(name)
+    request = consensus.VoteRequest(
+        group=0,
+        term=replica.term + terms_ahead,
+        candidate=consensus.ReplicaId(candidate, "disk-x"),
+        last_index=replica.commit_index + 9,
+        last_term=replica.term,
+        pre_vote=False,
+    )
+    received = frames.PeerReceived(candidate, f"tcp://{candidate}", request)
+    cluster.post(0.0, cluster.nodes[name], received)
+
+
+def votes(cluster):
+    """Return the candidates that were told of a vote for them."""
+    return {
+        peer.node
+        for _, _, peer in cluster.entry_messages
+        if isinstance(peer.message, consensus.VoteReply) and peer.message.granted
+    }
+
+
+def without_leader(cluster):
+    """End the leader's process, and return a voter that hears from none."""
+    voter = followers(cluster)[0]
+    cluster.kill(cluster.leader())
+    cluster.isolate(voter)
+    cluster.run(3.0)
+    return voter
+
+
 def test_a_vote_leaves_only_once_it_is_synced():
-    """A voter that dies before its vote is synced may vote for another."""
     cluster = started()
-    leader, (first, second) = cluster.leader(), followers(cluster)
-    cluster.kill(leader)
-    cluster.nodes[first].sync_held = True
-    cluster.nodes[second].sync_held = True
+    voter = without_leader(cluster)
+    cluster.nodes[voter].sync_held = True
+
+    ask_for_vote(cluster, voter, "control-y")
+    cluster.run(0.1)
+
+    assert votes(cluster) == set()
+
+
+def test_a_voter_votes_once_in_a_term():
+    cluster = started()
+    voter = without_leader(cluster)
+
+    ask_for_vote(cluster, voter, "control-y")
+    cluster.run(0.1)
+    ask_for_vote(cluster, voter, "control-z", terms_ahead=0)
+    cluster.run(0.1)
+
+    assert votes(cluster) == {"control-y"}
+
+
+def test_a_lone_voter_leads_only_once_its_own_vote_is_synced():
+    cluster = harness.Cluster(nodes=1)
+    cluster.nodes["control-a"].sync_held = True
 
     cluster.run(5.0)
 
     assert cluster.leader() is None
 
 
+def test_a_replica_without_the_newest_commit_is_not_elected():
+    for seed in range(10):
+        cluster = started(seed=seed)
+        leader, (first, second) = cluster.leader(), followers(cluster)
+        cluster.isolate(second)
+        assert cluster.ask(harness.manifest(1), to=leader).number == 1
+        cluster.kill(leader)
+        cluster.heal()
+        cluster.run(4.0)
+
+        assert cluster.leader() == first
+        cluster.check_acknowledged()
+
+
+def test_entries_of_an_earlier_term_do_not_commit_by_count():
+    cluster = started()
+    replica = cluster.replica(cluster.leader())
+    committed = replica.commit_index
+    command = harness.manifest(1)
+    commits.propose(
+        replica,
+        consensus.EntryKind.COMMAND,
+        machines.encode_command(command),
+    )
+    replica.term += 1
+    for progress in replica.office.progress.values():
+        progress.match_index = committed + 1
+
+    commits.run(replica, cluster.now, ticks.Outbox())
+
+    assert replica.commit_index == committed
+
+
 def test_accepted_manifests_survive_crashes_that_lose_unsynced_writes():
     for seed in range(20):
         cluster = started(seed=seed)
--- a/tests/consensus/test_replacement.py
+++ b/tests/consensus/test_replacement.py
@@ -39,6 +39,15 @@
     return reply
 
 
+def begin(cluster, command):
+    """Send the command until the leader's log holds the beginning."""
+    end = cluster.now + SECONDS
+    while cluster.replica(cluster.leader()).membership.replacing is None:
+        assert cluster.now < end, "the replacement did not begin"
+        cluster.call(command, to=cluster.leader())
+        cluster.run(0.02)
+
+
 def voters(cluster):
     return set(cluster.replica(cluster.leader()).membership.voters)
 
@@ -123,8 +132,7 @@
     old, new = lost_one(cluster)
     cluster.nodes[new.node].sync_held = True
     command = directory.ReplaceReplica(old.node, old.disk, new.node)
-    while cluster.replica(cluster.leader()).membership.replacing is None:
-        cluster.ask(command)
+    begin(cluster, command)
     cluster.lose_disk(new.node)
     newest = identity(cluster, new.node)
 
@@ -137,9 +145,9 @@
     cluster = started()
     old, new = lost_one(cluster)
     command = directory.ReplaceReplica(old.node, old.disk, new.node)
-    while cluster.replica(cluster.leader()).membership.replacing is None:
-        cluster.ask(command)
-        cluster.kill(new.node)
+    cluster.nodes[new.node].sync_held = True
+    begin(cluster, command)
+    cluster.kill(new.node)
     cluster.run(10.0)
 
     assert new not in voters(cluster)
@@ -148,24 +156,46 @@
 
 def test_a_learner_whose_start_was_never_committed_is_taken_again():
     """The leader that began dies, cut off with its learner; the next one begins."""
-    cluster = started()
+    cluster = started(nodes=5)
     old, new = lost_one(cluster)
     former = cluster.leader()
-    other = next(n for n in cluster.names if n not in (former, new.node))
     command = directory.ReplaceReplica(old.node, old.disk, new.node)
-    cluster.ask(command, seconds=0.3)
-    cluster.cut |= {(former, other), (other, former)}
     cluster.call(command, to=former)
-    cluster.run(0.3)
+    cluster.run(0.02)
+    cluster.isolate(former)
+    cluster.cut -= {(former, new.node), (new.node, former)}
+    cluster.call(command, to=former)
+    cluster.run(0.2)
     assert cluster.replica(new.node).membership.replacing is not None
     cluster.kill(former)
     cluster.heal()
-    cluster.start(former)
     cluster.run(4.0)
+    assert cluster.replica(cluster.leader()).membership.replacing is None
 
     assert replace(cluster, old, new.node).step == "done"
 
 
+def test_a_learner_is_not_promoted_before_its_start_is_committed():
+    cluster = started()
+    old, new = lost_one(cluster)
+    other = next(n for n in followers(cluster) if n != new.node)
+    cluster.nodes[other].sync_held = True
+    begin(cluster, directory.ReplaceReplica(old.node, old.disk, new.node))
+
+    cluster.run(2.0)
+
+    assert new in cluster.replica(cluster.leader()).membership.learners
+
+
+def test_an_identity_heard_at_the_founding_names_no_successor():
+    cluster = started()
+    old, new = lost_one(cluster)
+
+    reply = cluster.ask(directory.ReplaceReplica(old.node, old.disk, new.node))
+
+    assert "voter already" not in getattr(reply, "reason", "")
+
+
 def test_a_resent_replacement_that_is_done_says_so():
     cluster = started()
     old, new = lost_one(cluster)
@@ -179,8 +209,7 @@
     old, new = lost_one(cluster)
     cluster.nodes[new.node].sync_held = True
     command = directory.ReplaceReplica(old.node, old.disk, new.node)
-    while cluster.replica(cluster.leader()).membership.replacing is None:
-        cluster.ask(command)
+    begin(cluster, command)
     other = next(n for n in followers(cluster) if n != new.node)
     second = identity(cluster, other)
 
--- a/tests/control/test_leases.py
+++ b/tests/control/test_leases.py
@@ -91,6 +91,7 @@
     epoch = cluster.ask(acquire()).epoch
     former = cluster.leader()
     cluster.nodes[former].frozen = True
+    cluster.isolate(former)
     cluster.run(3.0)
     call_id = cluster.call(renew(epoch), to=former)
     cluster.run(0.01)
@@ -99,3 +100,17 @@
     cluster.run(1.0)
 
     assert not isinstance(cluster.replies.get(call_id), directory.HostLeaseGranted)
+
+
+def test_a_lease_whose_end_is_proposed_is_not_renewed():
+    cluster = started()
+    epoch = cluster.ask(acquire()).epoch
+    for name in cluster.names:
+        if name != cluster.leader():
+            cluster.nodes[name].sync_held = True
+    cluster.run(3.5)
+    call_id = cluster.call(renew(epoch), to=cluster.leader())
+
+    cluster.run(0.2)
+
+    assert isinstance(cluster.replies[call_id], directory.HostLeaseLost)
