Choose by predicted completion within limits that hold across hosts

Cause: each host filled every upstream to its whole concurrency by its own count, so three hosts queued up to three times as much; urgent calls waited in engines behind them.

A host now counts its own calls and what late reports say of the others', less its own calls at the report's time, fading with age towards what hosts like itself would hold. A share is kept for urgent kinds, limits fall where an upstream refuses or slows, a host below its share always has room. Among two random choices, and an upstream that holds the prefix, the earliest predicted completion wins. Stages that cannot be in time stand behind the others, by the same estimate.

--- a/bitternlever/admission/dispatch.py
+++ b/bitternlever/admission/dispatch.py
@@ -65,21 +65,24 @@
             break
         ready = entry.ready
         placement = choice.choose(tables, now, ready)
-        _remove(tables, ready)
         if placement.is_ok():
+            _remove(tables, ready)
             queues.charge(queue, ready, placement.ok().predicted_s)
             launch(tables, now, outbox, ready, placement.ok())
             continue
-        passed.append(ready)
         if not ready.excluded:
             break
+        _remove(tables, ready)
+        passed.append(ready)
     for ready in passed:
         push(tables, now, ready)
 
 
 def _remove(tables, ready: pipeline_tables.ReadyStage) -> None:
     admission = tables.admission
-    del admission.ready[(ready.request_id, ready.stage_index)]
+    key = (ready.request_id, ready.stage_index)
+    del admission.ready[key]
+    del admission.entries[key]
     stages = admission.stages[ready.request_id]
     stages.discard(ready.stage_index)
     if not stages:
--- a/bitternlever/admission/queues.py
+++ b/bitternlever/admission/queues.py
@@ -3,8 +3,8 @@
 Levels are strict, but waiting raises a stage one level at a time up to the first
 level that is not urgent. Within a level, workspaces take turns by start-time fair
 queueing (Goyal, Vin and Cheng, 1996), with some slack inside which the earliest
-deadline goes first. Stages whose deadline has passed stand behind the others, so that
-a backlog does not make everything late.
+deadline goes first. Stages that cannot be in time stand behind the others, so that a
+backlog does not make everything late.
 """
 
 import heapq
@@ -12,7 +12,7 @@
 from bitternlever.admission import tables as admission_tables
 from bitternlever.messages import manifest
 from bitternlever.pipelines import tables as pipeline_tables
-from bitternlever.routing import policies
+from bitternlever.routing import estimates, policies
 
 AGEING_S = 15.0
 LATE_LEVELS = 4
@@ -80,6 +80,7 @@
 ) -> None:
     admission = tables.admission
     admission.next_entry += 1
+    admission.entries[(ready.request_id, ready.stage_index)] = admission.next_entry
     lane, rank = _place(tables, now, ready)
     entry = admission_tables.Entry(rank, admission.next_entry, ready)
     heapq.heappush(queue.lanes.setdefault(lane, []), entry)
@@ -96,25 +97,28 @@
     if policy != policies.PREDICTED:
         return (0, ""), (ready.priority, ready.deadline_s)
     level = ready.priority
-    if _is_late(now, ready):
+    if _is_late(tables, now, ready):
         level += LATE_LEVELS
     return (level, ready.workspace), (ready.stage_deadline_s,)
 
 
-def _is_late(now: float, ready: pipeline_tables.ReadyStage) -> bool:
-    return now > ready.deadline_s
+def _is_late(tables, now: float, ready: pipeline_tables.ReadyStage) -> bool:
+    """Tell whether the answer would come after its deadline if it began now."""
+    service_s = estimates.busy_service_s(tables, ready)
+    return now + service_s > ready.deadline_s
 
 
 def _heads(tables, now: float, queue: admission_tables.WorkQueue):
     """Yield the first waiting entry of each lane with its level by now."""
-    waiting = tables.admission.ready
+    valid = tables.admission.entries
     fair = tables.settings.policy == policies.PREDICTED
     for lane, heap in list(queue.lanes.items()):
         while heap:
             ready = heap[0].ready
-            if waiting.get((ready.request_id, ready.stage_index)) is not ready:
+            key = (ready.request_id, ready.stage_index)
+            if valid.get(key) != heap[0].number:
                 heapq.heappop(heap)
-            elif fair and lane[0] == ready.priority and _is_late(now, ready):
+            elif fair and lane[0] == ready.priority and _is_late(tables, now, ready):
                 heapq.heappop(heap)
                 _insert(tables, now, queue, ready)
             else:
--- a/bitternlever/admission/tables.py
+++ b/bitternlever/admission/tables.py
@@ -36,12 +36,13 @@
     """Ready stages by request id and stage index, and the queues that order them.
 
     ``stages`` names the waiting stages of each request, ``waiting`` counts them by
-    workspace.
+    workspace. ``entries`` holds the number of each stage's one valid entry.
     """
 
     ready: dict[tuple[str, int], pipeline_tables.ReadyStage] = dataclasses.field(
         default_factory=dict,
     )
+    entries: dict[tuple[str, int], int] = dataclasses.field(default_factory=dict)
     stages: dict[str, set[int]] = dataclasses.field(default_factory=dict)
     waiting: dict[str, int] = dataclasses.field(default_factory=dict)
     queues: dict[Kind, WorkQueue] = dataclasses.field(default_factory=dict)
--- a/bitternlever/routing/feedback.py
+++ b/bitternlever/routing/feedback.py
@@ -1,21 +1,30 @@
 """What attempts teach routing: each has one start and one end."""
 
-from bitternlever.messages import requests, upstream
+from bitternlever.admission import queues
+from bitternlever.messages import manifest, requests, upstream
 from bitternlever.pipelines import tables as pipeline_tables
-from bitternlever.routing import tables as routing_tables
+from bitternlever.routing import (
+    estimates,
+    limits,
+    occupancy,
+    prefixes,
+    tables as routing_tables,
+)
 
 
 def started(tables, now: float, attempt: pipeline_tables.Attempt) -> None:
     """Count an attempt as in flight on its upstream."""
-    load = tables.routing.loads.setdefault(
-        attempt.upstream,
-        routing_tables.UpstreamLoad(),
-    )
+    load = occupancy.load_of(tables, attempt.upstream)
     load.in_flight.add(attempt.attempt)
+    if queues.is_urgent(tables, attempt.priority):
+        load.urgent.add(attempt.attempt)
+    occupancy.sample(load, now)
 
 
 def first_byte(tables, now: float, attempt: pipeline_tables.Attempt) -> None:
-    """Learn the time to the first byte of a streamed stage."""
+    """Learn that an upstream now holds the prefix of a prompt."""
+    load = occupancy.load_of(tables, attempt.upstream)
+    prefixes.used(load, attempt.prefix)
 
 
 def finished(
@@ -25,7 +34,19 @@
     usage: upstream.Usage,
 ) -> None:
     """End an attempt that brought a whole output."""
-    _leave(tables, attempt)
+    load = occupancy.load_of(tables, attempt.upstream)
+    known = tables.membership.upstreams.get(attempt.upstream)
+    running = float(len(load.in_flight))
+    if known is not None:
+        running += occupancy.others(now, known, load, 0.0)
+    ratio = estimates.learn(tables, now, attempt, usage, running)
+    _leave(load, now, attempt)
+    load.failures = 0
+    load.pace += estimates.PACE_WEIGHT * (ratio - load.pace)
+    if known is not None:
+        _adapt(load, now, ratio, known.announcement.concurrency)
+    if attempt.stage.task is manifest.Task.GENERATE and usage.output_tokens:
+        _learn_output(tables, attempt, usage)
 
 
 def failed(
@@ -35,15 +56,53 @@
     failure: requests.UpstreamFailed,
 ) -> None:
     """End an attempt that failed on its upstream."""
-    _leave(tables, attempt)
+    load = occupancy.load_of(tables, attempt.upstream)
+    _leave(load, now, attempt)
+    if failure.sent is requests.Sent.NO and failure.status is not None:
+        limits.decrease(load, now, limits.REFUSED_FACTOR)
+        return
+    load.failures += 1
 
 
 def cancelled(tables, now: float, attempt: pipeline_tables.Attempt) -> None:
     """End an attempt that this host cancelled; it teaches nothing."""
-    _leave(tables, attempt)
+    _leave(occupancy.load_of(tables, attempt.upstream), now, attempt)
 
 
-def _leave(tables, attempt: pipeline_tables.Attempt) -> None:
-    load = tables.routing.loads.get(attempt.upstream)
-    if load is not None:
-        load.in_flight.discard(attempt.attempt)
+def _leave(
+    load: routing_tables.UpstreamLoad,
+    now: float,
+    attempt: pipeline_tables.Attempt,
+) -> None:
+    load.in_flight.discard(attempt.attempt)
+    load.urgent.discard(attempt.attempt)
+    occupancy.sample(load, now)
+
+
+def _adapt(
+    load: routing_tables.UpstreamLoad,
+    now: float,
+    ratio: float,
+    concurrency: int,
+) -> None:
+    if ratio > limits.SLOW_RATIO:
+        limits.decrease(load, now, limits.SLOW_FACTOR)
+    else:
+        limits.increase(load, concurrency)
+
+
+def _learn_output(
+    tables,
+    attempt: pipeline_tables.Attempt,
+    usage: upstream.Usage,
+) -> None:
+    request = tables.requests.requests.get(attempt.request_id)
+    if request is None:
+        return
+    resumed = attempt.resume_length // estimates.CHARACTERS_PER_TOKEN
+    tokens = usage.output_tokens + resumed
+    estimates.learn_output(tables, request.kind.name, attempt.stage, tokens)
+    if usage.cached_tokens:
+        share = usage.cached_tokens / max(1, usage.prompt_tokens)
+        routing = tables.routing
+        routing.cached_share += estimates.CACHED_WEIGHT * (share - routing.cached_share)
--- a/bitternlever/routing/policies.py
+++ b/bitternlever/routing/policies.py
@@ -1,4 +1,4 @@
-"""Policies by name: how an upstream is chosen among those with room."""
+"""Policies by name: how an upstream is chosen for a stage."""
 
 from collections.abc import Callable
 from typing import Any
@@ -12,10 +12,10 @@
 FIRST_COME_FIRST_SERVED = "first_come_first_served"
 NAMES = (PREDICTED, ROUND_ROBIN, LEAST_IN_FLIGHT, FIRST_COME_FIRST_SERVED)
 
-Candidates = list[gossip_tables.Upstream]
+Upstreams = list[gossip_tables.Upstream]
 Choose = Callable[
-    [Any, float, pipeline_tables.ReadyStage, Candidates],
-    gossip_tables.Upstream,
+    [Any, float, pipeline_tables.ReadyStage, Upstreams],
+    gossip_tables.Upstream | None,
 ]
 
 
@@ -23,27 +23,36 @@
     tables,
     now: float,
     ready: pipeline_tables.ReadyStage,
-    candidates: Candidates,
-) -> gossip_tables.Upstream:
+    serving: Upstreams,
+) -> gossip_tables.Upstream | None:
     """Choose one after the other, whatever their load."""
+    free = _with_room(tables, serving)
+    if not free:
+        return None
     pool = ready.stage.pool
     turn = tables.routing.turns.get(pool, 0)
     tables.routing.turns[pool] = turn + 1
-    return candidates[turn % len(candidates)]
+    return free[turn % len(free)]
 
 
 def least_in_flight(
     tables,
     now: float,
     ready: pipeline_tables.ReadyStage,
-    candidates: Candidates,
-) -> gossip_tables.Upstream:
+    serving: Upstreams,
+) -> gossip_tables.Upstream | None:
     """Choose the upstream with the fewest of this host's calls."""
-    loads = tables.routing.loads
-    return min(
-        candidates,
-        key=lambda each: (
-            len(loads[each.announcement.name].in_flight),
-            each.announcement.name,
-        ),
-    )
+    free = _with_room(tables, serving)
+    return min(free, key=lambda each: _held(tables, each), default=None)
+
+
+def _with_room(tables, serving: Upstreams) -> Upstreams:
+    """Return the upstreams with fewer calls of this host than they allow."""
+    return [
+        each for each in serving if _held(tables, each) < each.announcement.concurrency
+    ]
+
+
+def _held(tables, upstream: gossip_tables.Upstream) -> int:
+    load = tables.routing.loads.get(upstream.announcement.name)
+    return 0 if load is None else len(load.in_flight)
--- /dev/null
+++ b/bitternlever/routing/prefixes.py
@@ -0,0 +1,59 @@
+"""Which prompt prefixes an upstream's cache holds, from events that may be lost.
+
+Events are numbered without gaps. A gap voids the view, since what was evicted in it
+is unknown.
+"""
+
+from bitternlever.gossip import tables as gossip_tables
+from bitternlever.routing import tables as routing_tables
+
+MAXIMUM_PREFIXES = 512
+
+
+def holds(
+    load: routing_tables.UpstreamLoad,
+    upstream: gossip_tables.Upstream,
+    prefix: str,
+) -> bool:
+    """Tell whether an upstream is believed to hold a prefix."""
+    if not prefix:
+        return False
+    _catch_up(load.view, upstream)
+    return prefix in load.view.prefixes
+
+
+def used(load: routing_tables.UpstreamLoad, prefix: str) -> None:
+    """Note that an upstream has just served a prompt with this prefix."""
+    if prefix:
+        _store(load.view, prefix)
+
+
+def _catch_up(
+    view: routing_tables.PrefixView,
+    upstream: gossip_tables.Upstream,
+) -> None:
+    announcement = upstream.announcement
+    if announcement.incarnation != view.incarnation:
+        view.prefixes.clear()
+        view.number = 0
+        view.incarnation = announcement.incarnation
+    events = announcement.cache_events
+    if not events or events[-1].number <= view.number:
+        return
+    for event in events:
+        if event.number <= view.number:
+            continue
+        if event.number != view.number + 1:
+            view.prefixes.clear()
+        view.number = event.number
+        if event.stored:
+            _store(view, event.prefix)
+        else:
+            view.prefixes.pop(event.prefix, None)
+
+
+def _store(view: routing_tables.PrefixView, prefix: str) -> None:
+    view.prefixes[prefix] = None
+    view.prefixes.move_to_end(prefix)
+    if len(view.prefixes) > MAXIMUM_PREFIXES:
+        view.prefixes.popitem(last=False)
--- a/tests/admission/entries.py
+++ b/tests/admission/entries.py
@@ -4,7 +4,7 @@
 from bitternlever.core import ticks
 from bitternlever.entry import tables as entry_tables
 from bitternlever.gossip import upstreams
-from bitternlever.messages import manifest, upstream
+from bitternlever.messages import manifest, requests, upstream
 from bitternlever.pipelines import tables as pipeline_tables
 from bitternlever.routing import feedback
 
@@ -113,3 +113,22 @@
     """End an attempt with a whole output."""
     del tables.requests.attempts[done.attempt]
     feedback.finished(tables, now, done, upstream.Usage(**usage))
+
+
+def refusal(refused):
+    """Make an upstream's refusal of an attempt that it did not run."""
+    return requests.UpstreamFailed(
+        attempt=refused.attempt,
+        sent=requests.Sent.NO,
+        reason="busy",
+        status=429,
+    )
+
+
+def breakdown(broken):
+    """Make the failure of an attempt that may have run."""
+    return requests.UpstreamFailed(
+        attempt=broken.attempt,
+        sent=requests.Sent.UNKNOWN,
+        reason="reset",
+    )
--- a/tests/admission/test_dispatch.py
+++ b/tests/admission/test_dispatch.py
@@ -138,3 +138,15 @@
     dispatch.push(tables, 50.0, entries.ready("draft", now=50.0, priority=2))
 
     assert _one_at_a_time(tables, 50.0, 2) == ["draft", "audit"]
+
+
+def test_waiting_long_takes_no_more_room():
+    tables = entries.host()
+    dispatch.push(tables, 0.0, entries.ready("waits"))
+    for step in range(100):
+        entries.run(tables, step * 0.05)
+        dispatch.push(tables, step * 0.05, tables.admission.ready[("waits", 0)])
+        entries.run(tables, step * 0.05)
+
+    lanes = tables.admission.queues.popitem()[1].lanes
+    assert sum(map(len, lanes.values())) <= 2
--- /dev/null
+++ b/tests/routing/test_predicted.py
@@ -0,0 +1,178 @@
+"""The choice of an upstream by predicted completion."""
+
+import pytest
+
+from bitternlever.admission import dispatch
+from bitternlever.gossip import tables as gossip_tables
+from bitternlever.messages import manifest, upstream
+from bitternlever.routing import choice, feedback, occupancy, policies
+from tests.admission import entries
+
+
+def _place(tables, now, stage):
+    return choice.choose(tables, now, stage).ok()
+
+
+def _launch(tables, now, stage):
+    placement = _place(tables, now, stage)
+    started = entries.attempt(stage, placement, now)
+    tables.requests.attempts[started.attempt] = started
+    feedback.started(tables, now, started)
+    return started
+
+
+def _add_hosts(tables, now, count):
+    for index in range(1, count + 1):
+        tables.membership.hosts[f"h{index}"] = gossip_tables.Host(
+            f"h{index}", "1", 1, "", "", "", False, 0, now
+        )
+
+
+def _hold(tables, name, count):
+    load = occupancy.load_of(tables, name)
+    load.in_flight.update(f"{name}-{index}" for index in range(count))
+    occupancy.sample(load, 0.0)
+
+
+def test_the_emptier_of_two_is_chosen():
+    tables = entries.host()
+    entries.announce(tables, 0.0, "full")
+    entries.announce(tables, 0.0, "free")
+    _hold(tables, "full", 5)
+
+    chosen = {_place(tables, 0.0, entries.ready("r")).upstream for _ in range(20)}
+
+    assert chosen == {"free"}
+
+
+def test_an_upstream_that_proved_slow_is_avoided():
+    tables = entries.host()
+    entries.announce(tables, 0.0, "slow")
+    entries.announce(tables, 0.0, "fast")
+    occupancy.load_of(tables, "slow").pace = 4.0
+    _hold(tables, "fast", 3)
+
+    assert _place(tables, 0.0, entries.ready("r")).upstream == "fast"
+
+
+def test_pace_is_learnt_from_ended_attempts():
+    tables = entries.host()
+    for index in range(60):
+        for name, took_s in (("slow", 3.0), ("fast", 1.0)):
+            entries.announce(tables, 0.0, name, sequence=index + 1)
+            stage = entries.ready(f"{name}{index}")
+            started = entries.attempt(stage, _place(tables, 0.0, stage), 0.0)
+            started.upstream = name
+            feedback.started(tables, 0.0, started)
+            tables.requests.attempts[started.attempt] = started
+            entries.finish(tables, took_s, started, output_tokens=100)
+
+    paces = {name: tables.routing.loads[name].pace for name in ("slow", "fast")}
+    assert paces["slow"] / paces["fast"] == pytest.approx(3.0, rel=0.2)
+
+
+def test_a_fresh_report_counts_what_other_hosts_hold():
+    tables = entries.host()
+    _add_hosts(tables, 0.0, 2)
+    load = upstream.LoadReport(running=7)
+    entries.announce(tables, 0.0, "e0", load=load)
+    known = tables.membership.upstreams["e0"]
+    own = occupancy.load_of(tables, "e0")
+
+    assert occupancy.others(0.0, known, own, usual=0.0) == pytest.approx(7.0)
+    assert occupancy.others(10.0, known, own, usual=0.0) < 0.1
+
+
+def test_own_calls_in_a_late_report_are_not_counted_twice():
+    tables = entries.host()
+    own = occupancy.load_of(tables, "e0")
+    own.in_flight.update({"a", "b"})
+    occupancy.sample(own, 1.0)
+    own.in_flight.clear()
+    occupancy.sample(own, 3.0)
+    report = upstream.LoadReport(running=2, age_s=1.0)
+    entries.announce(tables, 3.0, "e0", load=report)
+    known = tables.membership.upstreams["e0"]
+
+    assert occupancy.others(3.0, known, own, usual=0.0) == 0.0
+
+
+def test_a_share_is_kept_for_the_urgent():
+    tables = entries.host(limits=manifest.Limits(urgent_share=0.25))
+    entries.announce(tables, 0.0, concurrency=8)
+    for index in range(20):
+        dispatch.push(tables, 0.0, entries.ready(f"d{index}"))
+    patient = entries.run(tables, 0.0)
+    for index in range(20):
+        dispatch.push(tables, 0.0, entries.ready(f"u{index}", priority=0))
+    urgent = entries.run(tables, 0.0)
+
+    assert (len(patient), len(urgent)) == (6, 2)
+
+
+def test_hosts_together_keep_near_an_upstreams_limit():
+    hosts = [entries.host(seed=seed) for seed in range(3)]
+    for tables in hosts:
+        _add_hosts(tables, 0.0, 2)
+        entries.announce(tables, 0.0, concurrency=9)
+        for index in range(30):
+            dispatch.push(tables, 0.0, entries.ready(f"u{index}", priority=0))
+
+    held = sum(len(entries.run(tables, 0.0)) for tables in hosts)
+
+    assert held <= 9
+
+
+def test_a_host_that_sees_a_full_pool_still_gets_its_share():
+    tables = entries.host()
+    _add_hosts(tables, 0.0, 2)
+    load = upstream.LoadReport(running=9, waiting=20)
+    entries.announce(tables, 0.0, concurrency=9, load=load)
+    for index in range(30):
+        dispatch.push(tables, 0.0, entries.ready(f"u{index}", priority=0))
+
+    assert len(entries.run(tables, 0.0)) == 3
+
+
+def test_a_refusing_upstream_gets_less_and_then_more_again():
+    tables = entries.host()
+    entries.announce(tables, 0.0, concurrency=8)
+    started = _launch(tables, 0.0, entries.ready("r"))
+    failure = entries.refusal(started)
+    feedback.failed(tables, 0.1, started, failure)
+    lowered = tables.routing.loads["e0"].limit
+    for index in range(60):
+        started = _launch(tables, 1.0, entries.ready(f"r{index}"))
+        entries.finish(tables, 1.5, started, output_tokens=32)
+
+    assert lowered < 8.0
+    assert tables.routing.loads["e0"].limit == 8.0
+
+
+def test_the_own_zone_is_preferred_among_equals():
+    tables = entries.host()
+    entries.announce(tables, 0.0, "far", zone="hall-b", pool="panels")
+    entries.announce(tables, 0.0, "near", zone="hall-a", pool="panels")
+
+    stage = entries.ready("r", stage=entries.CALL)
+    chosen = {_place(tables, 0.0, stage).upstream for _ in range(20)}
+
+    assert chosen == {"near"}
+
+
+def test_baselines_are_choices_by_name():
+    for policy in policies.NAMES:
+        tables = entries.host(policy=policy)
+        entries.announce(tables, 0.0)
+
+        assert _place(tables, 0.0, entries.ready("r")).upstream == "e0"
+
+
+def test_round_robin_takes_turns():
+    tables = entries.host(policy=policies.ROUND_ROBIN)
+    for name in ("a", "b", "c"):
+        entries.announce(tables, 0.0, name)
+
+    chosen = [_place(tables, 0.0, entries.ready("r")).upstream for _ in range(6)]
+
+    assert chosen == ["a", "b", "c", "a", "b", "c"]
