--- a/tests/consensus/harness.py
+++ b/tests/consensus/harness.py
@@ -32,6 +32,8 @@
     run: int = 0
     wake_s: float = 0.0
     frozen: bool = False
+    sync_held: bool = False
+    synced_s: float = 0.0
     inbox: list[Any] = dataclasses.field(default_factory=list)
     writes: list[Any] = dataclasses.field(default_factory=list)
 
@@ -50,7 +52,6 @@
         self.disks = itertools.count(1)
         self.cut = set()
         self.loss = 0.0
-        self.sync_before_ack = True
         self.replies = {}
         self.entry_messages = []
         self.next_call = 0
@@ -72,8 +73,9 @@
     def start(self, name):
         """Start a process from what its disk holds."""
         node = self.nodes[name]
-        node.run += 1
-        node.inbox, node.writes, node.frozen = [], [], False
+        node.run = next(self.order)
+        node.inbox, node.writes = [], []
+        node.frozen = node.sync_held = False
         held = copy.deepcopy(node.durable)
         settings = control_tables.ControlSettings(
             node=name,
@@ -91,7 +93,7 @@
     def kill(self, name):
         """End a process; each write on its way is kept or lost in order."""
         node = self.nodes[name]
-        node.run += 1
+        node.run = next(self.order)
         node.tables = None
         kept = self.random.randint(0, len(node.writes))
         for message in node.writes[:kept]:
@@ -163,13 +165,12 @@
         for message in outbox.messages:
             if isinstance(message, frames.SendPeer):
                 self.send(node, message)
-            elif self.sync_before_ack:
-                node.writes.append(message)
-                self.post(self.random.uniform(*SYNC_S), node, message)
             else:
                 node.writes.append(message)
-                event = consensus.LogSynced(message.group, message.write_id)
-                self.post(0.0, node, event)
+                if not node.sync_held:
+                    node.synced_s = max(self.now, node.synced_s)
+                    node.synced_s += self.random.uniform(*SYNC_S)
+                    self.post(node.synced_s - self.now, node, message)
         self.check(node)
 
     def post(self, delay_s, node, message):
--- a/tests/scenarios/world.py
+++ b/tests/scenarios/world.py
@@ -7,14 +7,14 @@
 from collections.abc import Callable
 from typing import Any
 
-from bench.invariants import records as invariant_records
+from bench.invariants import records
 from bitternlever.core import ticks
 
 SHORTEST_SLEEP_S = 0.001
 MAXIMUM_EVENTS = 400_000
 
 
-@dataclasses.dataclass(slots=True, eq=False)
+@dataclasses.dataclass(slots=True, repr=False, eq=False)
 class Process:
     """One run of a program: its core, what it still has to take, and its state.
 
@@ -33,7 +33,7 @@
     due_s: float = float("inf")
 
 
-@dataclasses.dataclass(slots=True)
+@dataclasses.dataclass(slots=True, repr=False)
 class World:
     """The present, what is still to happen, and what was recorded."""
 
@@ -44,7 +44,7 @@
     )
     numbers: itertools.count = dataclasses.field(default_factory=itertools.count)
     processes: dict[str, Process] = dataclasses.field(default_factory=dict)
-    records: list[invariant_records.Record] = dataclasses.field(default_factory=list)
+    recorded: list[records.Record] = dataclasses.field(default_factory=list)
     triggers: list[Callable[[Process, Any], bool]] = dataclasses.field(
         default_factory=list,
     )
@@ -96,6 +96,12 @@
     within(world, process, take)
 
 
+def lives(world: World, name: str) -> bool:
+    """Tell whether a process runs and is not frozen."""
+    process = world.processes.get(name)
+    return process is not None and process.alive and not process.frozen
+
+
 def kill(world: World, name: str) -> None:
     """End a process at once."""
     world.processes[name].alive = False
