Contract: say in the status which hosts have ended

HostStatus gains ended (default false). Lease time alone can't tell: a new leader knows no lease for half a second. The tool now passes over ended hosts, and shows 'ended' and 'no lease'. With the rule taken out the three new tests fail.

--- a/bitternlever/commands/operator_drain.py
+++ b/bitternlever/commands/operator_drain.py
@@ -66,7 +66,8 @@
     status = operator_hosts.fetch(command)
     if status.is_err():
         return status
-    known = {host.host: host.address for host in status.ok().hosts}
+    hosts = [host for host in status.ok().hosts if not host.ended]
+    known = {host.host: host.address for host in hosts}
     if command.host in known:
         return result.Ok(known[command.host])
     names = ", ".join(sorted(known)) or "none"
@@ -88,7 +89,7 @@
         status = operator_hosts.fetch(asked)
         if status.is_err():
             return False, status.err().text
-        held = {host.address: host for host in status.ok().hosts}
+        held = {host.address for host in status.ok().hosts if not host.ended}
         if address not in held:
             return True, f"{command.host} has given up its lease"
         return False, f"{command.host} is draining"
--- a/bitternlever/commands/operator_hosts.py
+++ b/bitternlever/commands/operator_hosts.py
@@ -42,6 +42,14 @@
     )
 
 
+def _state(host: directory.HostStatus) -> str:
+    if host.ended:
+        return "ended"
+    if host.lease_left_s <= 0:
+        return "no lease"
+    return "draining" if host.draining else "serving"
+
+
 def _lines(status: directory.Status) -> list[str]:
     hosts = [
         [
@@ -51,7 +59,7 @@
             host.epoch,
             f"{host.lease_left_s:.1f}s",
             host.manifest_number,
-            "draining" if host.draining else "serving",
+            _state(host),
         ]
         for host in status.hosts
     ]
--- a/bitternlever/commands/operator_manifest.py
+++ b/bitternlever/commands/operator_manifest.py
@@ -188,7 +188,7 @@
 
 
 def status_view(status: directory.Status) -> StatusView:
-    """Return where the committed manifest is in force."""
+    """Return where the committed manifest is in force; ended hosts don't count."""
     hosts = [
         HostView(
             host=host.host,
@@ -196,6 +196,7 @@
             current=host.manifest_number == status.manifest_number,
         )
         for host in status.hosts
+        if not host.ended
     ]
     return StatusView(
         number=status.manifest_number,
--- a/bitternlever/commands/operator_upstreams.py
+++ b/bitternlever/commands/operator_upstreams.py
@@ -66,7 +66,7 @@
         state,
         f"{row.age_s:.1f}s",
         row.in_flight,
-        f"{row.limit:.0f}",
+        f"{row.limit:.0f}" if row.limit else "-",
     ]
 
 
--- a/bitternlever/control/status.py
+++ b/bitternlever/control/status.py
@@ -52,6 +52,7 @@
                 manifest_number=timer.manifest_number if known else 0,
                 draining=timer.draining if known else False,
                 lease_left_s=max(0.0, timer.expires_s - now) if known else 0.0,
+                ended=host.ended,
             ),
         )
     return hosts
--- a/bitternlever/messages/directory.py
+++ b/bitternlever/messages/directory.py
@@ -177,7 +177,7 @@
 
 
 class HostStatus(msgspec.Struct, frozen=True):
-    """One entry host as the directory knows it."""
+    """One entry host as the directory knows it; ``ended`` when it has no lease."""
 
     host: str
     epoch: int
@@ -187,6 +187,7 @@
     manifest_number: int
     draining: bool
     lease_left_s: float
+    ended: bool = False
 
 
 class ReplicaStatus(msgspec.Struct, frozen=True):
--- a/tests/commands/test_operator.py
+++ b/tests/commands/test_operator.py
@@ -74,7 +74,11 @@
     )
 
 
-def status_body(numbers: dict[str, int], committed: int = 7) -> bytes:
+def status_body(
+    numbers: dict[str, int],
+    committed: int = 7,
+    ended: tuple[str, ...] = (),
+) -> bytes:
     """Make the body of ``GET /v1/status``."""
     hosts = [
         directory.HostStatus(
@@ -86,6 +90,7 @@
             manifest_number=number,
             draining=False,
             lease_left_s=2.0,
+            ended=name in ended,
         )
         for name, number in numbers.items()
     ]
@@ -182,6 +187,27 @@
     assert json.loads(capsys.readouterr().out)["in_force_everywhere"] is True
 
 
+def test_a_host_that_has_ended_does_not_hold_up_a_manifest(host):
+    body = status_body({"entry-a": 7, "entry-b": 0}, ended=("entry-b",))
+    host.answers["GET", "/v1/status"] = [(200, body)]
+
+    code = run("manifest", "status", "--wait", "--wait-s", "0", entry=host.address)
+
+    assert code == operator_client.EXIT_DONE
+
+
+def test_a_drain_is_over_when_the_host_has_ended_though_it_is_still_listed(host):
+    name = host.address.removeprefix("http://")
+    numbers = {"entry-a": 7, name: 7}
+    drained = status_body(numbers, ended=(name,))
+    host.answers["GET", "/v1/status"] = [(200, status_body(numbers)), (200, drained)]
+    host.answers["POST", "/v1/drain"] = [(202, b"{}")]
+
+    code = run("drain", name, "--wait", "--wait-s", "0", entry=host.address)
+
+    assert code == operator_client.EXIT_DONE
+
+
 def test_waiting_too_long_has_an_exit_code_of_its_own(host):
     host.answers["GET", "/v1/status"] = [(200, status_body({"entry-a": 6}))]
 
--- a/tests/control/test_status.py
+++ b/tests/control/test_status.py
@@ -46,3 +46,15 @@
 
     assert any(f"{silent} is silent" in each for each in warnings)
     assert any("one more host would lose the quorum" in each for each in warnings)
+
+
+def test_status_says_which_hosts_have_ended():
+    cluster = started()
+    for name in ("x", "y"):
+        lease = directory.AcquireHostLease(name, "run-1", name, f"tcp://{name}", "z")
+        epoch = cluster.ask(lease).epoch
+    cluster.ask(directory.ReleaseHostLease("y", epoch))
+
+    hosts = cluster.ask(directory.GetStatus()).hosts
+
+    assert {host.host: host.ended for host in hosts} == {"x": False, "y": True}
