--- a/bench/load_caller.py
+++ b/bench/load_caller.py
@@ -18,6 +18,7 @@
 GRACE_S = 15.0
 MINIMUM_PAUSE_S = 0.1
 MAXIMUM_EXCHANGES = 40
+RETRIED = (429, 502, 503, 504)
 TOKEN_SUFFIX = "-example-token"
 CUT = (aiohttp.ClientError, ConnectionError, TimeoutError, msgspec.MsgspecError)
 
@@ -93,7 +94,7 @@
 def _may_retry(order: Order, received: callers.Received) -> bool:
     if received.status < callers.FIRST_REFUSAL:
         return True
-    if received.status not in (429, 502, 503, 504):
+    if received.status not in RETRIED or received.ran == "yes":
         return False
     return received.ran == "no" or order.journaled
 
--- a/bench/load_faults.py
+++ b/bench/load_faults.py
@@ -77,7 +77,8 @@
 async def silent_services(system, running, session) -> None:
     """Let the open connections of every plain service go silent for good."""
     for address in system.stand_ins.values():
-        await session.post(f"{address}/fault", json={"kind": "silent"})
+        async with session.post(f"{address}/fault", json={"kind": "silent"}) as answer:
+            answer.raise_for_status()
 
 
 FAULTS: dict[str, Fault] = {
