--- a/bench/invariants/checks.py
+++ b/bench/invariants/checks.py
@@ -8,6 +8,7 @@
 from bench.invariants import records, views
 
 LEAVING_BOUND_S = 3.0
+IN_FORCE_BOUND_S = 6.0
 
 
 class Violation(msgspec.Struct, frozen=True):
@@ -125,7 +126,11 @@
 
 
 def reverted(view: views.View) -> Iterator[str]:
-    """Find manifests that went back, or two manifests with one number."""
+    """Find manifests that went back, or two manifests with one number.
+
+    A host shows a manifest when it comes into force there: one that is older than
+    another accepted long before has come back.
+    """
     digests: dict[int, str] = {}
     newest: dict[str, int] = {}
     accepted = {
@@ -143,6 +148,8 @@
             if record.number < newest.get(record.host, 0):
                 yield f"{record.host} went back to manifest {record.number}"
             newest[record.host] = max(newest.get(record.host, 0), record.number)
+            if record.number < _accepted_before(view, record.time_s):
+                yield f"{record.host} took the old manifest {record.number}"
 
 
 def old_order_taken(view: views.View) -> Iterator[str]:
@@ -169,6 +176,17 @@
 }
 
 
+def _accepted_before(view: views.View, time_s: float) -> int:
+    """Return the newest number that must be in force everywhere by then."""
+    accepted = [
+        record.number
+        for record in view.run
+        if isinstance(record, records.ManifestAccepted)
+        and record.time_s + IN_FORCE_BOUND_S < time_s
+    ]
+    return max(accepted, default=0)
+
+
 def _bodies(logical: views.Logical) -> dict[str, set[str]]:
     bodies: dict[str, set[str]] = collections.defaultdict(set)
     for answer in logical.answers:
--- a/tests/bench/test_invariants.py
+++ b/tests/bench/test_invariants.py
@@ -155,6 +155,10 @@
         "no manifest reverts",
         [*CLEAN, change(SEEN, number=1, digest="d1", time_s=7.0)],
     ),
+    "an old manifest on a host that starts": (
+        "no manifest reverts",
+        [*CLEAN, change(SEEN, host="entry-b-1", number=1, digest="d1", time_s=20.0)],
+    ),
     "two manifests with one number": (
         "no manifest reverts",
         [*CLEAN, change(SEEN, host="entry-b-1", digest="other", time_s=7.0)],
--- a/tests/scenarios/manifests.feature
+++ b/tests/scenarios/manifests.feature
@@ -97,3 +97,65 @@
     And 2 seconds pass
     Then "reseller" was refused and told that it ran "no"
     And operator "anna" was told "ManifestAccepted"
+
+  Scenario: A manifest is not accepted before a quorum has synced it
+    Given "control-1" leads group 0
+    When the disk of "control-2" takes 3 seconds to sync
+    And "control-3" is cut off from all
+    And operator "anna" applies manifest 2 "red" through "entry-1"
+    And 1 seconds pass
+    And "entry-1" is killed
+    And "control-2" loses power
+    And "control-1" loses its disk
+    And the network heals
+    And the disk of "control-2" takes 0.001 seconds to sync
+    And "control-2" starts again
+    And 5 seconds pass
+    And operator "bodil" applies manifest 2 "blue" through "entry-2"
+    And 5 seconds pass
+    Then operator "bodil" was told "ManifestAccepted"
+
+  Scenario: A leader's own slow disk does not count before it has synced
+    Given "control-1" leads group 0
+    When the disk of "control-1" takes 3 seconds to sync
+    And "control-3" is cut off from all
+    And operator "anna" applies manifest 2 "red" through "entry-1"
+    And 1 seconds pass
+    And "entry-1" is killed
+    And "control-1" loses power
+    And "control-2" loses its disk
+    And the network heals
+    And the disk of "control-1" takes 0.001 seconds to sync
+    And "control-1" starts again
+    And 5 seconds pass
+    And operator "bodil" applies manifest 2 "blue" through "entry-2"
+    And 5 seconds pass
+    Then operator "bodil" was told "ManifestAccepted"
+
+  Scenario: A leader that its peers cannot reach, though entry hosts can
+    When "control-1" is cut off from control
+    And 3 seconds pass
+    And operator "anna" applies manifest 2 through "entry-1"
+    And 4 seconds pass
+    And operator "anna" applies manifest 2 through "entry-2"
+    And 4 seconds pass
+    Then operator "anna" was told "ManifestAccepted"
+    And manifest 2 is in force on "entry-1"
+    And manifest 2 is in force on "entry-2"
+    And manifest 2 is in force on "entry-3"
+
+  Scenario: A host that lost its disk does not vote for a log without the manifest
+    Given "control-1" leads group 0
+    When "control-3" is cut off from all
+    And operator "anna" applies manifest 2 "red" through "entry-1"
+    And 2 seconds pass
+    And "control-1" is killed
+    And "control-2" loses its disk
+    And "control-2" starts again
+    And the network heals
+    And 10 seconds pass
+    And operator "bodil" applies manifest 2 "blue" through "entry-1"
+    And 5 seconds pass
+    Then operator "anna" was told "ManifestAccepted"
+    And operator "bodil" was not told "ManifestAccepted"
+    And no control host leads group 0
