--- a/bitternlever/pipelines/refusals.py
+++ b/bitternlever/pipelines/refusals.py
@@ -3,7 +3,6 @@
 from bitternlever.messages import problems
 from bitternlever.pipelines import tables as pipeline_tables
 
-TYPE_PREFIX = "urn:bitternlever:"
 RETRY_AFTER_S = 1.0
 MAXIMUM_HOSTS = 4
 CANCELLED_STATUS = 409
@@ -20,7 +19,7 @@
 ) -> problems.Problem:
     """Make a problem; one with a time to come back names other hosts as well."""
     return problems.Problem(
-        type=TYPE_PREFIX + title.lower().replace(" ", "-"),
+        type=title.lower().replace(" ", "-"),
         title=title,
         status=status,
         detail=detail,
@@ -78,6 +77,19 @@
     )
 
 
+def garbled(tables, request: pipeline_tables.Request) -> problems.Problem:
+    """Return the problem of a streamed text that must be fetched from its beginning."""
+    return problem(
+        tables,
+        status=502,
+        title="Stream garbled",
+        detail="the text so far is wrong: drop it and fetch it again from offset 0",
+        ran=problems.Ran.UNKNOWN,
+        request_id=request.request_id,
+        retry_after_s=RETRY_AFTER_S,
+    )
+
+
 def outcome_unknown(
     tables,
     request: pipeline_tables.Request,
