--- /dev/null
+++ b/bench/requests_load.py
@@ -0,0 +1,124 @@
+"""Requests of the experiment, sent with the client as callers would."""
+
+import statistics
+import time
+from collections.abc import Callable
+
+import result
+
+from bench.invariants import records
+from bitternlever.client import calls, tables as client_tables
+from bitternlever.messages import problems
+from standins import site
+
+TOKEN = "cantref-caerdydd-example-token"
+WORKSPACE = "cantref-caerdydd"
+KEYED_SUFFIX = "-keyed"
+KEYED = "keyed"
+DURABLE = ("durable", "draft", "staged")
+PERCENTILE = 99
+
+Write = Callable[[records.Record], None]
+
+
+def open_client(system: site.Site) -> client_tables.Client:
+    """Open a client of the system's entry hosts."""
+    settings = client_tables.ClientSettings(addresses=system.entries, token=TOKEN)
+    return calls.create(settings)
+
+
+def submission(shape: str, name: str) -> client_tables.Submission:
+    """Make a request; each name is one logical request with an input of its own."""
+    pipeline = "plain" if shape == KEYED else shape.removesuffix(KEYED_SUFFIX)
+    has_key = shape.endswith(KEYED) or pipeline in DURABLE
+    return client_tables.Submission(
+        pipeline=pipeline,
+        kind=pipeline,
+        input={"text": name},
+        key=name if has_key else None,
+        stream=pipeline in ("draft", "staged"),
+    )
+
+
+async def one(client: client_tables.Client, shape: str, name: str) -> None:
+    """Send one request, which must be answered."""
+    outcome = await calls.run(client, submission(shape, name))
+    if outcome.is_err():
+        raise RuntimeError(f"{name}: {outcome.err()}")
+
+
+async def recorded(
+    client: client_tables.Client,
+    shape: str,
+    name: str,
+    write: Write,
+) -> tuple[calls.Outcome, float]:
+    """Send one request, record what its caller saw, acknowledge a whole answer."""
+    sent = submission(shape, name)
+    begin_s = time.monotonic()
+    write(
+        records.RequestSent(
+            exchange=name,
+            host="",
+            workspace=WORKSPACE,
+            kind=sent.kind,
+            input_digest=records.digest(sent.input),
+            durable=sent.pipeline in DURABLE,
+            time_s=begin_s,
+            key=sent.key,
+        ),
+    )
+    outcome = await calls.run(client, sent)
+    now_s = time.monotonic()
+    write(_record(name, sent, outcome, now_s))
+    if outcome.is_ok() and sent.pipeline != "plain":
+        await calls.acknowledge(client, outcome.ok().request_id)
+    return outcome, now_s - begin_s
+
+
+def is_lost(shape: str, outcome: calls.Outcome) -> bool:
+    """Tell whether a request that may have been accepted has no whole answer.
+
+    A once-only request without a key may end with an unknown outcome by the rules.
+    """
+    if outcome.is_ok() or outcome.err().ran is problems.Ran.NO:
+        return False
+    return shape != "once"
+
+
+def spread(samples_ms: list[float]) -> dict[str, float]:
+    """Return the median and a high percentile of samples."""
+    ordered = sorted(samples_ms)
+    return {
+        "median_ms": round(statistics.median(ordered), 3),
+        f"p{PERCENTILE}_ms": round(ordered[len(ordered) * PERCENTILE // 100], 3),
+    }
+
+
+def _record(
+    name: str,
+    sent: client_tables.Submission,
+    outcome: result.Result[client_tables.Answer, client_tables.Failure],
+    now_s: float,
+) -> records.Record:
+    if outcome.is_err():
+        failure = outcome.err()
+        return records.RefusalReceived(
+            exchange=name,
+            request_id=failure.request_id,
+            status=failure.status or 0,
+            ran=failure.ran.value,
+            time_s=now_s,
+        )
+    answer = outcome.ok()
+    output = answer.decode()["output"]
+    is_text = isinstance(output, str)
+    return records.AnswerReceived(
+        exchange=name,
+        request_id=answer.request_id,
+        body_digest=records.text_digest(answer.body.decode()),
+        output_digest=records.text_digest(output)
+        if is_text
+        else records.digest(output),
+        time_s=now_s,
+    )
