Report the spans of admission, commits and stage attempts

Cause: a trace showed callers' and upstreams' hops alone; where a request waited or which commit it waited for could not be read from it.

Two tests take the triggers' new argument.

Checked: the demo's trace shows them; tests of pipelines pass.

--- a/bitternlever/pipelines/claims.py
+++ b/bitternlever/pipelines/claims.py
@@ -9,6 +9,7 @@
     ownership,
     progress,
     refusals,
+    spans,
     stages,
     tables as pipeline_tables,
     takeover,
@@ -42,7 +43,10 @@
         answer_stage=progress.answer_stage(request.pipeline),
     )
 
+    sent_s = now
+
     def on_outcome(tables, now, outbox, outcome) -> None:
+        spans.finished(outbox, request, "journal commit", sent_s, now, command="Claim")
         if not ownership.is_live(tables, request):
             return
         if outcome.is_err():
--- a/bitternlever/pipelines/launch.py
+++ b/bitternlever/pipelines/launch.py
@@ -8,6 +8,7 @@
     finish,
     ownership,
     refusals,
+    spans,
     stages,
     tables as pipeline_tables,
 )
@@ -36,6 +37,14 @@
         tables.count("launch_without_lease")
         tables.requests.parked.append(ready)
         return
+    spans.finished(
+        outbox,
+        request,
+        "admission wait",
+        start_s=ready.enqueued_s,
+        end_s=now,
+        stage=ready.stage.name,
+    )
     attempt = _make_attempt(tables, now, ready, placement)
     tables.requests.attempts[attempt.attempt] = attempt
     request.attempts.add(attempt.attempt)
@@ -127,7 +136,7 @@
     if lease.holds(tables, now) and not request.cancelled:
         _send(tables, now, outbox, request, attempt)
         return
-    ownership.forget_attempt(tables, attempt)
+    ownership.end_attempt(tables, now, outbox, attempt, ended="not sent")
     feedback.cancelled(tables, now, attempt)
     request.unsent[attempt.stage.name] = attempt.attempt
     stages.advance(tables, now, outbox, request)
--- a/bitternlever/pipelines/ownership.py
+++ b/bitternlever/pipelines/ownership.py
@@ -10,6 +10,7 @@
 from bitternlever.pipelines import (
     delivery,
     groups,
+    spans,
     tables as pipeline_tables,
     timers,
     watch,
@@ -44,9 +45,14 @@
         if is_live(tables, request):
             write(tables, now, outbox, request, command, on_reply)
 
+    sent_s = now
+
     def on_outcome(tables, now, outbox, outcome) -> None:
         if not is_live(tables, request):
             return
+        if not isinstance(command, journal.RecordProgress):
+            kind = type(command).__name__
+            spans.finished(outbox, request, "journal commit", sent_s, now, command=kind)
         if outcome.is_err():
             timers.at(tables, now + WRITE_PAUSE_S, again)
             return
@@ -124,7 +130,7 @@
     attempt: pipeline_tables.Attempt,
 ) -> None:
     """End an attempt; what still arrives for it is dropped."""
-    forget_attempt(tables, attempt)
+    end_attempt(tables, now, outbox, attempt, ended="cancelled")
     feedback.cancelled(tables, now, attempt)
     if not attempt.sent:
         return
@@ -136,9 +142,26 @@
     outbox.send(cancel)
 
 
-def forget_attempt(tables, attempt: pipeline_tables.Attempt) -> None:
-    """Take an attempt out of the tables."""
+def end_attempt(
+    tables,
+    now: float,
+    outbox: ticks.Outbox,
+    attempt: pipeline_tables.Attempt,
+    ended: str,
+) -> None:
+    """Take an attempt out of the tables and report its span."""
     del tables.requests.attempts[attempt.attempt]
     request = tables.requests.requests.get(attempt.request_id)
-    if request is not None:
-        request.attempts.discard(attempt.attempt)
+    if request is None:
+        return
+    request.attempts.discard(attempt.attempt)
+    spans.finished(
+        outbox,
+        request,
+        f"stage {attempt.stage.name}",
+        start_s=attempt.started_s,
+        end_s=now,
+        attempt=attempt.attempt,
+        upstream=attempt.upstream,
+        ended=ended,
+    )
--- a/bitternlever/pipelines/stages.py
+++ b/bitternlever/pipelines/stages.py
@@ -162,7 +162,7 @@
     if attempt is None:
         tables.count("failure_late")
         return
-    ownership.forget_attempt(tables, attempt)
+    ownership.end_attempt(tables, now, outbox, attempt, ended="failed")
     feedback.failed(tables, now, attempt, message)
     request = tables.requests.requests[attempt.request_id]
     if request.attempts:
@@ -226,7 +226,7 @@
     """Take a whole output as the stage's one result; other attempts end."""
     request = tables.requests.requests[attempt.request_id]
     name = attempt.stage.name
-    ownership.forget_attempt(tables, attempt)
+    ownership.end_attempt(tables, now, outbox, attempt, ended="whole")
     feedback.finished(tables, now, attempt, usage)
     if attempt.hedge and not _goes_on_from(progress.shown(request, name), output):
         tables.count("hedge_diverged")
--- a/tests/pipelines/test_takeovers.py
+++ b/tests/pipelines/test_takeovers.py
@@ -157,7 +157,7 @@
 def test_a_frozen_owner_that_wakes_neither_sends_nor_writes():
     here = system.create()
 
-    def freeze(process, message):
+    def freeze(process, way, message):
         command = getattr(getattr(message, "message", None), "command", None)
         if isinstance(command, journal.StartStage):
             world.after(
@@ -262,7 +262,7 @@
     world.kill(here.here, "entry-1")
     here.held.clear()
 
-    def resend(process, message):
+    def resend(process, way, message):
         command = getattr(getattr(message, "message", None), "command", None)
         return isinstance(command, journal.TakeOver) and not callers.append(
             system.submit(here, "entry-2", "audit", key="p"),
