Let a retry go back to the only upstream that serves its pool

A stage that failed on an upstream never went there again, so in a pool with one serving upstream its retry waited for ever, though new connections worked; a lost load was ruled out, since later requests of the same kinds were served there.

The retry now prefers others and goes back where there are none; a hedge still never does.

--- a/bitternlever/routing/choice.py
+++ b/bitternlever/routing/choice.py
@@ -22,12 +22,7 @@
     ready: pipeline_tables.ReadyStage,
 ) -> result.Result[routing_tables.Placement, routing_tables.NoPlacement]:
     """Choose an upstream of the stage's pool with room under its limit."""
-    serving = [
-        upstream
-        for upstream in membership.serving(tables, now, ready.stage)
-        if upstream.announcement.name not in ready.excluded
-    ]
-    chosen = _choose(tables, now, ready, serving)
+    chosen = _choose(tables, now, ready, _allowed(tables, now, ready))
     if chosen is None:
         return result.Err(
             routing_tables.NoPlacement(
@@ -45,6 +40,25 @@
     )
 
 
+def _allowed(
+    tables,
+    now: float,
+    ready: pipeline_tables.ReadyStage,
+) -> policies.Upstreams:
+    """Return the upstreams to choose from: those where the stage has not failed.
+
+    Where it failed on all that serve, a retry may go to any of them again: one that
+    holds the whole pool may have lost no more than a connection.
+    """
+    serving = list(membership.serving(tables, now, ready.stage))
+    others = [
+        upstream
+        for upstream in serving
+        if upstream.announcement.name not in ready.excluded
+    ]
+    return others if others or ready.hedge else serving
+
+
 def _choose(
     tables,
     now: float,
