--- a/tests/scenarios/drain.feature
+++ b/tests/scenarios/drain.feature
@@ -60,3 +60,19 @@
     And 10 seconds pass
     Then "trader" holds its whole answer
     And "reseller" was refused and told that it ran "no"
+
+  Scenario: A drain hands over what waits
+    When upstream "engines-1" dies
+    And upstream "engines-2" dies
+    And 4 seconds pass
+    And "registrant" sends a "dispute" to "entry-1" with key "d1"
+    And 2 seconds pass
+    And "registrant" hangs up
+    And "entry-1" is drained
+    And 10 seconds pass
+    And upstream "engines-1" comes back
+    And 8 seconds pass
+    And "officer" sends a "dispute" to "entry-2" with key "d1" for "registrant"
+    And 0.1 seconds pass
+    Then "entry-1" has ended and cut off nothing
+    And "officer" holds its whole answer
--- a/tests/scenarios/steps_requests.py
+++ b/tests/scenarios/steps_requests.py
@@ -4,7 +4,13 @@
 
 from bench.invariants import records
 from bitternlever.messages import requests
-from tests.scenarios import callers, cluster as clusters, manifests, world
+from tests.scenarios import (
+    callers,
+    cluster as clusters,
+    manifests,
+    upstreams,
+    world,
+)
 
 
 @given(parsers.parse("{count:d} upstreams in each pool"))
@@ -88,6 +94,14 @@
     cluster.fleet.by_name[name].alive = False
 
 
+@when(parsers.parse('upstream "{name}" comes back'))
+def come_back(cluster, name):
+    fake = cluster.fleet.by_name[name]
+    fake.alive = True
+    fake.announcement.incarnation += 1
+    upstreams.announce(cluster.fleet, name)
+
+
 @when(parsers.parse('upstream "{name}" is "{fault}"'))
 def misbehave(cluster, name, fault):
     cluster.fleet.by_name[name].faults.add(fault)
--- a/tests/scenarios/takeover.feature
+++ b/tests/scenarios/takeover.feature
@@ -90,6 +90,16 @@
     Then "farmer" holds its whole answer
     And stage "billing" of "farmer" ran 1 times
 
+  Scenario: A frozen owner wakes while the new owner streams
+    When upstreams of "engines" take 4 seconds
+    And "entry-1" is frozen before it sends "RecordProgress"
+    And "farmer" sends a "audit" to "entry-1" as a stream with key "a1"
+    And 6 seconds pass
+    And "entry-1" wakes
+    And 40 seconds pass
+    Then "farmer" holds its whole answer
+    And stage "billing" of "farmer" ran 1 times
+
   Scenario: The owner is cut off from control and comes back
     When upstreams of "engines" take 6 seconds
     And "farmer" sends a "audit" to "entry-1" with key "a1"
--- a/tests/scenarios/upstreams.py
+++ b/tests/scenarios/upstreams.py
@@ -17,7 +17,7 @@
 from tests.scenarios import network, world
 
 ANNOUNCE_S = 1.0
-LATE_S = 12.0
+LATE_S = 2.5
 WORDS = 8
 Answer = Callable[[Any], None]
 
--- a/tests/scenarios/whole_answers.feature
+++ b/tests/scenarios/whole_answers.feature
@@ -69,7 +69,7 @@
     When late answers still reach their hosts
     And upstream "panel-1" is "<fault>"
     And upstreams of "panel" take 0.2 seconds
-    And 12 callers send a "reading" within 1 seconds
+    And 24 callers send a "reading" within 6 seconds
     And 20 seconds pass
     Then every caller has an outcome
 
