--- a/bitternlever/control/shell.py
+++ b/bitternlever/control/shell.py
@@ -13,7 +13,7 @@
 import reactivex.subject
 
 from bitternlever.conf import configuration
-from bitternlever.control import tables as control_tables, tick
+from bitternlever.control import observer, tables as control_tables, tick
 from bitternlever.core import runner
 from bitternlever.messages import consensus, frames
 from bitternlever.storage import store, writer
@@ -22,6 +22,7 @@
 
 CONTROL_PREFIX = "control-"
 EXIT_OK = 0
+OBSERVE_INTERVAL_S = 0.5
 EXIT_BROKEN_INVARIANT = 70
 EXIT_STORE_REFUSED = 74
 
@@ -35,6 +36,7 @@
     tables: control_tables.ControlTables
     links: links.Links
     writer: writer.Writer
+    observer: observer.Observer
 
 
 async def run(settings: configuration.ControlConfiguration) -> int:
@@ -69,6 +71,7 @@
                 functools.partial(_disk_event, disk_events.on_next),
             ),
         ),
+        observer=observer.Observer(),
     )
     running = runner.start(
         tick=functools.partial(tick.tick, tables),
@@ -85,6 +88,7 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, _stop, stopped)
     events.PROGRAM_STARTED.log(logger, program="control", host=settings.host)
+    _observe(shell)
     await asyncio.wait(
         [stopped, running.failed],
         return_when=asyncio.FIRST_COMPLETED,
@@ -99,6 +103,13 @@
     return exit_code
 
 
+def _observe(shell: Shell) -> None:
+    """Log what changed on this process, now and at each interval."""
+    observer.observe(shell.observer, shell.tables)
+    loop = asyncio.get_running_loop()
+    loop.call_later(OBSERVE_INTERVAL_S, _observe, shell)
+
+
 def _exit_code(running: runner.Runner) -> int:
     if not running.failed.done():
         return EXIT_OK
--- a/bitternlever/entry/shell.py
+++ b/bitternlever/entry/shell.py
@@ -15,7 +15,7 @@
 
 from bitternlever.conf import configuration
 from bitternlever.core import runner
-from bitternlever.entry import tables as entry_tables, tick
+from bitternlever.entry import observer, tables as entry_tables, tick
 from bitternlever.http import exchanges, server, state
 from bitternlever.messages import frames, requests, telemetry
 from bitternlever.telemetry import events, metrics, traces
@@ -26,6 +26,7 @@
 EXIT_OK = 0
 EXIT_BROKEN_INVARIANT = 70
 LAST_FRAMES_S = 0.2
+OBSERVE_INTERVAL_S = 0.5
 
 logger = logging.getLogger(__name__)
 
@@ -40,6 +41,7 @@
     exchanges: exchanges.Exchanges
     tracer: traces.Tracer
     ended: asyncio.Future
+    observer: observer.Observer
     drains: int = 0
 
 
@@ -69,6 +71,7 @@
         exchanges=exchanges.Exchanges(on_event=http_events.on_next),
         tracer=tracer,
         ended=loop.create_future(),
+        observer=observer.Observer(),
     )
     running = runner.start(
         tick=functools.partial(tick.tick, tables),
@@ -81,12 +84,20 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, _drain, shell, http_events.on_next)
     events.PROGRAM_STARTED.log(logger, program="entry", host=settings.host)
+    _observe(shell)
     exit_code = await _wait(shell, running)
     await _close(shell, running, web_runner, stop_metrics)
     events.PROGRAM_ENDED.log(logger, program="entry", exit_code=exit_code)
     return exit_code
 
 
+def _observe(shell: Shell) -> None:
+    """Log what changed on this host, now and at each interval."""
+    observer.observe(shell.observer, shell.tables, time.monotonic())
+    loop = asyncio.get_running_loop()
+    loop.call_later(OBSERVE_INTERVAL_S, _observe, shell)
+
+
 async def _wait(shell: Shell, running: runner.Runner) -> int:
     await asyncio.wait(
         [shell.ended, running.failed],
--- a/bitternlever/telemetry/events.py
+++ b/bitternlever/telemetry/events.py
@@ -38,12 +38,6 @@
 
 PROGRAM_STARTED = register(101, "program-started", logging.INFO, "The program started.")
 PROGRAM_ENDED = register(102, "program-ended", logging.INFO, "The program ended.")
-SETTINGS_FAULTY = register(
-    103,
-    "settings-faulty",
-    logging.ERROR,
-    "A setting cannot be used.",
-)
 INVARIANT_BROKEN = register(
     104,
     "invariant-broken",
@@ -83,11 +77,29 @@
     logging.WARNING,
     "A connection to an upstream went silent: its siblings are closed.",
 )
+WORK_ACCEPTED = register(
+    501,
+    "work-accepted",
+    logging.INFO,
+    "This host accepts new work.",
+)
+WORK_REFUSED = register(
+    502,
+    "work-refused",
+    logging.WARNING,
+    "This host refuses new work: its lease or its manifest is not proven.",
+)
+MANIFEST_IN_FORCE = register(
+    503,
+    "manifest-in-force",
+    logging.INFO,
+    "A manifest is in force on this host.",
+)
 COUNTER_RAISED = register(
     601,
     "counter-raised",
     logging.INFO,
-    "A counted event of the entry core occurred.",
+    "A counted event of a core occurred.",
 )
 DISK_FAILED = register(
     701,
@@ -101,3 +113,12 @@
     logging.CRITICAL,
     "The data folder cannot be used.",
 )
+OFFICE_TAKEN = register(703, "office-taken", logging.INFO, "This replica leads.")
+OFFICE_LOST = register(704, "office-lost", logging.INFO, "This replica leads no more.")
+REPLICA_VOTES = register(705, "replica-votes", logging.INFO, "This replica votes.")
+REPLICA_DOES_NOT_VOTE = register(
+    706,
+    "replica-does-not-vote",
+    logging.WARNING,
+    "This replica has no vote in its group.",
+)
