Leave time for a second attempt when an upstream goes silent

Cause: a call waits two seconds for its first byte, and the request has three. When the connections to two upstreams have gone silent unnoticed, the second attempt ends after the deadline (scenario of a connection that goes silent: 504 after 3 s).

Ruled out: a pooled connection used again after its timeout; the second attempt went to the other upstream, whose connection was silent too.

Change: an idempotent stage of a kind that is not durable waits at most a third of what is left of its deadline for the first byte.

Before: the scenario fails (1 of 10 callers). After: it passes; 182 tests of scenarios and pipelines pass.

--- a/bitternlever/pipelines/launch.py
+++ b/bitternlever/pipelines/launch.py
@@ -16,6 +16,8 @@
 
 MILLISECONDS = 1_000
 START_WINDOW_S = 2.0
+FIRST_BYTE_SHARE = 1 / 3
+MINIMUM_FIRST_BYTE_TIMEOUT_S = 0.1
 
 
 def launch(
@@ -163,7 +165,7 @@
         task=stage.task.value,
         call=_stage_call(now, request, attempt),
         idempotent=stage.idempotent,
-        first_byte_timeout_s=stage.first_byte_timeout_ms / MILLISECONDS,
+        first_byte_timeout_s=_first_byte_timeout_s(now, request, attempt),
         between_bytes_timeout_s=stage.between_bytes_timeout_ms / MILLISECONDS,
         must_not_start_after=not_after_s,
         traceparent=request.traceparent,
@@ -171,6 +173,22 @@
     outbox.send(call)
 
 
+def _first_byte_timeout_s(
+    now: float,
+    request: pipeline_tables.Request,
+    attempt: pipeline_tables.Attempt,
+) -> float:
+    """Return how long to wait for a sign of the upstream.
+
+    A stage that may be sent again leaves time for it within the deadline.
+    """
+    timeout_s = attempt.stage.first_byte_timeout_ms / MILLISECONDS
+    if not attempt.stage.idempotent or request.kind.durable:
+        return timeout_s
+    share_s = (attempt.deadline_s - now) * FIRST_BYTE_SHARE
+    return min(timeout_s, max(MINIMUM_FIRST_BYTE_TIMEOUT_S, share_s))
+
+
 def _stage_call(
     now: float,
     request: pipeline_tables.Request,
