--- a/tests/scenarios/steps_requests.py
+++ b/tests/scenarios/steps_requests.py
@@ -4,7 +4,13 @@
 
 from bench.invariants import records
 from bitternlever.messages import requests
-from tests.scenarios import callers, cluster as clusters, manifests, world
+from tests.scenarios import (
+    callers,
+    cluster as clusters,
+    manifests,
+    upstreams,
+    world,
+)
 
 
 @given(parsers.parse("{count:d} upstreams in each pool"))
@@ -71,6 +77,11 @@
     cluster.fleet.by_name[name].announcement.leaving = True
 
 
+@when(parsers.parse('upstream "{name}" stops announcing itself'))
+def stop_announcing(cluster, name):
+    cluster.fleet.by_name[name].talking = False
+
+
 @when(parsers.parse('upstream "{name}" falls silent'))
 def fall_silent(cluster, name):
     fake = cluster.fleet.by_name[name]
@@ -83,6 +94,14 @@
     cluster.fleet.by_name[name].alive = False
 
 
+@when(parsers.parse('upstream "{name}" comes back'))
+def come_back(cluster, name):
+    fake = cluster.fleet.by_name[name]
+    fake.alive = True
+    fake.announcement.incarnation += 1
+    upstreams.announce(cluster.fleet, name)
+
+
 @when(parsers.parse('upstream "{name}" is "{fault}"'))
 def misbehave(cluster, name, fault):
     cluster.fleet.by_name[name].faults.add(fault)
@@ -179,6 +198,6 @@
     assert [call for call in calls if call.time_s >= since_s] == []
 
 
-@then(parsers.parse('"{name}" has an outcome'))
-def has_outcome(cluster, name):
-    assert cluster.crowd.by_name[name].done
+@then("every caller has an outcome")
+def all_have_outcomes(cluster):
+    assert [each for each in cluster.crowd.by_name.values() if not each.done] == []
