Contract: answer «waiting» while a replacement cannot begin yet

Cause: the first call always asks the new node for its disk, and was refused meanwhile; the tool takes a refusal as final. A step «waiting» says that the command must be sent again; a refusal stays for what would risk the quorum.

--- a/bitternlever/consensus/replacement.py
+++ b/bitternlever/consensus/replacement.py
@@ -36,15 +36,15 @@
             return result.Ok(_progress("done", "the successor is a voter"))
         return _refuse(f"replica {old.node} with disk {old.disk} is no voter")
     if not _settled(replica):
-        return _refuse("another membership change is not committed yet; try again")
+        return _wait("another membership change is not committed yet")
+    if now < replica.office.since_s + _recent_s(replica):
+        return _wait("the leader is new and has not heard from every voter yet")
     reason = _risk(replica, now, old)
     if reason is not None:
         return _refuse(reason)
     successor = _successor(replica, now, outbox, new_node)
     if successor is None:
-        return _refuse(
-            f"node {new_node} has not answered with a disk that is no voter yet"
-        )
+        return _wait(f"node {new_node} has not answered with a disk that is no voter")
     if successor in membership.voters:
         return _refuse(f"node {new_node} is a voter already")
     changed = consensus.Membership(
@@ -112,14 +112,17 @@
     progress = replica.office.progress.get(member)
     if progress is None:
         return False
-    recent_s = RECENT_ELECTION_TIMEOUTS * replica.settings.election_timeout_s
-    if progress.contact_s < now - recent_s:
+    if progress.contact_s < now - _recent_s(replica):
         return False
     behind = consensus_log.last_index(replica.log) - progress.match_index
     newest_change = replica.memberships[-1][0]
     return behind <= CAUGHT_UP_ENTRIES and progress.match_index >= newest_change
 
 
+def _recent_s(replica: tables.Replica) -> float:
+    return RECENT_ELECTION_TIMEOUTS * replica.settings.election_timeout_s
+
+
 def _settled(replica: tables.Replica) -> bool:
     """Tell whether the newest membership and an own entry are committed."""
     if replica.commit_index < replica.office.first_index:
@@ -187,5 +190,9 @@
     return directory.ReplaceProgress(step=step, detail=detail)
 
 
+def _wait(detail: str) -> Outcome:
+    return result.Ok(_progress("waiting", detail))
+
+
 def _refuse(reason: str) -> Outcome:
     return result.Err(directory.ReplaceRefused(reason=reason))
--- a/bitternlever/control/office.py
+++ b/bitternlever/control/office.py
@@ -9,7 +9,7 @@
 from bitternlever.directory import leader, state as directory_state
 from bitternlever.messages import calls, consensus, directory, frames, journal
 
-STEPS = ("learner", "voter", "done")
+STEPS = ("waiting", "learner", "voter", "done")
 
 
 def run(
--- a/bitternlever/messages/directory.py
+++ b/bitternlever/messages/directory.py
@@ -237,7 +237,10 @@
 
 
 class ReplaceProgress(msgspec.Struct, tag=True, frozen=True):
-    """How far a replacement has come: learner, synced, voter or done."""
+    """How far a replacement has come: waiting, learner, voter or done.
+
+    While it is ``waiting`` nothing has begun: the command must be sent again.
+    """
 
     step: str
     detail: str
--- a/tests/consensus/test_replacement.py
+++ b/tests/consensus/test_replacement.py
@@ -196,6 +196,19 @@
     assert "voter already" not in getattr(reply, "reason", "")
 
 
+def test_a_node_that_does_not_answer_is_waited_for():
+    cluster = started()
+    old = identity(cluster, followers(cluster)[0])
+    command = directory.ReplaceReplica(old.node, old.disk, "control-nowhere")
+
+    for _ in range(3):
+        reply = cluster.ask(command)
+
+    assert reply.step == "waiting"
+    assert "control-nowhere" in reply.detail
+    assert old in voters(cluster)
+
+
 def test_a_resent_replacement_that_is_done_says_so():
     cluster = started()
     old, new = lost_one(cluster)
