--- a/bitternlever/commands/operator_control.py
+++ b/bitternlever/commands/operator_control.py
@@ -11,6 +11,7 @@
 
 DEFAULT_WAIT_S = 120.0
 DONE = "done"
+FINAL = (operator_client.EXIT_USAGE, operator_client.EXIT_UNAUTHORIZED)
 
 WAIT = cappa.Arg(long=True, help="Send the command again until the step is done.")
 WAIT_S = cappa.Arg(long="--wait-s", help="Longest time to wait, in seconds.")
@@ -41,7 +42,10 @@
 
 
 def run(command: Control) -> int:
-    """Replace a replica; with ``--wait`` send again until it is done."""
+    """Replace a replica; with ``--wait`` send again until it is done.
+
+    A refusal is no end of the wait: it says why the next step would be unsafe now.
+    """
     replace = command.command
     last = _send(replace)
 
@@ -49,8 +53,7 @@
         nonlocal last
         last = _send(replace)
         if last.is_err():
-            final = last.err().exit_code not in operator_client.ASK_ANOTHER
-            return final, last.err().text
+            return last.err().exit_code in FINAL, last.err().text
         return last.ok().step == DONE, f"{last.ok().step}: {last.ok().detail}"
 
     if replace.wait and (last.is_err() or last.ok().step != DONE):
--- a/bitternlever/commands/operator_hosts.py
+++ b/bitternlever/commands/operator_hosts.py
@@ -50,6 +50,11 @@
     return "draining" if host.draining else "serving"
 
 
+def _lag(replica: directory.ReplicaStatus) -> str:
+    """Return the lag; only the leader of a group knows it, others show a dash."""
+    return str(replica.lag) if replica.lag >= 0 else "-"
+
+
 def _lines(status: directory.Status) -> list[str]:
     hosts = [
         [
@@ -64,7 +69,7 @@
         for host in status.hosts
     ]
     replicas = [
-        [each.node, each.disk, each.group, each.zone, each.role, each.lag]
+        [each.node, each.disk, each.group, each.zone, each.role, _lag(each)]
         for each in status.replicas
     ]
     host_headings = ["host", "zone", "address", "epoch", "lease", "manifest", "state"]
--- a/tests/commands/test_operator.py
+++ b/tests/commands/test_operator.py
@@ -208,6 +208,22 @@
     assert code == operator_client.EXIT_DONE
 
 
+def test_a_replacement_waits_until_its_next_step_is_safe(host, monkeypatch, capsys):
+    monkeypatch.setattr(operator_output, "POLL_S", 0.0)
+    refused = (409, problem(409, "no").body)
+    learner, done = (
+        (status, msgspec.json.encode(directory.ReplaceProgress(step, "")))
+        for status, step in ((202, "learner"), (200, "done"))
+    )
+    answers = [refused, refused, learner, done]
+    host.answers["POST", "/v1/control/replace"] = answers
+
+    code = run("control", "replace", "a", "disk", "b", "--wait", entry=host.address)
+
+    assert code == operator_client.EXIT_DONE
+    assert capsys.readouterr().out.startswith("done")
+
+
 def test_waiting_too_long_has_an_exit_code_of_its_own(host):
     host.answers["GET", "/v1/status"] = [(200, status_body({"entry-a": 6}))]
 
