--- a/tests/scenarios/callers.py
+++ b/tests/scenarios/callers.py
@@ -1,6 +1,7 @@
 """Fake callers, who follow the rules for clients and record what they get."""
 
 import dataclasses
+import hashlib
 import itertools
 from typing import Any
 
@@ -77,7 +78,7 @@
     crowd.by_exchange[caller.exchange] = caller
     _record_sent(crowd, caller)
     message = _query(caller) if again_by_id else _submission(caller)
-    _reach(crowd, caller, message)
+    _reach(crowd, caller.host, message)
     _watch(crowd, caller, caller.exchange)
 
 
@@ -91,21 +92,21 @@
         RECEIVERS[type(message)](crowd, caller, message)
 
 
-def cancel(crowd: Crowd, caller: Caller) -> None:
-    """Cancel a caller's request by its id."""
+def cancel(crowd: Crowd, caller: Caller, process: world.Process) -> None:
+    """Cancel a caller's request by its id, on any host."""
     _record(crowd, records.RequestCancelled(_exchange(caller), crowd.here.now))
     message = requests.RequestCancelled(
         caller=next(crowd.numbers),
         workspace=caller.workspace,
-        request_id=caller.request_id,
+        request_id=caller.request_id or _keyed_id(caller),
     )
-    _reach(crowd, caller, message)
+    _reach(crowd, process, message)
 
 
 def hang_up(crowd: Crowd, caller: Caller) -> None:
     """Close a caller's open exchange."""
     crowd.by_exchange.pop(caller.exchange, None)
-    _reach(crowd, caller, requests.CallerGone(caller=caller.exchange))
+    _reach(crowd, caller.host, requests.CallerGone(caller=caller.exchange))
     caller.exchange = 0
 
 
@@ -142,7 +143,7 @@
         request_id=message.request_id,
     )
     if caller.key is not None or caller.durable:
-        _reach(crowd, caller, acknowledgement)
+        _reach(crowd, caller.host, acknowledgement)
 
 
 def _take_problem(
@@ -234,8 +235,12 @@
     )
 
 
-def _reach(crowd: Crowd, caller: Caller, message: Any) -> None:
-    process = caller.host
+def _keyed_id(caller: Caller) -> str:
+    text = f"{caller.workspace}\0{caller.key}"
+    return "k-" + hashlib.sha256(text.encode()).hexdigest()[:40]
+
+
+def _reach(crowd: Crowd, process: world.Process, message: Any) -> None:
     if ("callers", process.name) in crowd.wires.cut:
         return
     arrive = lambda: world.deliver(crowd.here, process, message)  # noqa: E731
--- a/tests/scenarios/steps_requests.py
+++ b/tests/scenarios/steps_requests.py
@@ -61,9 +61,11 @@
     caller.done = True
 
 
-@when(parsers.parse('"{name}" cancels'))
-def cancel(cluster, name):
-    callers.cancel(cluster.crowd, cluster.crowd.by_name[name])
+@when(parsers.re(r'"(?P<name>\w+)" cancels(?: on "(?P<host>[^"]+)")?'))
+def cancel(cluster, name, host):
+    caller = cluster.crowd.by_name[name]
+    process = cluster.here.processes[host] if host else caller.host
+    callers.cancel(cluster.crowd, caller, process)
 
 
 @when(parsers.parse('"{name}" is drained'))
@@ -107,6 +109,11 @@
     cluster.fleet.by_name[name].faults.add(fault)
 
 
+@when(parsers.parse('upstream "{name}" is well again'))
+def recover(cluster, name):
+    cluster.fleet.by_name[name].faults.clear()
+
+
 @when(parsers.parse('upstreams of "{pool}" take {duration:g} seconds'))
 def straggle(cluster, pool, duration):
     for fake in cluster.fleet.by_name.values():
--- a/tests/scenarios/whole_answers.feature
+++ b/tests/scenarios/whole_answers.feature
@@ -28,6 +28,7 @@
     And 15 seconds pass
     Then "farmer" and "officer" hold the same answer
     And stage "billing" of "farmer" ran 1 times
+    And stage "engines" of "farmer" ran 1 times
 
   Scenario: The same key later gets the stored answer
     When "farmer" sends a "audit" to "entry-1" with key "a1"
@@ -111,13 +112,31 @@
     And 90 seconds pass
     Then every caller holds its whole answer
 
-  Scenario: A caller that cancels
-    When upstreams of "engines" take 5 seconds
-    And "farmer" sends a "audit" to "entry-1" as a stream with key "a1"
-    And 3 seconds pass
+  Scenario: A caller that cancels before a stage that may not be repeated
+    When upstreams of "encoders" take 1 seconds
+    And "farmer" sends a "audit" to "entry-1" with key "a1"
+    And 0.5 seconds pass
     And "farmer" cancels
-    And 20 seconds pass
-    Then stage "billing" of "farmer" ran 1 times
+    And 10 seconds pass
+    Then stage "billing" of "farmer" ran 0 times
+    And stage "engines" of "farmer" ran 0 times
+
+  Scenario: A caller that cancels on another host
+    When upstreams of "encoders" take 1 seconds
+    And "farmer" sends a "audit" to "entry-1" with key "a1"
+    And 0.5 seconds pass
+    And "farmer" cancels on "entry-3"
+    And 10 seconds pass
+    Then stage "billing" of "farmer" ran 0 times
+
+  Scenario: A durable request outlasts engines that all fail for a while
+    When upstream "engines-1" is "failing"
+    And upstream "engines-2" is "failing"
+    And "registrant" sends a "dispute" to "entry-1" with key "d1"
+    And 15 seconds pass
+    And upstream "engines-1" is well again
+    And 40 seconds pass
+    Then "registrant" holds its whole answer
 
   Scenario: A durable request goes on when its caller hangs up
     When upstreams of "engines" take 3 seconds
