Let long generations give way to urgent stages that would be late

Cause: in a burst, drafts hold their slots for seconds and the share kept for urgent kinds is spent at once. An own generation that is not urgent, not nearly done and gave way less often than the manifest allows is cancelled, the one with the most work left first, as soon as an urgent stage has 0.4 s of slack and no room.

--- a/bitternlever/admission/preemption.py
+++ b/bitternlever/admission/preemption.py
@@ -1,6 +1,99 @@
-"""Preemption: long generations give way when an urgent stage would be late."""
+"""Preemption: long generations give way when an urgent stage would be late.
+
+A preempted generation waits with its output so far and goes on elsewhere. Each gives
+way a bounded number of times, and never when it is nearly done.
+"""
+
+from bitternlever.admission import queues, tables as admission_tables
+from bitternlever.gossip import membership
+from bitternlever.messages import manifest
+from bitternlever.pipelines import tables as pipeline_tables
+from bitternlever.routing import estimates, policies, predicted
+
+MARGIN_S = 0.4
+SERVICE_MARGIN = 1.3
+MAXIMUM_AT_ONCE = 8
+NEARLY_DONE_S = 0.5
 
 
 def due(tables, now: float) -> list[str]:
     """Return the attempts to cancel and resume later, at once."""
-    return []
+    if tables.settings.policy != policies.PREDICTED:
+        return []
+    chosen = []
+    for kind, queue in tables.admission.queues.items():
+        if kind[1] != manifest.Task.GENERATE.value:
+            continue
+        critical = _critical(tables, now, queue)
+        if critical:
+            chosen.extend(_victims(tables, now, critical))
+    return chosen
+
+
+def _critical(
+    tables,
+    now: float,
+    queue: admission_tables.WorkQueue,
+) -> list[pipeline_tables.ReadyStage]:
+    """Return the urgent stages that cannot wait longer and have no room."""
+    urgent_priority = queues.limits(tables).urgent_priority
+    found = []
+    for (level, _), heap in queue.lanes.items():
+        if level > urgent_priority:
+            continue
+        for entry in heap[: 2 * MAXIMUM_AT_ONCE]:
+            if queues.is_valid(tables, entry) and _presses(tables, now, entry.ready):
+                found.append(entry.ready)
+    if not found:
+        return []
+    serving = list(membership.serving(tables, now, found[0].stage))
+    room = predicted.with_room(tables, now, found[0], serving)
+    return found[len(room) :][:MAXIMUM_AT_ONCE]
+
+
+def _presses(tables, now: float, ready: pipeline_tables.ReadyStage) -> bool:
+    service_s = estimates.busy_service_s(tables, ready)
+    slack_s = ready.stage_deadline_s - now - service_s * SERVICE_MARGIN
+    return slack_s < MARGIN_S and now + service_s < ready.deadline_s
+
+
+def _victims(
+    tables,
+    now: float,
+    critical: list[pipeline_tables.ReadyStage],
+) -> list[str]:
+    """Choose the least urgent attempts with the most work left."""
+    stage = critical[0].stage
+    candidates = [
+        (attempt.priority, remaining_s, attempt.attempt)
+        for attempt in tables.requests.attempts.values()
+        if _gives_way(tables, attempt, stage)
+        and (remaining_s := _remaining_s(tables, attempt)) > NEARLY_DONE_S
+    ]
+    candidates.sort(reverse=True)
+    return [name for _, _, name in candidates[: len(critical)]]
+
+
+def _gives_way(
+    tables,
+    attempt: pipeline_tables.Attempt,
+    stage: manifest.Stage,
+) -> bool:
+    bounds = queues.limits(tables)
+    return (
+        attempt.stage.pool == stage.pool
+        and attempt.stage.task is manifest.Task.GENERATE
+        and attempt.stage.idempotent
+        and not attempt.hedge
+        and attempt.priority > bounds.urgent_priority
+        and attempt.preemptions < bounds.maximum_preemptions
+    )
+
+
+def _remaining_s(tables, attempt: pipeline_tables.Attempt) -> float:
+    request = tables.requests.requests[attempt.request_id]
+    expected = estimates.expected_output(tables, request.kind.name, attempt.stage)
+    done = len(attempt.output) // estimates.CHARACTERS_PER_TOKEN
+    unit_s = estimates.unit_s(tables, attempt.stage)
+    busy = estimates.sharing(estimates.BUSY_CALLS)
+    return max(0.0, expected - done) * unit_s * busy
--- a/bitternlever/admission/queues.py
+++ b/bitternlever/admission/queues.py
@@ -61,6 +61,12 @@
     queue.turns[ready.workspace] = turn_s + service_s / max(ready.weight, 0.01)
 
 
+def is_valid(tables, entry: admission_tables.Entry) -> bool:
+    """Tell whether an entry still stands for a waiting stage."""
+    key = (entry.ready.request_id, entry.ready.stage_index)
+    return tables.admission.entries.get(key) == entry.number
+
+
 def is_urgent(tables, priority: int) -> bool:
     """Tell whether a priority belongs to the urgent kinds."""
     return priority <= limits(tables).urgent_priority
@@ -110,13 +116,11 @@
 
 def _heads(tables, now: float, queue: admission_tables.WorkQueue):
     """Yield the first waiting entry of each lane with its level by now."""
-    valid = tables.admission.entries
     fair = tables.settings.policy == policies.PREDICTED
     for lane, heap in list(queue.lanes.items()):
         while heap:
             ready = heap[0].ready
-            key = (ready.request_id, ready.stage_index)
-            if valid.get(key) != heap[0].number:
+            if not is_valid(tables, heap[0]):
                 heapq.heappop(heap)
             elif fair and lane[0] == ready.priority and _is_late(tables, now, ready):
                 heapq.heappop(heap)
--- a/bitternlever/routing/predicted.py
+++ b/bitternlever/routing/predicted.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+import math
 
 from bitternlever.admission import queues
 from bitternlever.gossip import tables as gossip_tables
@@ -95,11 +96,14 @@
         others = occupancy.others(now, upstream, load, pool.usual_others)
         limit = min(load.limit, upstream.announcement.concurrency)
         kin = mine if urgent else mine - len(load.urgent)
+        bound = math.ceil(limit * share)
         fits = (
-            mine + others < limit - HALF_A_CALL and kin + others * part < limit * share
+            mine + others < limit - HALF_A_CALL
+            and kin + others * part < bound - HALF_A_CALL
         )
         own_share = max(1.0, limit / pool.hosts)
-        owed = starved and mine < own_share and kin < max(1.0, own_share * share)
+        own_bound = max(1.0, bound / pool.hosts)
+        owed = starved and mine < own_share and kin < own_bound
         if fits or owed:
             found.append(Candidate(upstream, load, mine + others))
     return found
