--- a/tests/scenarios/drain.feature
+++ b/tests/scenarios/drain.feature
@@ -41,11 +41,38 @@
     Then "farmer" holds its whole answer
     And stage "billing" of "farmer" ran 1 times
 
-  Scenario: An unkeyed request in flight outlives the drain
-    When upstreams of "panel" take 1.5 seconds
-    And "trader" sends a "reading" to "entry-1"
-    And 0.5 seconds pass
+  Scenario: Unkeyed requests in flight outlive the last handed-out host list
+    When upstreams of "engines" take 5 seconds
     And "entry-1" is drained
+    And 4 seconds pass
+    And "trader" sends a "question" to "entry-1" as a stream
+    And "reseller" sends a "question" to "entry-1"
     And 30 seconds pass
-    Then "trader" holds its whole answer
+    Then every caller holds its whole answer
     And "entry-1" has ended and cut off nothing
+
+  Scenario: A drained host takes no new work once its last list has expired
+    When upstreams of "engines" take 6 seconds
+    And "trader" sends a "question" to "entry-1" as a stream
+    And "entry-1" is drained
+    And 5.5 seconds pass
+    And "reseller" sends a "question" to "entry-1"
+    And 10 seconds pass
+    Then "trader" holds its whole answer
+    And "reseller" was refused and told that it ran "no"
+
+  Scenario: A drain hands over what waits
+    When upstream "engines-1" dies
+    And upstream "engines-2" dies
+    And 4 seconds pass
+    And "registrant" sends a "dispute" to "entry-1" with key "d1"
+    And 2 seconds pass
+    And "registrant" hangs up
+    And "entry-1" is drained
+    And 10 seconds pass
+    And upstream "engines-1" comes back
+    And 8 seconds pass
+    And "officer" sends a "dispute" to "entry-2" with key "d1" for "registrant"
+    And 0.1 seconds pass
+    Then "entry-1" has ended and cut off nothing
+    And "officer" holds its whole answer
