--- a/tests/pipelines/test_takeovers.py
+++ b/tests/pipelines/test_takeovers.py
@@ -159,7 +159,7 @@
 
     def freeze(process, way, message):
         command = getattr(getattr(message, "message", None), "command", None)
-        if isinstance(command, journal.StartStage):
+        if way == "sends" and isinstance(command, journal.StartStage):
             world.after(
                 here.here, 0.0001, lambda: world.freeze(here.here, process.name)
             )
@@ -264,9 +264,10 @@
 
     def resend(process, way, message):
         command = getattr(getattr(message, "message", None), "command", None)
-        return isinstance(command, journal.TakeOver) and not callers.append(
-            system.submit(here, "entry-2", "audit", key="p"),
-        )
+        if way != "sends" or not isinstance(command, journal.TakeOver):
+            return False
+        callers.append(system.submit(here, "entry-2", "audit", key="p"))
+        return True
 
     callers = [system.submit(here, "entry-3", "audit", key="p")]
     here.here.triggers.append(resend)
