--- a/bitternlever/entry/lease.py
+++ b/bitternlever/entry/lease.py
@@ -171,7 +171,7 @@
             return
         match outcome.ok():
             case directory.ManifestInForce() as in_force:
-                _install(tables, in_force)
+                install(tables, in_force)
                 tables.manifest.fresh_until_s = max(
                     tables.manifest.fresh_until_s,
                     min(tables.lease.valid_until_s, sent_s + RENEWAL_TIMEOUT_S),
@@ -180,10 +180,11 @@
     return on_outcome
 
 
-def _install(
+def install(
     tables: entry_tables.EntryTables,
     in_force: directory.ManifestInForce,
 ) -> None:
+    """Put a manifest in force on this host; its number never goes down."""
     view = tables.manifest
     if in_force.number <= view.number:
         return
