--- a/bench/control_processes.py
+++ b/bench/control_processes.py
@@ -23,6 +23,8 @@
 GIVE_UP_S = 15.0
 MILLISECONDS = 1_000
 PERCENT = 100
+BODY_BYTES = 2_000
+FILLING_CALLERS = 32
 
 
 class Client:
@@ -155,6 +157,7 @@
     await _idle(processes, client, seconds)
     for outstanding in (1, 8, 32, 128):
         await _commits(processes, client, outstanding, seconds)
+    await _filled(processes, client)
     await _killed(processes, client)
     await _frozen(processes, client)
     links.close(client.links)
@@ -203,6 +206,45 @@
     _print_cost(processes, f"busy-{outstanding}", before, elapsed_s, client)
 
 
+async def _filled(processes: Processes, client: Client) -> None:
+    """Claim until the journal refuses, and read the memory of a full node."""
+    before = {name: process_cost.cpu_s(p.pid) for name, p in processes.running.items()}
+    started_s = time.monotonic()
+    claimed = [0]
+    full = asyncio.Event()
+
+    async def caller(number: int) -> None:
+        count = 0
+        while not full.is_set():
+            count += 1
+            reply = await client.ask(journal.FIRST_GROUP, _claim(f"c-{number}-{count}"))
+            if isinstance(reply, journal.JournalFull):
+                full.set()
+                return
+            claimed[0] += 1
+
+    await asyncio.gather(*[caller(number) for number in range(FILLING_CALLERS)])
+    await asyncio.sleep(1.0)
+    _print("filled", len(processes.names), claims=claimed[0], body_bytes=BODY_BYTES)
+    _print_cost(processes, "full", before, time.monotonic() - started_s, client)
+
+
+def _claim(request_id: str) -> journal.Claim:
+    return journal.Claim(
+        request_id=request_id,
+        workspace="bench",
+        pipeline="p",
+        kind="k",
+        digest="d" * 64,
+        body=b"x" * BODY_BYTES,
+        priority=0,
+        durable=True,
+        time_left_ms=3_600_000,
+        host="bench",
+        epoch=1,
+    )
+
+
 def _withdrawal(request_id: str) -> journal.WithdrawRequest:
     """Return a command that is logged and changes nothing, so that none fills up."""
     return journal.WithdrawRequest(request_id=request_id, host="bench", epoch=1)
--- a/bitternlever/consensus/log.py
+++ b/bitternlever/consensus/log.py
@@ -91,3 +91,16 @@
             break
         chosen.append(entry)
     return chosen
+
+
+def tail_start(log: Log, index: int, maximum_entries: int, maximum_bytes: int) -> int:
+    """Return the first index of the longest tail up to ``index`` within both limits."""
+    first = index + 1
+    size = 0
+    lowest = max(log.base_index, index - maximum_entries) + 1
+    while first > lowest:
+        size += len(entry_at(log, first - 1).data)
+        if size > maximum_bytes:
+            break
+        first -= 1
+    return first
--- a/bitternlever/consensus/snapshots.py
+++ b/bitternlever/consensus/snapshots.py
@@ -52,12 +52,7 @@
             installed=True,
         )
         return
-    keep_from = pending.last_index - tables.KEPT_ENTRIES
-    if replica.log.bytes > tables.SNAPSHOT_AFTER_BYTES:
-        keep_from = pending.last_index
-    if keep_from > replica.log.base_index:
-        consensus_log.compact(replica.log, keep_from)
-        _drop_old_memberships(replica)
+    _compact(replica, pending.last_index)
 
 
 def send_piece(
@@ -159,6 +154,19 @@
         transfer.sent_s = None
 
 
+def _compact(replica: tables.Replica, snapshot_index: int) -> None:
+    """Drop the log before a snapshot but for a tail that spares others a transfer."""
+    first_kept = consensus_log.tail_start(
+        replica.log,
+        snapshot_index,
+        tables.KEPT_ENTRIES,
+        tables.KEPT_BYTES,
+    )
+    if first_kept - 1 > replica.log.base_index:
+        consensus_log.compact(replica.log, first_kept - 1)
+        _drop_old_memberships(replica)
+
+
 def _start_transfer(replica: tables.Replica) -> tables.Transfer:
     index = replica.applied_index
     return tables.Transfer(
--- a/bitternlever/storage/files.py
+++ b/bitternlever/storage/files.py
@@ -63,12 +63,13 @@
     return folder / (str(number).zfill(NUMBER_DIGITS) + suffix)
 
 
-def write_synced(path: pathlib.Path, data: bytes) -> None:
+def write_synced(path: pathlib.Path, *parts: bytes) -> None:
     """Write a whole file so that a crash leaves the old one or the new one."""
     temporary = path.with_name(path.name + TEMPORARY_SUFFIX)
     descriptor = os.open(temporary, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600)
     try:
-        write_all(descriptor, data)
+        for part in parts:
+            write_all(descriptor, part)
         os.fsync(descriptor)
     finally:
         os.close(descriptor)
--- a/bitternlever/storage/framing.py
+++ b/bitternlever/storage/framing.py
@@ -30,9 +30,13 @@
 
 def encode(group: int, sequence: int, payload: bytes) -> bytes:
     """Return one frame; the checksum covers group, sequence and payload."""
+    return header(group, sequence, payload) + payload
+
+
+def header(group: int, sequence: int, payload: bytes) -> bytes:
+    """Return what stands before a payload, so that a large one needs no copy."""
     checksum = _checksum(group, sequence, payload)
-    header = HEADER.pack(MAGIC, len(payload), checksum, group, sequence)
-    return header + payload
+    return HEADER.pack(MAGIC, len(payload), checksum, group, sequence)
 
 
 def scan(data: bytes, group: int) -> Scan:
--- a/bitternlever/storage/writer.py
+++ b/bitternlever/storage/writer.py
@@ -90,6 +90,7 @@
             batch = batch[: batch.index(None)]
             going = False
         _write_batch(writer, batch)
+        batch.clear()  # The thread may wait long with a snapshot in its hands.
     for group in writer.groups.values():
         os.close(group.descriptor)
 
@@ -235,14 +236,17 @@
         last_term=message.last_term,
         membership=message.membership,
     )
-    data = framing.encode(group.number, 1, files.encode(header))
-    data += framing.encode(group.number, 2, message.data)
     path = files.numbered_path(
         group.folder,
         message.last_index,
         files.SNAPSHOT_SUFFIX,
     )
-    files.write_synced(path, data)
+    files.write_synced(
+        path,
+        framing.encode(group.number, 1, files.encode(header)),
+        framing.header(group.number, 2, message.data),
+        message.data,
+    )
     group.snapshot_index = message.last_index
     _start_segment(group)
     _drop_old_files(group, message.last_index)
