--- a/bench/load.py
+++ b/bench/load.py
@@ -38,7 +38,12 @@
     parser.add_argument("--seconds", type=float, default=15.0)
     parser.add_argument("--example", default="cantref", choices=sorted(site.ZONES))
     parser.add_argument("--seed", type=int, default=1)
-    parser.add_argument("--fault", default="none", choices=sorted(load_faults.FAULTS))
+    parser.add_argument(
+        "--fault",
+        default="none",
+        type=load_faults.parse,
+        help=f"one or more with commas between: {', '.join(load_faults.FAULTS)}",
+    )
     parser.add_argument("--keep", help="keep logs and records in this folder")
     options = parser.parse_args(arguments)
     options.rate = min(options.rate, MAXIMUM_RATE)
@@ -135,7 +140,12 @@
     session: aiohttp.ClientSession,
 ) -> None:
     await asyncio.sleep(options.seconds / 3)
-    await load_faults.FAULTS[options.fault](system, running, session)
+    await asyncio.gather(
+        *(
+            load_faults.FAULTS[name](system, running, session)
+            for name in options.fault.split(",")
+        ),
+    )
 
 
 async def _watch(client: load_caller.Client) -> None:
--- a/bench/load_caller.py
+++ b/bench/load_caller.py
@@ -16,6 +16,7 @@
 from standins import callers, site
 
 GRACE_S = 15.0
+PATIENCE_S = 1.0
 MINIMUM_PAUSE_S = 0.1
 MAXIMUM_EXCHANGES = 40
 RETRIED = (429, 502, 503, 504)
@@ -131,6 +132,7 @@
             body,
             {} if key is None else {"Idempotency-Key": key},
             on_accepted,
+            timeout_s=order.kind.deadline_ms / 1_000 + PATIENCE_S,
         )
     except CUT:
         client.write(records.AnswerCut(exchange=name, time_s=time.monotonic()))
--- a/bench/load_faults.py
+++ b/bench/load_faults.py
@@ -100,6 +100,14 @@
 }
 
 
+def parse(text: str) -> str:
+    """Check the names of one or more faults; raise ValueError for an unknown one."""
+    unknown = [name for name in text.split(",") if name not in FAULTS]
+    if unknown:
+        raise ValueError(f"unknown faults: {', '.join(unknown)}")
+    return text
+
+
 async def _misbehave(
     system: site.Site,
     session: aiohttp.ClientSession,
--- a/standins/callers.py
+++ b/standins/callers.py
@@ -77,16 +77,18 @@
     body: dict[str, Any],
     headers: dict[str, str],
     on_accepted: Callable[[str], None] = ignore,
+    timeout_s: float = CALL_TIMEOUT_S,
 ) -> Received:
     """Send one request and read its whole answer, streamed if the body says so.
 
-    ``on_accepted`` is told the request's id as soon as the system takes it.
+    ``on_accepted`` is told the request's id as soon as the system takes it. Raise
+    TimeoutError when the answer is not whole after ``timeout_s``.
     """
     async with session.post(
         f"{entry}/v1/pipelines/{pipeline}/requests",
         json=body,
         headers={"Authorization": f"Bearer {token}", **headers},
-        timeout=aiohttp.ClientTimeout(total=CALL_TIMEOUT_S),
+        timeout=aiohttp.ClientTimeout(total=timeout_s),
         read_bufsize=MAXIMUM_LINE_BYTES,
     ) as response:
         return await _receive(response, on_accepted)
