Fuzz what comes from outside

Cause: hostile or damaged input has to end in a clear error, never in a crash or in a change that is half applied.

Hosts run under virtual time and must still serve after each example.

--- /dev/null
+++ b/tests/fuzz/test_manifests.py
@@ -0,0 +1,100 @@
+"""A manifest is refused with its faults, or it can be served."""
+
+import json
+
+import hypothesis
+import msgspec
+from hypothesis import strategies
+
+from bitternlever.checks import manifest as manifest_checks
+from bitternlever.messages import directory, manifest
+from tests.fuzz import examples, system
+from tests.scenarios import cluster as clusters, manifests, world
+
+BODY = json.loads(manifests.put(2).body)
+ODD_VALUES = strategies.one_of(
+    strategies.none(),
+    strategies.booleans(),
+    strategies.integers(-(2**70), 2**70),
+    strategies.floats(),
+    strategies.text(max_size=5),
+    strategies.sampled_from([[], {}, [[]], 0, 1, "engines", "billing", "call"]),
+)
+
+
+def leaves(value, path=()):
+    """Return the paths of all members and items of a JSON value."""
+    inner = value.items() if isinstance(value, dict) else enumerate(value)
+    found = []
+    for key, each in inner:
+        found.append((*path, key))
+        if isinstance(each, dict | list):
+            found += leaves(each, (*path, key))
+    return found
+
+
+def changed(path, value, remove):
+    """Return the body with the member at ``path`` replaced or removed."""
+    body = json.loads(json.dumps(BODY))
+    place = body
+    for key in path[:-1]:
+        place = place[key]
+    if remove:
+        del place[path[-1]]
+    else:
+        place[path[-1]] = value
+    return body
+
+
+@examples.settings()
+@hypothesis.given(data=strategies.binary(max_size=200))
+def test_any_bytes_are_refused_with_a_fault(data):
+    outcome = manifest_checks.check(data)
+
+    assert outcome.is_err()
+    assert outcome.err() != []
+
+
+@examples.settings(share=2.0)
+@hypothesis.given(
+    path=strategies.sampled_from(leaves(BODY)),
+    value=ODD_VALUES,
+    remove=strategies.booleans(),
+)
+def test_a_manifest_with_one_change_is_refused_or_served(path, value, remove):
+    body = json.dumps(changed(path, value, remove)).encode()
+
+    outcome = manifest_checks.check(body)
+
+    if outcome.is_err():
+        assert all(fault.text for fault in outcome.err())
+        return
+    cluster = system.ready()
+    apply(cluster, body)
+    serve_every_kind(cluster, outcome.ok())
+
+
+def apply(cluster, body):
+    """Let an operator apply a body that passed the checks; it is in force or not."""
+    number = json.loads(body)["number"]
+    digest = manifests.digest(body)
+    put = directory.PutManifest(number=number, digest=digest, body=body)
+    clusters.apply(cluster, "fuzz", "entry-1", put)
+    world.pass_time(cluster.here, system.SETTLE_S)
+    view = cluster.here.processes["entry-1"].tables.manifest
+    [reply] = cluster.replies["fuzz"]
+    if isinstance(reply, directory.ManifestAccepted):
+        assert (view.number, view.digest) == (number, digest)
+        assert view.manifest == msgspec.json.decode(body, type=manifest.Manifest)
+    else:
+        assert view.number == 1
+
+
+def serve_every_kind(cluster, whole):
+    """Send a request of each kind; the host must not end."""
+    for pipeline in whole.pipelines:
+        for kind in pipeline.kinds:
+            message = system.submission(b'{"input":1}', kind.name)
+            message.pipeline = pipeline.name
+            message.workspace = whole.workspaces[0].name
+            system.take(cluster, message, 0.3)
--- a/tests/scenarios/manifests.py
+++ b/tests/scenarios/manifests.py
@@ -68,5 +68,9 @@
         pipelines=PIPELINES,
     )
     body = msgspec.json.encode(made)
-    digest = hashlib.sha256(body).hexdigest()
-    return directory.PutManifest(number=number, digest=digest, body=body)
+    return directory.PutManifest(number=number, digest=digest(body), body=body)
+
+
+def digest(body: bytes) -> str:
+    """Return the digest under which a manifest is applied."""
+    return hashlib.sha256(body).hexdigest()
