Eject failing and slow upstreams, bound retries and hedges

Cause: every failure was tried again three times at once, so a pool that was down got 1.93 attempts for each offered one; a straggler and a lost zone kept getting work until calls there failed.

Retries and hedges spend tokens that first attempts earn. Three failures in a row eject an upstream, a pace of three times its pool's middle does too, for at most a third of a pool. Probes go one at a time, from work with time to spare, or once a second where the whole pool is out; the limit grows from one after that. An urgent idempotent stage is hedged when its first byte or its pieces come far too late. Longer pauses for a whole pool were ruled out: they outlast the fault.

Seen failing first, each by breaking one rule: no ejection, two probes at once, the full limit after a probe, a fixed pause, urgent probes, slowness without peers, stragglers kept, a whole pool ejected, unpaced probes of a pool that is down, retries and hedges without budget, hedges of what may not be repeated, of patient kinds, none at all.

--- a/bitternlever/routing/budgets.py
+++ b/bitternlever/routing/budgets.py
@@ -1,8 +1,28 @@
-"""Budgets that bound the load added by retries and hedges."""
+"""Budgets that bound the load added by retries and hedges.
 
+First attempts earn tokens, retries and hedges spend them, so the added load stays a
+share of the offered one however many stages fail at once.
+"""
+
+from bitternlever.admission import queues
 from bitternlever.pipelines import tables as pipeline_tables
 
-MAXIMUM_ATTEMPTS = 3
+MAXIMUM_ATTEMPTS = 4
+MAXIMUM_TOKENS = 20.0
+
+
+def earn(tables) -> None:
+    """Earn from a first attempt."""
+    limits = queues.limits(tables)
+    routing = tables.routing
+    routing.retry_tokens = min(
+        MAXIMUM_TOKENS,
+        routing.retry_tokens + limits.retry_ratio,
+    )
+    routing.hedge_tokens = min(
+        MAXIMUM_TOKENS,
+        routing.hedge_tokens + limits.hedge_ratio,
+    )
 
 
 def may_retry(
@@ -12,4 +32,15 @@
     attempts: int,
 ) -> bool:
     """Spend a retry for a stage that failed ``attempts`` times, if one is left."""
-    return attempts < MAXIMUM_ATTEMPTS
+    if attempts >= MAXIMUM_ATTEMPTS or tables.routing.retry_tokens < 1.0:
+        return False
+    tables.routing.retry_tokens -= 1.0
+    return True
+
+
+def may_hedge(tables) -> bool:
+    """Spend a hedge, if one is left."""
+    if tables.routing.hedge_tokens < 1.0:
+        return False
+    tables.routing.hedge_tokens -= 1.0
+    return True
--- a/bitternlever/routing/estimates.py
+++ b/bitternlever/routing/estimates.py
@@ -11,6 +11,7 @@
 PROMPT_TOKEN_UNITS = 0.006
 SHARING_COST = 0.08
 BUSY_CALLS = 8.0
+FIRST_BYTE_UNITS = 4.0
 FIRST_TOKEN_S = 0.01
 FIRST_CALL_S = 0.02
 MODEL_WEIGHT = 0.05
@@ -59,6 +60,13 @@
     return units(tables, ready) * unit_s(tables, ready.stage) * sharing(BUSY_CALLS)
 
 
+def first_byte_s(tables, attempt: pipeline_tables.Attempt) -> float:
+    """Return when a streamed attempt's output usually begins on a busy upstream."""
+    prompt = attempt.prompt_tokens + attempt.resume_length // CHARACTERS_PER_TOKEN
+    units_before = FIRST_BYTE_UNITS + prompt * PROMPT_TOKEN_UNITS
+    return units_before * unit_s(tables, attempt.stage) * sharing(BUSY_CALLS)
+
+
 def sharing(running: float) -> float:
     """Return how much longer a step takes with this many calls at once."""
     return 1.0 + SHARING_COST * max(0.0, running - 1.0)
--- a/bitternlever/routing/feedback.py
+++ b/bitternlever/routing/feedback.py
@@ -4,6 +4,8 @@
 from bitternlever.messages import manifest, requests, upstream
 from bitternlever.pipelines import tables as pipeline_tables
 from bitternlever.routing import (
+    budgets,
+    ejection,
     estimates,
     limits,
     occupancy,
@@ -15,6 +17,10 @@
 def started(tables, now: float, attempt: pipeline_tables.Attempt) -> None:
     """Count an attempt as in flight on its upstream."""
     load = occupancy.load_of(tables, attempt.upstream)
+    if not attempt.hedge:
+        budgets.earn(tables)
+    if load.probing:
+        ejection.probed(tables, now, attempt.stage.pool)
     load.in_flight.add(attempt.attempt)
     if queues.is_urgent(tables, attempt.priority):
         load.urgent.add(attempt.attempt)
@@ -41,8 +47,8 @@
         running += occupancy.others(now, known, load, 0.0)
     ratio = estimates.learn(tables, now, attempt, usage, running)
     _leave(load, now, attempt)
-    load.failures = 0
     load.pace += estimates.PACE_WEIGHT * (ratio - load.pace)
+    ejection.succeeded(load, now, ratio)
     if known is not None:
         _adapt(load, now, ratio, known.announcement.concurrency)
     if attempt.stage.task is manifest.Task.GENERATE and usage.output_tokens:
@@ -61,7 +67,7 @@
     if failure.sent is requests.Sent.NO and failure.status is not None:
         limits.decrease(load, now, limits.REFUSED_FACTOR)
         return
-    load.failures += 1
+    ejection.failed(tables, now, load)
 
 
 def cancelled(tables, now: float, attempt: pipeline_tables.Attempt) -> None:
--- a/bitternlever/routing/hedges.py
+++ b/bitternlever/routing/hedges.py
@@ -1,8 +1,59 @@
 """Hedges: a second attempt of an idempotent stage that straggles."""
 
-from bitternlever.pipelines import tables as pipeline_tables
+from bitternlever.admission import queues
+from bitternlever.pipelines import stages, tables as pipeline_tables
+from bitternlever.routing import budgets, estimates, policies, sweep
+
+LATE_FACTOR = 2.5
+LEAST_WAIT_S = 0.05
+SPARE = 1.1
+FIRST_BYTE_FACTOR = 3.0
 
 
 def due(tables, now: float) -> list[pipeline_tables.ReadyStage]:
-    """Return the hedges to launch now, each with ``hedge`` set."""
-    return []
+    """Return the hedges to launch now, each with ``hedge`` set.
+
+    Only urgent stages are hedged: they have no time for another way.
+    """
+    if tables.settings.policy != policies.PREDICTED:
+        return []
+    swept = now >= tables.routing.next_sweep_s
+    sweep.run(tables, now)
+    if not swept:
+        return []
+    found = []
+    for attempt in list(tables.requests.attempts.values()):
+        if not _straggles(tables, now, attempt):
+            continue
+        request = tables.requests.requests[attempt.request_id]
+        if len(request.attempts) > 1:
+            continue
+        ready = stages.ready_stage(tables, now, request)
+        if _would_help(tables, now, attempt, ready) and budgets.may_hedge(tables):
+            ready.hedge = True
+            found.append(ready)
+    return found
+
+
+def _straggles(tables, now: float, attempt: pipeline_tables.Attempt) -> bool:
+    if attempt.hedge or not attempt.stage.idempotent:
+        return False
+    if not queues.is_urgent(tables, attempt.priority):
+        return False
+    waited_s = now - attempt.started_s
+    if waited_s < LEAST_WAIT_S:
+        return False
+    if sweep.streams(attempt) and attempt.first_byte_s is None:
+        return waited_s > FIRST_BYTE_FACTOR * estimates.first_byte_s(tables, attempt)
+    return sweep.of_attempt(tables, now, attempt) > LATE_FACTOR
+
+
+def _would_help(
+    tables,
+    now: float,
+    attempt: pipeline_tables.Attempt,
+    ready: pipeline_tables.ReadyStage,
+) -> bool:
+    """Tell whether another attempt can still be in time."""
+    service_s = estimates.busy_service_s(tables, ready)
+    return now + service_s * SPARE < attempt.deadline_s
--- a/bitternlever/routing/predicted.py
+++ b/bitternlever/routing/predicted.py
@@ -11,6 +11,7 @@
 from bitternlever.gossip import tables as gossip_tables
 from bitternlever.pipelines import tables as pipeline_tables
 from bitternlever.routing import (
+    ejection,
     estimates,
     occupancy,
     prefixes,
@@ -57,7 +58,7 @@
     serving: list[gossip_tables.Upstream],
 ) -> Choice | None:
     """Choose among serving upstreams; ``None`` where none has room."""
-    candidates = with_room(tables, now, ready, serving)
+    candidates = with_room(tables, now, ready, _admitting(tables, now, ready, serving))
     if not candidates:
         return None
     work = estimates.units(tables, ready)
@@ -74,6 +75,24 @@
     return Choice(best.upstream, best_s)
 
 
+def _admitting(
+    tables,
+    now: float,
+    ready: pipeline_tables.ReadyStage,
+    serving: list[gossip_tables.Upstream],
+) -> list[gossip_tables.Upstream]:
+    """Leave out ejected upstreams, but for a probe."""
+    loads = [occupancy.load_of(tables, each.announcement.name) for each in serving]
+    if not any(load.probing for load in loads):
+        return serving
+    alone = all(load.probing for load in loads)
+    return [
+        each
+        for each, load in zip(serving, loads, strict=True)
+        if ejection.admits(tables, now, ready, load, alone)
+    ]
+
+
 def with_room(
     tables,
     now: float,
--- a/bitternlever/routing/tables.py
+++ b/bitternlever/routing/tables.py
@@ -69,8 +69,9 @@
     outputs: dict[tuple[str, str], float] = dataclasses.field(default_factory=dict)
     cached_share: float = 0.5
     next_sweep_s: float = 0.0
-    retry_tokens: float = 0.0
-    hedge_tokens: float = 0.0
+    next_probe_s: dict[str, float] = dataclasses.field(default_factory=dict)
+    retry_tokens: float = 3.0
+    hedge_tokens: float = 1.0
     turns: dict[str, int] = dataclasses.field(default_factory=dict)
 
 
--- /dev/null
+++ b/tests/routing/test_faults.py
@@ -0,0 +1,257 @@
+"""Ejection, probes, retries and hedges under failing and slow upstreams."""
+
+from bitternlever.admission import dispatch
+from bitternlever.messages import manifest
+from bitternlever.pipelines import tables as pipeline_tables
+from bitternlever.routing import (
+    budgets,
+    choice,
+    ejection,
+    feedback,
+    hedges,
+    sweep,
+    tables as routing_tables,
+)
+from tests.admission import entries
+
+PIPELINE = manifest.Pipeline(
+    name="p",
+    stages=[entries.STAGE],
+    kinds=[manifest.Kind("kind-0", 0, 2_000)],
+)
+
+
+def _announce(tables, now, sequence=1, names=("e0", "e1", "e2"), **changes):
+    for name in names:
+        entries.announce(tables, now, name, sequence=sequence, **changes)
+
+
+def _launch(tables, now, name, priority=0, upstream=None, stage=entries.STAGE):
+    waiting = entries.ready(
+        name,
+        now=now,
+        priority=priority,
+        deadline_s=now + 20.0,
+        stage=stage,
+    )
+    placed = choice.choose(tables, now, waiting)
+    if placed.is_err():
+        return None
+    started = entries.attempt(waiting, placed.ok(), now)
+    started.upstream = upstream or started.upstream
+    tables.requests.attempts[started.attempt] = started
+    feedback.started(tables, now, started)
+    return started
+
+
+def _fail(tables, now, broken):
+    del tables.requests.attempts[broken.attempt]
+    feedback.failed(tables, now, broken, entries.breakdown(broken))
+
+
+def _request(tables, started):
+    request = pipeline_tables.Request(
+        request_id=started.request_id,
+        workspace="w",
+        pipeline=PIPELINE,
+        kind=PIPELINE.kinds[0],
+        digest="",
+        body=b"",
+        input=None,
+        journaled=False,
+        arrived_s=0.0,
+        deadline_s=started.deadline_s,
+        phase=pipeline_tables.Phase.RUNNING,
+        attempts={started.attempt},
+    )
+    tables.requests.requests[started.request_id] = request
+
+
+def test_an_upstream_that_fails_in_a_row_gets_nothing_for_a_while():
+    tables = entries.host()
+    _announce(tables, 0.0)
+    for index in range(ejection.FAILURES):
+        _fail(tables, 0.0, _launch(tables, 0.0, f"f{index}", upstream="e0"))
+
+    chosen = {_launch(tables, 0.1, f"r{index}").upstream for index in range(12)}
+
+    assert chosen == {"e1", "e2"}
+
+
+def test_one_probe_at_a_time_brings_an_upstream_back():
+    tables = entries.host()
+    _announce(tables, 0.0, names=("e0",))
+    for index in range(ejection.FAILURES):
+        _fail(tables, 0.0, _launch(tables, 0.0, f"f{index}"))
+    assert _launch(tables, 0.0, "at-once") is not None
+
+    assert _launch(tables, 0.1, "beside-the-probe") is None
+
+    probe = tables.requests.attempts["a-at-once"]
+    entries.finish(tables, 0.3, probe, output_tokens=32)
+    first = _launch(tables, 0.4, "after")
+    assert first is not None
+    assert tables.routing.loads["e0"].limit < 3.0
+
+
+def test_a_failed_probe_lengthens_the_pause():
+    tables = entries.host()
+    load = tables.routing.loads.setdefault("e0", _load())
+    pauses = []
+    now = 0.0
+    for _ in range(4):
+        ejection.eject(tables, now, load)
+        pauses.append(load.ejected_until_s - now)
+        now = load.ejected_until_s
+
+    assert pauses == sorted(pauses)
+    assert pauses[-1] > 4 * pauses[0]
+
+
+def test_urgent_work_with_little_time_is_no_probe():
+    tables = entries.host()
+    _announce(tables, 0.0)
+    load = tables.routing.loads.setdefault("e0", _load())
+    ejection.eject(tables, 0.0, load)
+    now = load.ejected_until_s + 0.1
+    hurried = entries.ready("u", priority=0, deadline_s=now + 1.0)
+    patient = entries.ready("d", priority=2, deadline_s=now + 60.0)
+
+    assert not ejection.admits(tables, now, hurried, load, alone=False)
+    assert ejection.admits(tables, now, patient, load, alone=False)
+
+
+def test_a_straggler_is_ejected_against_its_peers():
+    tables = entries.host()
+    _announce(tables, 0.0)
+    for name, pace in (("e0", 4.0), ("e1", 1.0), ("e2", 1.0)):
+        load = tables.routing.loads.setdefault(name, _load())
+        load.pace = pace
+
+    sweep.run(tables, 1.0)
+
+    ejected = [name for name, load in tables.routing.loads.items() if load.probing]
+    assert ejected == ["e0"]
+
+
+def test_a_pool_that_is_slow_together_stays():
+    tables = entries.host()
+    _announce(tables, 0.0)
+    for name in ("e0", "e1", "e2"):
+        tables.routing.loads.setdefault(name, _load()).pace = 4.0
+
+    sweep.run(tables, 1.0)
+
+    assert not any(load.probing for load in tables.routing.loads.values())
+
+
+def test_slowness_never_ejects_more_than_a_third():
+    tables = entries.host()
+    paces = {"e0": 9.0, "e1": 9.0, "e2": 9.0} | dict.fromkeys("abcd", 1.0)
+    _announce(tables, 0.0, names=paces)
+    for name, pace in paces.items():
+        tables.routing.loads.setdefault(name, _load()).pace = pace
+
+    for second in range(1, 20):
+        sweep.run(tables, float(second))
+
+    assert sum(load.probing for load in tables.routing.loads.values()) == 2
+
+
+def test_a_second_probe_waits_for_the_first():
+    tables = entries.host()
+    load = _load()
+    ejection.eject(tables, 0.0, load)
+    now = load.ejected_until_s + 0.1
+    patient = entries.ready("d", priority=2, deadline_s=now + 60.0)
+    load.in_flight.add("first")
+
+    assert not ejection.admits(tables, now, patient, load, alone=False)
+
+
+def test_a_pool_that_is_down_gets_one_probe_an_interval():
+    tables = entries.host()
+    probes = 0
+    for step in range(400):
+        now = step * 0.05
+        _announce(tables, now, sequence=step + 1)
+        launched = _launch(tables, now, f"r{step}")
+        if launched is not None:
+            probes += now > 10.0
+            _fail(tables, now, launched)
+
+    assert probes <= 10.0 / ejection.PROBE_INTERVAL_S
+
+
+def test_attempts_on_a_pool_that_is_down_stay_within_a_fifth_more():
+    tables = entries.host()
+    sent = 0
+    offered = 0
+    for step in range(1_200):
+        now = step * 0.05
+        _announce(tables, now, sequence=step + 1)
+        waiting = entries.ready(f"r{step}", now=now, deadline_s=now + 4.0, priority=1)
+        dispatch.push(tables, now, waiting)
+        offered += 1
+        for launched in entries.run(tables, now):
+            sent += 1
+            _fail(tables, now, launched)
+            if budgets.may_retry(tables, now, None, 1):
+                again = entries.ready(f"{launched.request_id}+", now, priority=1)
+                dispatch.push(tables, now, again)
+
+    assert sent <= 1.2 * offered
+
+
+def test_retries_stay_within_their_budget():
+    tables = entries.host(limits=manifest.Limits(retry_ratio=0.1))
+    _announce(tables, 0.0, concurrency=2_000)
+    tables.routing.retry_tokens = 0.0
+    for index in range(100):
+        entries.finish(tables, 0.2, _launch(tables, 0.0, f"r{index}"))
+
+    allowed = sum(budgets.may_retry(tables, 0.0, None, 1) for _ in range(100))
+
+    assert allowed in (9, 10)
+
+
+def test_an_urgent_stage_without_a_first_byte_is_hedged_once():
+    tables = entries.host()
+    _announce(tables, 0.0)
+    _request(tables, _launch(tables, 0.0, "u"))
+
+    found = [ready.request_id for ready in hedges.due(tables, 1.0)]
+
+    assert found == ["u"]
+    assert all(ready.hedge for ready in hedges.due(tables, 1.0))
+
+
+def test_nothing_that_may_not_be_repeated_is_hedged():
+    tables = entries.host()
+    _announce(tables, 0.0)
+    once = manifest.Stage("write", manifest.Task.GENERATE, "engines", idempotent=False)
+    _request(tables, _launch(tables, 0.0, "u", stage=once))
+
+    assert hedges.due(tables, 1.0) == []
+
+
+def test_hedges_stay_within_their_budget():
+    tables = entries.host(limits=manifest.Limits(hedge_ratio=0.05))
+    _announce(tables, 0.0, names=[f"e{index}" for index in range(10)])
+    tables.routing.hedge_tokens = 0.0
+    for index in range(60):
+        _request(tables, _launch(tables, 0.0, f"u{index}"))
+
+    assert len(hedges.due(tables, 1.0)) <= 3
+
+
+def test_patient_kinds_are_not_hedged():
+    tables = entries.host()
+    _announce(tables, 0.0)
+    _request(tables, _launch(tables, 0.0, "d", priority=2))
+
+    assert hedges.due(tables, 1.0) == []
+
+
+def _load():
+    return routing_tables.UpstreamLoad()
