Let a key that was given up be sent again

A keyed request past its deadline, or out of retries, got its problem recorded as the key's final answer with a Retry-After: a caller who came back under the key got the same problem for an hour.

With the same command a key whose callers have closed their connections is withdrawn after four seconds: its stages stop and engine streams are cancelled. Hosts whose callers follow the request there tell the owner so each second.

--- a/bitternlever/entry/tick.py
+++ b/bitternlever/entry/tick.py
@@ -72,6 +72,8 @@
         lease.manifest_changed(tables, now, outbox, message)
     elif isinstance(message, calls.CancelledHint):
         answers.cancelled_elsewhere(tables, now, outbox, message.request_id)
+    elif isinstance(message, calls.WatchedHint):
+        answers.watched_elsewhere(tables, now, message.request_id)
 
 
 RECEIVERS = {
--- a/bitternlever/messages/calls.py
+++ b/bitternlever/messages/calls.py
@@ -65,3 +65,9 @@
     """A hint to the host that ran a request: it was cancelled through another host."""
 
     request_id: str
+
+
+class WatchedHint(msgspec.Struct, tag=True, frozen=True):
+    """A hint to the owner of a request: callers follow it through another host."""
+
+    request_id: str
--- a/bitternlever/messages/frames.py
+++ b/bitternlever/messages/frames.py
@@ -19,6 +19,7 @@
     | calls.OrphansWaiting
     | calls.ManifestChanged
     | calls.CancelledHint
+    | calls.WatchedHint
     | gossip.Gossip
     | consensus.VoteRequest
     | consensus.VoteReply
--- a/bitternlever/pipelines/answers.py
+++ b/bitternlever/pipelines/answers.py
@@ -7,12 +7,17 @@
     delivery,
     finish,
     groups,
+    ownership,
     refusals,
     stages,
     tables as pipeline_tables,
+    timers,
     watch,
 )
 
+RETURN_LIMIT_S = 4.0
+MAY_WITHDRAW = (pipeline_tables.Phase.READY, pipeline_tables.Phase.RUNNING)
+
 
 def query(
     tables,
@@ -111,7 +116,8 @@
 ) -> None:
     """Take a closed connection: the run ends with its last caller.
 
-    Durable and keyed requests go on: their callers come back by id or key.
+    A durable request goes on. One with a key goes on for a while, since its caller may
+    come back under the key.
     """
     request_id = tables.requests.callers.pop(message.caller, None)
     if request_id is None:
@@ -125,12 +131,22 @@
     request.callers.pop(message.caller, None)
     if message.caller in request.cancellers:
         request.cancellers.remove(message.caller)
-    if request.callers or request.kind.durable or request.keyed:
+    if request.callers or request.kind.durable:
+        return
+    if request.keyed:
+        _withdraw_later(tables, now, request)
         return
     tables.count("caller_left")
     end_run(tables, now, outbox, request)
 
 
+def watched_elsewhere(tables, now: float, request_id: str) -> None:
+    """Take another host's word that callers follow a request of this host there."""
+    request = tables.requests.requests.get(request_id)
+    if request is not None:
+        request.watched_s = now
+
+
 def end_run(
     tables,
     now: float,
@@ -149,6 +165,28 @@
     finish.problem(tables, now, outbox, request, refusals.cancelled(tables, request))
 
 
+def _withdraw_later(tables, now: float, request: pipeline_tables.Request) -> None:
+    """Forget a keyed request whose callers have left and do not come back.
+
+    Once a stage was started that may not be repeated, the run goes on to its answer.
+    """
+    left_s = now
+
+    def check(tables, now, outbox) -> None:
+        if not ownership.is_live(tables, request) or request.callers:
+            return
+        since_s = max(left_s, request.watched_s)
+        if now < since_s + RETURN_LIMIT_S:
+            timers.at(tables, since_s + RETURN_LIMIT_S, check)
+            return
+        if request.phase in MAY_WITHDRAW and not request.once_only_started:
+            tables.count("caller_left")
+            stated = refusals.cancelled(tables, request)
+            finish.withdraw(tables, now, outbox, request, stated)
+
+    timers.at(tables, now + RETURN_LIMIT_S, check)
+
+
 def _runs_once_only(tables, request: pipeline_tables.Request) -> bool:
     attempts = [tables.requests.attempts[each] for each in request.attempts]
     return any(not attempt.stage.idempotent for attempt in attempts)
--- a/bitternlever/pipelines/finish.py
+++ b/bitternlever/pipelines/finish.py
@@ -50,7 +50,16 @@
     request: pipeline_tables.Request,
     stated: problems.Problem,
 ) -> None:
-    """End a request with a problem."""
+    """End a request with a problem.
+
+    A problem that may pass is not the final answer of a key: the key is withdrawn and
+    may be sent again, unless a stage was started that may not be repeated.
+    """
+    if request.keyed and stated.retry_after_s is not None:
+        if not request.once_only_started:
+            withdraw(tables, now, outbox, request, stated)
+            return
+        stated.retry_after_s = None
     answer = pipeline_tables.FinalAnswer(
         status=stated.status,
         body=msgspec.json.encode(stated),
@@ -58,6 +67,36 @@
     _end(tables, now, outbox, request, answer)
 
 
+def withdraw(
+    tables,
+    now: float,
+    outbox: ticks.Outbox,
+    request: pipeline_tables.Request,
+    stated: problems.Problem,
+) -> None:
+    """Have the journal forget a request, then tell its callers of the problem."""
+    ownership.stop(tables, now, outbox, request)
+    request.phase = pipeline_tables.Phase.ANSWERING
+    body = msgspec.json.encode(stated)
+    answer = pipeline_tables.FinalAnswer(status=stated.status, body=body)
+    _tell_after_limit(tables, now, request, answer)
+    command = journal.WithdrawRequest(
+        request_id=request.request_id,
+        host=tables.settings.host,
+        epoch=request.epoch,
+    )
+
+    def on_reply(tables, now, outbox, reply) -> None:
+        if isinstance(reply, journal.RequestWithdrawn):
+            answered = answer.reply(request.request_id)
+            ownership.settle(tables, now, outbox, request, answered)
+            return
+        request.once_only_started = True
+        problem(tables, now, outbox, request, stated)
+
+    ownership.write(tables, now, outbox, request, command, on_reply)
+
+
 def _end(
     tables,
     now: float,
--- a/bitternlever/pipelines/launch.py
+++ b/bitternlever/pipelines/launch.py
@@ -53,6 +53,7 @@
         _send(tables, now, outbox, request, attempt)
         return
     request.phase = pipeline_tables.Phase.STARTING
+    request.once_only_started = True
     _commit_start(tables, now, outbox, request, attempt)
 
 
--- a/bitternlever/pipelines/tables.py
+++ b/bitternlever/pipelines/tables.py
@@ -43,7 +43,8 @@
     ``committed`` how much it holds; a text that began anew has a higher number in
     ``generations``. ``epoch`` is the lease epoch
     under which this host owns it. ``unsent`` names the last attempt of a stage that
-    provably never left.
+    provably never left. ``watched_s`` is when another host last said that callers
+    follow the request there.
     """
 
     request_id: str
@@ -75,7 +76,9 @@
     cancelled: bool = False
     sent_any: bool = False
     claim_in_doubt: bool = False
+    once_only_started: bool = False
     completed_once_only: bool = False
+    watched_s: float = float("-inf")
     traceparent: str | None = None
     cost_ms: dict[str, float] = dataclasses.field(default_factory=dict)
 
@@ -89,6 +92,7 @@
     callers: dict[int, Caller] = dataclasses.field(default_factory=dict)
     polling: bool = False
     interval_s: float = 0.0
+    next_hint_s: float = 0.0
     unheard_since_s: float | None = None
 
 
--- a/bitternlever/pipelines/takeover.py
+++ b/bitternlever/pipelines/takeover.py
@@ -58,6 +58,7 @@
         record = by_name.get(stage.name)
         if record is None:
             continue
+        request.once_only_started |= record.started_attempt is not None
         if record.progress:
             request.texts[stage.name] = record.progress
             request.committed[stage.name] = len(record.progress)
--- a/bitternlever/pipelines/watch.py
+++ b/bitternlever/pipelines/watch.py
@@ -2,7 +2,7 @@
 
 from bitternlever.core import ticks
 from bitternlever.entry import control_client
-from bitternlever.messages import journal, problems
+from bitternlever.messages import calls, frames, journal, problems
 from bitternlever.pipelines import (
     delivery,
     groups,
@@ -16,6 +16,7 @@
 MAXIMUM_INTERVAL_S = 0.5
 INTERVAL_GROWTH = 1.5
 UNHEARD_LIMIT_S = 8.0
+HINT_INTERVAL_S = 1.0
 OPEN_RETRY_AFTER_S = 1.0
 
 
@@ -107,11 +108,24 @@
     if not watch.callers:
         del tables.requests.watches[watch.request_id]
         return
+    _hint_owner(tables, now, outbox, watch, reply.host)
     if reply.progress:
         watch.interval_s = STREAM_INTERVAL_S
     _poll_later(tables, now, watch)
 
 
+def _hint_owner(tables, now: float, outbox: ticks.Outbox, watch, owner: str) -> None:
+    """Let the owner know that somebody still waits for the request."""
+    host = tables.membership.hosts.get(owner)
+    if host is None or now < watch.next_hint_s:
+        return
+    watch.next_hint_s = now + HINT_INTERVAL_S
+    hint = calls.WatchedHint(request_id=watch.request_id)
+    outbox.send(
+        frames.SendPeer(node=f"entry-{host.host}", message=hint, link=host.link),
+    )
+
+
 def _poll_later(tables, now: float, watch) -> None:
     def again(tables, now, outbox) -> None:
         _poll(tables, now, outbox, watch)
--- a/tests/pipelines/test_cancels.py
+++ b/tests/pipelines/test_cancels.py
@@ -71,6 +71,50 @@
     assert system.whole(here, asked)
 
 
+def test_a_key_whose_caller_does_not_come_back_is_withdrawn():
+    here = system.create()
+    caller, call = running(here, "question", "engines", key="p")
+
+    system.tell(here, "entry-1", requests.CallerGone(caller=caller))
+    system.pass_time(here, 3.5)
+    early = list(here.cancels)
+    system.pass_time(here, 1.0)
+
+    assert not early
+    assert here.cancels == [call.attempt]
+    assert not here.control.journal.records
+
+
+def test_a_key_whose_caller_follows_it_elsewhere_goes_on():
+    here = system.create(gossip=True)
+    caller, call = running(here, "question", "engines", key="p", stream=True)
+    system.tell(here, "entry-1", requests.CallerGone(caller=caller))
+
+    request_id = call.call.binding.request
+    again = system.query(here, "entry-2", request_id, stream=True)
+    system.pass_time(here, 7.0)
+    system.answer(here, call, "rain")
+    system.pass_time(here, 1.0)
+
+    assert system.whole(here, again)
+    assert len(system.calls_of(here, "engines")) == 1
+
+
+def test_a_key_with_a_started_stage_goes_on_without_its_caller():
+    here = system.create()
+    caller, call = running(here, "privacy-update", "billing", key="p")
+
+    system.tell(here, "entry-1", requests.CallerGone(caller=caller))
+    system.pass_time(here, 5.0)
+    system.answer(here, call)
+    system.pass_time(here, 0.5)
+    again = system.submit(here, "entry-2", "privacy-update", key="p")
+    system.pass_time(here, 0.5)
+
+    assert system.whole(here, again)
+    assert len(system.calls_of(here, "billing")) == 1
+
+
 def test_one_of_two_callers_may_leave():
     here = system.create()
     caller, call = running(here, "question", "engines", key="p")
