--- a/bitternlever/commands/daemon_common.py
+++ b/bitternlever/commands/daemon_common.py
@@ -26,3 +26,4 @@
         Text,
         arguments.argument(settings.METRICS_INTERVAL_S),
     ]
+    journal_groups: Annotated[Text, arguments.argument(settings.JOURNAL_GROUPS)]
--- a/bitternlever/conf/configuration.py
+++ b/bitternlever/conf/configuration.py
@@ -38,6 +38,7 @@
     spans_file: str
     metrics_file: str
     metrics_interval_s: float
+    journal_groups: int
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/bitternlever/conf/settings.py
+++ b/bitternlever/conf/settings.py
@@ -154,6 +154,12 @@
     "Choice of upstreams; all but the first are baselines for comparison.",
     default="predicted",
 )
+JOURNAL_GROUPS = Setting(
+    "journal_groups",
+    parsers.whole(minimum=1, maximum=64, unit="groups"),
+    "Journal groups that share the requests; equal everywhere, fixed for good.",
+    default="1",
+)
 
 NODES = Setting(
     "nodes",
@@ -212,6 +218,7 @@
     SPANS_FILE,
     METRICS_FILE,
     METRICS_INTERVAL_S,
+    JOURNAL_GROUPS,
 )
 ENTRY = (
     *COMMON,
--- a/bitternlever/control/shell.py
+++ b/bitternlever/control/shell.py
@@ -148,6 +148,7 @@
         disk=disk,
         nodes={CONTROL_PREFIX + host: link for host, link in settings.nodes.items()},
         zones={CONTROL_PREFIX + host: zone for host, zone in settings.zones.items()},
+        journal_groups=settings.journal_groups,
         host_lease_s=settings.host_lease_s,
         election_timeout_s=settings.election_timeout_s,
         heartbeat_s=settings.heartbeat_s,
--- a/bitternlever/entry/shell.py
+++ b/bitternlever/entry/shell.py
@@ -171,6 +171,7 @@
         host_list_max_age_s=settings.host_list_max_age_s,
         maximum_requests=settings.maximum_requests,
         upstream_silence_s=settings.upstream_silence_s,
+        journal_groups=settings.journal_groups,
         policy=settings.policy,
     )
 
--- a/bitternlever/transport/links.py
+++ b/bitternlever/transport/links.py
@@ -66,6 +66,7 @@
     pull: pynng.Pull0
     peers: dict[str, Peer] = dataclasses.field(default_factory=dict)
     names: dict[str, str] = dataclasses.field(default_factory=dict)
+    unsent: list[Peer] = dataclasses.field(default_factory=list)
     timer: asyncio.TimerHandle | None = None
     frames_sent: int = 0
     bytes_sent: int = 0
@@ -121,12 +122,16 @@
     if peer is None or len(peer.queued) >= MAXIMUM_QUEUED_MESSAGES:
         links.dropped += 1
         return
+    if not peer.queued:
+        links.unsent.append(peer)
     peer.queued.append(message.message)
 
 
 def flush(links: Links) -> None:
     """Send every queue as one frame."""
-    for peer in links.peers.values():
+    unsent = links.unsent
+    links.unsent = []
+    for peer in unsent:
         if peer.queued:
             _send_frame(links, peer)
 
