--- a/bitternlever/commands/daemon_common.py
+++ b/bitternlever/commands/daemon_common.py
@@ -21,6 +21,7 @@
     log_level: Annotated[Text, arguments.argument(settings.LOG_LEVEL)]
     otlp_endpoint: Annotated[Text, arguments.argument(settings.OTLP_ENDPOINT)]
     spans_file: Annotated[Text, arguments.argument(settings.SPANS_FILE)]
+    trace_ratio: Annotated[Text, arguments.argument(settings.TRACE_RATIO)]
     metrics_file: Annotated[Text, arguments.argument(settings.METRICS_FILE)]
     metrics_interval_s: Annotated[
         Text,
--- a/bitternlever/conf/configuration.py
+++ b/bitternlever/conf/configuration.py
@@ -36,6 +36,7 @@
     log_level: str
     otlp_endpoint: str | None
     spans_file: str
+    trace_ratio: float
     metrics_file: str
     metrics_interval_s: float
     journal_groups: int
--- a/bitternlever/conf/settings.py
+++ b/bitternlever/conf/settings.py
@@ -67,6 +67,12 @@
     "File for spans as JSON lines when no collector is set; empty for none.",
     default="",
 )
+TRACE_RATIO = Setting(
+    "trace_ratio",
+    parsers.number(minimum=0, maximum=1, unit="of all requests"),
+    "Share of requests that are traced when their caller has not decided it.",
+    default="1",
+)
 METRICS_FILE = Setting(
     "metrics_file",
     parsers.path,
@@ -216,6 +222,7 @@
     LOG_LEVEL,
     OTLP_ENDPOINT,
     SPANS_FILE,
+    TRACE_RATIO,
     METRICS_FILE,
     METRICS_INTERVAL_S,
     JOURNAL_GROUPS,
--- a/bitternlever/entry/shell.py
+++ b/bitternlever/entry/shell.py
@@ -199,6 +199,7 @@
         monotonic_ns=time.monotonic_ns(),
         otlp_endpoint=settings.otlp_endpoint,
         spans_file=settings.spans_file,
+        trace_ratio=settings.trace_ratio,
     )
 
 
--- a/bitternlever/pipelines/spans.py
+++ b/bitternlever/pipelines/spans.py
@@ -4,6 +4,8 @@
 from bitternlever.messages import telemetry
 from bitternlever.pipelines import tables as pipeline_tables
 
+NOT_SAMPLED = "-00"
+
 
 def finished(
     outbox: ticks.Outbox,
@@ -13,11 +15,12 @@
     end_s: float,
     **attributes: str | int | float,
 ) -> None:
-    """Report a span that ended now; a request without a trace reports none."""
-    if request.traceparent is None:
+    """Report a span that ended now; a request that is not traced reports none."""
+    traceparent = request.traceparent
+    if traceparent is None or traceparent.endswith(NOT_SAMPLED):
         return
     span = telemetry.SpanFinished(
-        traceparent=request.traceparent,
+        traceparent=traceparent,
         name=name,
         start_s=start_s,
         end_s=end_s,
--- a/bitternlever/telemetry/traces.py
+++ b/bitternlever/telemetry/traces.py
@@ -97,12 +97,16 @@
     monotonic_ns: int,
     otlp_endpoint: str | None,
     spans_file: str,
+    trace_ratio: float = 1.0,
 ) -> Tracer:
-    """Make the tracer; spans go to the collector, else to the file, else nowhere."""
+    """Make the tracer; spans go to the collector, else to the file, else nowhere.
+
+    ``trace_ratio`` of the requests is traced where the caller has not decided it.
+    """
     offset_ns = wall_ns - monotonic_ns
     if otlp_endpoint is None and not spans_file:
         return Tracer(tracer=trace.NoOpTracer(), offset_ns=offset_ns)
-    provider = _provider(service, host, otlp_endpoint, spans_file)
+    provider = _provider(service, host, otlp_endpoint, spans_file, trace_ratio)
     return Tracer(
         tracer=provider.get_tracer("bitternlever"),
         offset_ns=offset_ns,
@@ -115,14 +119,16 @@
     host: str,
     otlp_endpoint: str | None,
     spans_file: str,
+    trace_ratio: float,
 ) -> Any:
     from opentelemetry.sdk import resources, trace as sdk_trace
-    from opentelemetry.sdk.trace import export
+    from opentelemetry.sdk.trace import export, sampling
 
     resource = resources.Resource.create(
         {"service.name": service, "host.name": host, "process.pid": os.getpid()},
     )
-    provider = sdk_trace.TracerProvider(resource=resource)
+    sampler = sampling.ParentBased(root=sampling.TraceIdRatioBased(trace_ratio))
+    provider = sdk_trace.TracerProvider(resource=resource, sampler=sampler)
     if otlp_endpoint is not None:
         from opentelemetry.exporter.otlp.proto.http import trace_exporter
 
--- a/tests/conf/test_configuration.py
+++ b/tests/conf/test_configuration.py
@@ -21,6 +21,7 @@
     "heartbeat_s": "0.1",
     "answer_retention_s": "3600",
     "maximum_journal_bytes": "16000000",
+    "trace_ratio": "1",
     "journal_groups": "1",
 }
 
--- a/tests/http/test_calls.py
+++ b/tests/http/test_calls.py
@@ -69,6 +69,7 @@
         spans_file="",
         metrics_file="",
         metrics_interval_s=10,
+        trace_ratio=1,
         journal_groups=1,
         http_listen=("127.0.0.1", 0),
         address="",
