--- a/bitternlever/routing/predicted.py
+++ b/bitternlever/routing/predicted.py
@@ -5,11 +5,13 @@
 """
 
 import dataclasses
+import math
 
 from bitternlever.admission import queues
 from bitternlever.gossip import tables as gossip_tables
 from bitternlever.pipelines import tables as pipeline_tables
 from bitternlever.routing import (
+    ejection,
     estimates,
     occupancy,
     prefixes,
@@ -56,7 +58,7 @@
     serving: list[gossip_tables.Upstream],
 ) -> Choice | None:
     """Choose among serving upstreams; ``None`` where none has room."""
-    candidates = with_room(tables, now, ready, serving)
+    candidates = with_room(tables, now, ready, _admitting(tables, now, ready, serving))
     if not candidates:
         return None
     work = estimates.units(tables, ready)
@@ -73,6 +75,24 @@
     return Choice(best.upstream, best_s)
 
 
+def _admitting(
+    tables,
+    now: float,
+    ready: pipeline_tables.ReadyStage,
+    serving: list[gossip_tables.Upstream],
+) -> list[gossip_tables.Upstream]:
+    """Leave out ejected upstreams, but for a probe."""
+    loads = [occupancy.load_of(tables, each.announcement.name) for each in serving]
+    if not any(load.probing for load in loads):
+        return serving
+    alone = all(load.probing for load in loads)
+    return [
+        each
+        for each, load in zip(serving, loads, strict=True)
+        if ejection.admits(tables, now, ready, load, alone)
+    ]
+
+
 def with_room(
     tables,
     now: float,
@@ -95,11 +115,14 @@
         others = occupancy.others(now, upstream, load, pool.usual_others)
         limit = min(load.limit, upstream.announcement.concurrency)
         kin = mine if urgent else mine - len(load.urgent)
+        bound = math.ceil(limit * share)
         fits = (
-            mine + others < limit - HALF_A_CALL and kin + others * part < limit * share
+            mine + others < limit - HALF_A_CALL
+            and kin + others * part < bound - HALF_A_CALL
         )
         own_share = max(1.0, limit / pool.hosts)
-        owed = starved and mine < own_share and kin < max(1.0, own_share * share)
+        own_bound = max(1.0, bound / pool.hosts)
+        owed = starved and mine < own_share and kin < own_bound
         if fits or owed:
             found.append(Candidate(upstream, load, mine + others))
     return found
