Refuse early what the backlog makes late

Cause: a request that could not be in time was taken and ended at its deadline without a time to come back. The wait is what waits at its level or above on this host, over the calls that the host may have under way; Retry-After is how late the answer would be. Durable kinds wait. A workspace above its bound of waiting stages gets 429.

Seen failing first, each by breaking one rule: nothing refused, a fixed time, less urgent work counted, durable kinds refused, no bound of the tables, none of a workspace, unserved work taken.

--- a/bench/policy.py
+++ b/bench/policy.py
@@ -65,6 +65,8 @@
     "zone_lost": ([change(FAULT_S, "lose", "hall-c")], {}),
     "capacity": ([], {"scale": 1.5, "arrivals_s": 90.0}),
     "overload": ([], {"scale": 3.0, "arrivals_s": 90.0}),
+    "urgent_capacity": ([], {"scale": 6.0, "patient": 0.0, "arrivals_s": 20.0}),
+    "urgent_overload": ([], {"scale": 12.0, "patient": 0.0, "arrivals_s": 20.0}),
 }
 
 
@@ -94,6 +96,7 @@
     burst: float = 1.0,
     flood: float = 1.0,
     scale: float = 1.0,
+    patient: float = 1.0,
     arrivals_s: float = ARRIVALS_S,
 ) -> list[policy_world.Flight]:
     """Draw the arrivals; equal for each policy of a seed."""
@@ -102,12 +105,15 @@
     for pipeline in wanted.pipelines:
         kind = pipeline.kinds[0]
         _, _, _, rate, prompt, output = KINDS[kind.name]
+        rate *= scale * (patient if kind.durable else 1.0)
+        if not rate:
+            continue
         for workspace, share in WORKSPACES.items():
             at_s = 0.0
             flooding = flood if (workspace, kind.name) == ("w0", "draft") else 1.0
             while True:
                 bursting = burst if BURST_S[0] <= at_s < BURST_S[1] else 1.0
-                at_s += source.expovariate(rate * share * bursting * flooding * scale)
+                at_s += source.expovariate(rate * share * bursting * flooding)
                 if at_s >= arrivals_s:
                     break
                 flight = policy_world.Flight(
--- a/bitternlever/admission/tables.py
+++ b/bitternlever/admission/tables.py
@@ -36,7 +36,8 @@
     """Ready stages by request id and stage index, and the queues that order them.
 
     ``stages`` names the waiting stages of each request, ``waiting`` counts them by
-    workspace. ``entries`` holds the number of each stage's one valid entry.
+    workspace. ``entries`` holds the number of each stage's one valid entry,
+    ``unserved`` since when a kind of work has had no upstream.
     """
 
     ready: dict[tuple[str, int], pipeline_tables.ReadyStage] = dataclasses.field(
@@ -46,6 +47,7 @@
     stages: dict[str, set[int]] = dataclasses.field(default_factory=dict)
     waiting: dict[str, int] = dataclasses.field(default_factory=dict)
     queues: dict[Kind, WorkQueue] = dataclasses.field(default_factory=dict)
+    unserved: dict[Kind, float] = dataclasses.field(default_factory=dict)
     next_entry: int = 0
 
 
--- /dev/null
+++ b/tests/admission/test_gate.py
@@ -0,0 +1,73 @@
+"""Refusals at once, with a time to come back."""
+
+from bitternlever.admission import dispatch, gate
+from bitternlever.messages import manifest
+from tests.admission import entries
+
+CHECK = manifest.Kind("kind-0", 0, 2_000)
+AUDIT = manifest.Kind("kind-3", 3, 60_000, durable=True)
+PIPELINE = manifest.Pipeline("p", [entries.STAGE], [CHECK, AUDIT])
+
+
+def _admit(tables, now=0.0, kind=CHECK, workspace="w"):
+    deadline_s = now + kind.deadline_ms / 1_000
+    return gate.admit(tables, now, workspace, PIPELINE, kind, deadline_s, 100)
+
+
+def _host(waiting=0, priority=0, **changes):
+    tables = entries.host(**changes)
+    entries.announce(tables, 0.0, concurrency=2)
+    for index in range(waiting):
+        stage = entries.ready(f"r{index}", priority=priority, deadline_s=500.0)
+        dispatch.push(tables, 0.0, stage)
+    return tables
+
+
+def test_an_idle_host_admits():
+    assert _admit(_host()).is_ok()
+
+
+def test_what_would_be_late_is_refused_with_the_backlogs_time():
+    short = _admit(_host(waiting=20)).err()
+    long = _admit(_host(waiting=80)).err()
+
+    assert short.status == 503
+    assert short.retry_after_s < long.retry_after_s
+
+
+def test_less_urgent_work_does_not_count_as_backlog():
+    assert _admit(_host(waiting=80, priority=3)).is_ok()
+
+
+def test_a_durable_kind_waits_instead():
+    assert _admit(_host(waiting=80), kind=AUDIT).is_ok()
+
+
+def test_full_tables_refuse_durable_kinds_too():
+    tables = _host(maximum_requests=1)
+    tables.requests.requests["r"] = None
+
+    assert _admit(tables, kind=AUDIT).err().status == 503
+
+
+def test_a_workspace_with_too_much_waiting_is_refused_alone():
+    tables = _host(waiting=12, priority=3)
+    for name in ("w", "other"):
+        tables.manifest.workspaces[name] = manifest.Workspace(
+            name,
+            [],
+            maximum_waiting=10,
+        )
+
+    assert _admit(tables).err().status == 429
+    assert _admit(tables, workspace="other").is_ok()
+
+
+def test_a_kind_of_work_that_nobody_serves_is_refused_after_a_while():
+    tables = entries.host()
+
+    assert _admit(tables, now=0.0).is_ok()
+    assert _admit(tables, now=5.0).err().retry_after_s > 0.0
+
+    entries.announce(tables, 5.0)
+    assert _admit(tables, now=5.0).is_ok()
