Reach a group's leader also from a process that is no member of the group

Own calls go from node to node now and follow redirects.

The random runs read manifests too now, and no read may be older than what was accepted before it.

--- a/bitternlever/control/own_calls.py
+++ b/bitternlever/control/own_calls.py
@@ -73,10 +73,20 @@
     outbox: ticks.Outbox,
     call: calls.ControlCall,
 ) -> None:
-    """Send a call to where its group is led, as far as known here."""
+    """Send a call to its group's leader, or to one node after the other.
+
+    A process whose disk is new to a group hears nothing of the group's leader.
+    """
+    own = tables.own_calls[call.call_id]
     leader = tables.groups[call.group].replica.leader
-    if leader is not None:
-        outbox.send(frames.SendPeer(node=leader.node, message=call))
+    target = own.target if leader is None else leader.node
+    if target is None:
+        others = sorted(set(tables.links) - {tables.settings.node})
+        if not others:
+            return
+        own.attempts += 1
+        target = others[own.attempts % len(others)]
+    outbox.send(frames.SendPeer(node=target, message=call))
 
 
 def receive(
@@ -85,9 +95,15 @@
     outbox: ticks.Outbox,
     answer: Any,
 ) -> None:
-    """Take the answer to an own call; all but a reply wait for the next send."""
-    if not isinstance(answer, calls.ControlReply):
+    """Take the answer to an own call; all but a reply lead to another send."""
+    own = tables.own_calls.get(getattr(answer, "call_id", None))
+    if own is None:
         return
-    own = tables.own_calls.pop(answer.call_id, None)
-    if own is not None:
-        own.on_reply(now, outbox, answer.reply)
+    own.target = None
+    match answer:
+        case calls.ControlReply():
+            del tables.own_calls[answer.call_id]
+            own.on_reply(now, outbox, answer.reply)
+        case calls.ControlRedirect() if answer.leader in tables.links:
+            own.target = answer.leader
+            own.resend_s = now
--- a/bitternlever/control/tables.py
+++ b/bitternlever/control/tables.py
@@ -60,11 +60,16 @@
 
 @dataclasses.dataclass(slots=True)
 class OwnCall:
-    """A call of this process to a group, sent again until it is answered."""
+    """A call of this process to a group, sent again until it is answered.
+
+    ``target`` is the leader that another node has named.
+    """
 
     call: calls.ControlCall
     on_reply: Callable[[float, Any, calls.Reply], None]
     resend_s: float
+    target: str | None = None
+    attempts: int = 0
 
 
 @dataclasses.dataclass(slots=True)
--- a/tests/consensus/disturbances.py
+++ b/tests/consensus/disturbances.py
@@ -38,6 +38,10 @@
             self.bodies += 1
             self.cluster.call(harness.manifest(newest + 1, b"%d" % self.bodies))
 
+    def read(self):
+        """Read the manifest from all nodes; the harness checks what they answer."""
+        self.cluster.call(directory.GetManifest())
+
     def wait(self, seconds):
         self.cluster.run(seconds)
 
@@ -127,6 +131,7 @@
     choices = [
         lambda: disturber.put(chooser.random() < 0.3),
         lambda: disturber.put(raced=False),
+        disturber.read,
         lambda: disturber.wait(chooser.uniform(0.001, 0.05)),
         lambda: disturber.wait(chooser.uniform(0.1, 3.0)),
         lambda: disturber.kill(chooser.randrange(nodes)),
--- a/tests/consensus/harness.py
+++ b/tests/consensus/harness.py
@@ -55,6 +55,7 @@
         self.replies = {}
         self.entry_messages = []
         self.next_call = 0
+        self.floors = {}
         self.leaders = {}
         self.applied = {}
         self.manifests = {}
@@ -184,7 +185,7 @@
             answer = peer.message
             if isinstance(answer, calls.ControlReply):
                 self.replies.setdefault(answer.call_id, answer.reply)
-                self.note_reply(answer.reply)
+                self.note_reply(answer.call_id, answer.reply)
             return
         if (node.name, peer.node) in self.cut or self.random.random() < self.loss:
             return
@@ -195,6 +196,7 @@
     def call(self, command, group=0, to=None, sender="entry-x"):
         """Send a command to one node, or to every node; return its id."""
         self.next_call += 1
+        self.floors[self.next_call] = max(self.accepted, default=0)
         call = calls.ControlCall(self.next_call, group, command)
         received = frames.PeerReceived(sender, f"tcp://{sender}", call)
         for name in [to] if to else list(self.nodes):
@@ -226,7 +228,9 @@
         """Return a node's replica of a group."""
         return self.nodes[name].tables.groups[group].replica
 
-    def note_reply(self, reply):
+    def note_reply(self, call_id, reply):
+        if isinstance(reply, directory.ManifestInForce):
+            assert reply.number >= self.floors[call_id], "a read was stale"
         if isinstance(reply, directory.ManifestAccepted):
             first = self.accepted.setdefault(reply.number, reply.digest)
             assert first == reply.digest, "two manifests were accepted with one number"
--- a/tests/consensus/test_properties.py
+++ b/tests/consensus/test_properties.py
@@ -23,6 +23,10 @@
     def put(self, raced):
         self.disturber.put(raced)
 
+    @hypothesis.stateful.rule()
+    def read(self):
+        self.disturber.read()
+
     @hypothesis.stateful.rule(seconds=strategies.sampled_from([0.002, 0.02, 0.5, 2.0]))
     def wait(self, seconds):
         self.disturber.wait(seconds)
--- a/tests/consensus/test_replacement.py
+++ b/tests/consensus/test_replacement.py
@@ -294,6 +294,28 @@
     assert old not in journal_voters
 
 
+def test_a_leader_that_is_no_member_of_a_journal_group_still_reaches_it(monkeypatch):
+    """Its new disk is a voter of group 0 alone, and group 1 is led elsewhere."""
+    cluster = started(journal_groups=1)
+    old, new = lost_one(cluster)
+    due = own_calls.due
+    monkeypatch.setattr(own_calls, "due", lambda tables, now, outbox: [])
+    end = cluster.now + SECONDS
+    while new not in voters(cluster) and cluster.now < end:
+        cluster.ask(directory.ReplaceReplica(old.node, old.disk, new.node))
+    while cluster.leader() != new.node and cluster.now < end:
+        former = cluster.leader()
+        cluster.kill(former)
+        cluster.run(3.0)
+        cluster.start(former)
+        cluster.run(1.0)
+    assert cluster.leader() == new.node
+    assert cluster.replica(new.node, 1).membership is None
+    monkeypatch.setattr(own_calls, "due", due)
+
+    assert replace(cluster, old, new.node).step == "done"
+
+
 def test_the_leader_itself_can_be_replaced():
     cluster = started(journal_groups=1)
     old = identity(cluster, cluster.leader())
