--- a/bitternlever/conf/settings.py
+++ b/bitternlever/conf/settings.py
@@ -67,6 +67,12 @@
     "File for spans as JSON lines when no collector is set; empty for none.",
     default="",
 )
+TRACE_RATIO = Setting(
+    "trace_ratio",
+    parsers.number(minimum=0, maximum=1, unit="of all requests"),
+    "Share of requests that are traced when their caller has not decided it.",
+    default="1",
+)
 METRICS_FILE = Setting(
     "metrics_file",
     parsers.path,
@@ -154,6 +160,12 @@
     "Choice of upstreams; all but the first are baselines for comparison.",
     default="predicted",
 )
+JOURNAL_GROUPS = Setting(
+    "journal_groups",
+    parsers.whole(minimum=1, maximum=64, unit="groups"),
+    "Journal groups that share the requests; equal everywhere, fixed for good.",
+    default="1",
+)
 
 NODES = Setting(
     "nodes",
@@ -210,8 +222,10 @@
     LOG_LEVEL,
     OTLP_ENDPOINT,
     SPANS_FILE,
+    TRACE_RATIO,
     METRICS_FILE,
     METRICS_INTERVAL_S,
+    JOURNAL_GROUPS,
 )
 ENTRY = (
     *COMMON,
--- a/tests/scenarios/manifests.py
+++ b/tests/scenarios/manifests.py
@@ -15,6 +15,7 @@
     "panel": manifest.Task.CALL,
 }
 NOT_IDEMPOTENT = {"billing"}
+DEFAULT_LIMITS = manifest.Limits()
 DURABLE_KINDS = {"dispute", "audit"}
 
 
@@ -57,7 +58,11 @@
 PIPELINE_OF = {kind.name: each.name for each in PIPELINES for kind in each.kinds}
 
 
-def put(number: int, variant: str = "") -> directory.PutManifest:
+def put(
+    number: int,
+    variant: str = "",
+    limits: manifest.Limits = DEFAULT_LIMITS,
+) -> directory.PutManifest:
     """Make the command that applies a manifest; a variant changes its digest."""
     made = manifest.Manifest(
         number=number,
@@ -66,7 +71,12 @@
             manifest.Workspace(name=f"sheetal{variant}", token_sha256=[]),
         ],
         pipelines=PIPELINES,
+        limits=limits,
     )
     body = msgspec.json.encode(made)
-    digest = hashlib.sha256(body).hexdigest()
-    return directory.PutManifest(number=number, digest=digest, body=body)
+    return directory.PutManifest(number=number, digest=digest(body), body=body)
+
+
+def digest(body: bytes) -> str:
+    """Return the digest under which a manifest is applied."""
+    return hashlib.sha256(body).hexdigest()
