--- a/bench/control_processes.py
+++ b/bench/control_processes.py
@@ -2,9 +2,11 @@
 
 import argparse
 import asyncio
+import hashlib
 import json
 import os
 import pathlib
+import shutil
 import signal
 import socket
 import subprocess
@@ -15,6 +17,7 @@
 
 from bench import process_cost
 from bitternlever.messages import calls, directory, frames, journal
+from bitternlever.storage import files
 from bitternlever.transport import links
 
 CLUSTER_KEY = "bench-cluster-key-0123456789abcdef"
@@ -139,6 +142,15 @@
             env={**os.environ, "BITTERNLEVER_CLUSTER_KEY": CLUSTER_KEY},
         )
 
+    def lose_disk(self, name):
+        """Kill a process, empty its folder, start it again; return the lost disk."""
+        self.running[name].kill()
+        self.running[name].wait()
+        disk = (self.folder / name / files.IDENTITY_NAME).read_text()
+        shutil.rmtree(self.folder / name)
+        self.start(name)
+        return disk
+
     def stop(self):
         for process in self.running.values():
             process.send_signal(signal.SIGCONT)
@@ -160,6 +172,8 @@
     await _filled(processes, client)
     await _killed(processes, client)
     await _frozen(processes, client)
+    await _lost_disks(processes, client)
+    await _all_killed(processes, client)
     links.close(client.links)
 
 
@@ -291,6 +305,59 @@
     )
 
 
+async def _lost_disks(processes: Processes, client: Client) -> None:
+    """Lose a disk, replace it, and lose a second one right after the repair."""
+    await client.ask(directory.GROUP, _manifest(1))
+    await client.ask(directory.GROUP, directory.GetManifest())
+    leader = client.leaders[directory.GROUP].removeprefix("control-")
+    first, second = [name for name in processes.names if name != leader][:2]
+    old_disk = processes.lose_disk(first)
+    replace = directory.ReplaceReplica(f"control-{first}", old_disk, f"control-{first}")
+    started_s = time.monotonic()
+    steps = []
+    while not steps or steps[-1] != "done":
+        reply = await client.ask(directory.GROUP, replace)
+        step = getattr(reply, "step", None) or reply.reason
+        if not steps or steps[-1] != step:
+            steps.append(step)
+        if _since(started_s) > GIVE_UP_S:
+            break
+        await asyncio.sleep(0.05)
+    replaced_after_s = _since(started_s)
+    processes.lose_disk(second)
+    read = await client.ask(directory.GROUP, directory.GetManifest())
+    _print(
+        "lost-disk",
+        len(processes.names),
+        steps=steps,
+        replaced_after_s=replaced_after_s,
+        manifest_after_second_loss=read.number,
+    )
+
+
+async def _all_killed(processes: Processes, client: Client) -> None:
+    """Kill every process at once and start all again."""
+    for process in processes.running.values():
+        process.kill()
+    for process in processes.running.values():
+        process.wait()
+    started_s = time.monotonic()
+    for name in processes.names:
+        processes.start(name)
+    read = await client.ask(directory.GROUP, directory.GetManifest())
+    _print(
+        "all-killed",
+        len(processes.names),
+        read_after_s=_since(started_s),
+        manifest=read.number,
+    )
+
+
+def _manifest(number: int) -> directory.PutManifest:
+    body = b"%d" % number
+    return directory.PutManifest(number, hashlib.sha256(body).hexdigest(), body)
+
+
 def _print_cost(
     processes: Processes,
     load: str,
--- a/bitternlever/consensus/replacement.py
+++ b/bitternlever/consensus/replacement.py
@@ -14,7 +14,7 @@
 from bitternlever.messages import consensus, directory, frames
 
 CAUGHT_UP_ENTRIES = 64
-RECENT_ELECTION_TIMEOUTS = 0.5
+RECENT_ELECTION_TIMEOUTS = 1.0
 
 Outcome = result.Result[directory.ReplaceProgress, directory.ReplaceRefused]
 
--- a/bitternlever/storage/writer.py
+++ b/bitternlever/storage/writer.py
@@ -148,6 +148,8 @@
     folder = files.group_folder(writer.folder, number)
     folder.mkdir(parents=True, exist_ok=True)
     files.sync_folder(writer.folder)
+    for unfinished in folder.glob("*" + files.TEMPORARY_SUFFIX):
+        unfinished.unlink()
     segments = files.numbered(folder, files.SEGMENT_SUFFIX)
     group = GroupFiles(
         folder=folder,
--- a/tests/storage/test_store.py
+++ b/tests/storage/test_store.py
@@ -218,3 +218,15 @@
 
     assert len(segments(tmp_path)) == 1
     assert load(tmp_path).groups[0].hard_state == vote
+
+
+def test_a_snapshot_that_was_never_finished_is_dropped(tmp_path):
+    load(tmp_path)
+    write(tmp_path, log_write(1, [entry(1)]))
+    folder = files.group_folder(tmp_path, 0)
+    unfinished = folder / "00000000000000000009.snapshot.tmp"
+    unfinished.write_bytes(b"half")
+
+    assert load(tmp_path).groups[0].entries == [entry(1)]
+    write(tmp_path, log_write(2, [entry(2)]))
+    assert not unfinished.exists()
