--- a/bench/path.py
+++ b/bench/path.py
@@ -8,6 +8,7 @@
 import asyncio
 import dataclasses
 import json
+import os
 import pathlib
 import statistics
 import sys
@@ -56,6 +57,7 @@
     parser.add_argument("--calls", type=int, default=400, help="calls of each shape")
     parser.add_argument("--seconds", type=float, default=5.0, help="time under load")
     parser.add_argument("--callers", type=int, default=16, help="callers under load")
+    parser.add_argument("--traced", action="store_true", help="write spans to files")
     options = parser.parse_args(arguments)
     with tempfile.TemporaryDirectory(prefix="bitternlever-path-") as folder:
         return asyncio.run(_run(options, pathlib.Path(folder)))
@@ -64,11 +66,18 @@
 async def _run(options: argparse.Namespace, folder: pathlib.Path) -> int:
     system = site.create("cantref", folder, own_manifest=bench_manifest())
     system.service_ms = SERVICE_MS
+    system.traced = options.traced
     async with standin_processes.manage(folder) as running:
         missing = await site.start(system, running)
         if missing or not await site.apply(system, running):
             print(f"the system is not ready: {missing}", file=sys.stderr)
             return 1
+        emit(
+            "conditions",
+            {"load_average": os.getloadavg()[0]},
+            cores=os.cpu_count(),
+            traced=options.traced,
+        )
         connector = aiohttp.TCPConnector(limit=0)
         async with aiohttp.ClientSession(connector=connector) as session:
             await _measure_added(system, session, options.calls)
--- a/standins/site.py
+++ b/standins/site.py
@@ -49,6 +49,7 @@
     zones: tuple[str, ...]
     stand_ins: dict[str, str] = dataclasses.field(default_factory=dict)
     service_ms: float = 4.0
+    traced: bool = True
     operator_token: str = dataclasses.field(default_factory=secrets.token_hex)
     upstream_token: str = dataclasses.field(default_factory=secrets.token_hex)
     cluster_key: str = dataclasses.field(default_factory=secrets.token_hex)
@@ -117,7 +118,7 @@
                 f"--nodes={nodes}",
                 f"--zones={zones}",
                 f"--data-folder={site.folder / host}",
-                f"--spans-file={site.spans(host)}",
+                *_spans_option(site, host),
             ],
             environment={"BITTERNLEVER_CLUSTER_KEY": site.cluster_key},
         )
@@ -148,8 +149,8 @@
                 f"--address={address}",
                 f"--control-nodes={nodes}",
                 f"--seed-links={','.join(site.entry_links)}",
-                f"--spans-file={site.spans(host)}",
                 "--host-list-max-age-s=1",
+                *_spans_option(site, host),
             ],
             environment={
                 "BITTERNLEVER_CLUSTER_KEY": site.cluster_key,
@@ -346,6 +347,10 @@
     )
 
 
+def _spans_option(site: Site, host: str) -> list[str]:
+    return [f"--spans-file={site.spans(host)}"] if site.traced else []
+
+
 def _zone_of_each(site: Site, hosts: list[str]) -> list[str]:
     return [site.zones[number % len(site.zones)] for number in range(len(hosts))]
 
