--- a/tests/consensus/test_replacement.py
+++ b/tests/consensus/test_replacement.py
@@ -3,6 +3,7 @@
 import pytest
 
 from bitternlever.consensus import tables as consensus_tables
+from bitternlever.control import own_calls
 from bitternlever.messages import consensus, directory
 from tests.consensus import harness
 
@@ -196,6 +197,19 @@
     assert "voter already" not in getattr(reply, "reason", "")
 
 
+def test_a_node_that_does_not_answer_is_waited_for():
+    cluster = started()
+    old = identity(cluster, followers(cluster)[0])
+    command = directory.ReplaceReplica(old.node, old.disk, "control-nowhere")
+
+    for _ in range(3):
+        reply = cluster.ask(command)
+
+    assert reply.step == "waiting"
+    assert "control-nowhere" in reply.detail
+    assert old in voters(cluster)
+
+
 def test_a_resent_replacement_that_is_done_says_so():
     cluster = started()
     old, new = lost_one(cluster)
@@ -260,6 +274,39 @@
         assert old not in leader.membership.voters
 
 
+def test_done_is_not_said_before_a_journal_group_has_said_it(monkeypatch):
+    """The first replacement's end in a journal group says nothing of the second."""
+    cluster = started(journal_groups=1)
+    old, new = lost_one(cluster)
+    assert replace(cluster, old, new.node).step == "done"
+    second = next(n for n in cluster.names if n not in (new.node, cluster.leader()))
+    old = identity(cluster, second)
+    cluster.lose_disk(second)
+    cluster.run(3.0)
+    monkeypatch.setattr(own_calls, "due", lambda tables, now, outbox: [])
+
+    assert replace(cluster, old, second, seconds=6.0).step == "waiting"
+    assert old not in voters(cluster)
+
+    monkeypatch.undo()
+    assert replace(cluster, old, second).step == "done"
+    journal_voters = cluster.replica(cluster.leader(1), 1).membership.voters
+    assert old not in journal_voters
+
+
+def test_the_leader_itself_can_be_replaced():
+    cluster = started(journal_groups=1)
+    old = identity(cluster, cluster.leader())
+    cluster.add("control-z")
+    cluster.run(1.0)
+
+    assert replace(cluster, old, "control-z").step == "done"
+
+    assert cluster.leader() != old.node
+    assert old not in voters(cluster)
+    cluster.check_acknowledged()
+
+
 def test_a_replica_that_left_does_not_lead_again():
     cluster = started()
     old = identity(cluster, followers(cluster)[0])
