Run nothing for callers who were told that nothing is known

- A claim that was in doubt and turned out to be committed ran its stages, though its callers had been told `unknown` and were gone.
Only a durable request runs then; another one is withdrawn, so that its key may be sent again.
- A hedge that found no lease was parked and later sent as a stage of its own, beside its primary.
It is dropped.
- A stage is sent only under the epoch under which its request is owned.

--- a/bitternlever/pipelines/claims.py
+++ b/bitternlever/pipelines/claims.py
@@ -5,6 +5,7 @@
 from bitternlever.messages import journal, problems, requests
 from bitternlever.pipelines import (
     delivery,
+    finish,
     groups,
     ownership,
     progress,
@@ -73,7 +74,7 @@
 def _claimed(tables, now: float, outbox: ticks.Outbox, request, reply) -> None:
     match reply:
         case journal.Claimed():
-            stages.advance(tables, now, outbox, request)
+            _begin(tables, now, outbox, request)
         case journal.TakenOver():
             takeover.adopt_state(tables, now, outbox, request, reply.requests[0])
         case journal.Answered():
@@ -89,6 +90,19 @@
             _fenced(tables, now, outbox, request)
 
 
+def _begin(tables, now: float, outbox: ticks.Outbox, request) -> None:
+    """Run a claimed request, unless its callers were told that nothing is known.
+
+    Without a caller only a durable request is worth running.
+    """
+    abandoned = request.claim_in_doubt and not request.callers
+    if abandoned and not request.kind.durable:
+        stated = refusals.cancelled(tables, request)
+        finish.withdraw(tables, now, outbox, request, stated)
+        return
+    stages.advance(tables, now, outbox, request)
+
+
 def _full(tables, now: float, outbox: ticks.Outbox, request, reply) -> None:
     failure = entry_tables.CallFailed(
         sent=requests.Sent.NO,
--- a/bitternlever/pipelines/launch.py
+++ b/bitternlever/pipelines/launch.py
@@ -2,7 +2,6 @@
 
 from bitternlever.admission import dispatch
 from bitternlever.core import ticks
-from bitternlever.entry import lease
 from bitternlever.messages import journal, manifest, requests, upstream
 from bitternlever.pipelines import (
     finish,
@@ -35,9 +34,10 @@
     if request is None or request.stage_index != ready.stage_index:
         tables.count("launch_without_request")
         return
-    if request.journaled and not lease.holds(tables, now):
+    if not ownership.may_send(tables, now, request):
         tables.count("launch_without_lease")
-        tables.requests.parked.append(ready)
+        if not ready.hedge:
+            tables.requests.parked.append(ready)
         return
     spans.finished(
         outbox,
@@ -136,7 +136,7 @@
     attempt: pipeline_tables.Attempt,
 ) -> None:
     """Send the started attempt, unless the lease ended or the caller left meanwhile."""
-    if lease.holds(tables, now) and not request.cancelled:
+    if ownership.may_send(tables, now, request) and not request.cancelled:
         _send(tables, now, outbox, request, attempt)
         return
     ownership.end_attempt(tables, now, outbox, attempt, ended="not sent")
--- a/bitternlever/pipelines/ownership.py
+++ b/bitternlever/pipelines/ownership.py
@@ -5,7 +5,7 @@
 
 from bitternlever.admission import dispatch
 from bitternlever.core import ticks
-from bitternlever.entry import control_client
+from bitternlever.entry import control_client, lease
 from bitternlever.messages import journal, requests
 from bitternlever.pipelines import (
     delivery,
@@ -27,6 +27,13 @@
     return tables.requests.requests.get(request.request_id) is request
 
 
+def may_send(tables, now: float, request: pipeline_tables.Request) -> bool:
+    """Tell whether this host may send a stage: under the lease of its ownership."""
+    if not request.journaled:
+        return True
+    return lease.holds(tables, now) and request.epoch == tables.lease.epoch
+
+
 def write(
     tables,
     now: float,
--- a/bitternlever/pipelines/stages.py
+++ b/bitternlever/pipelines/stages.py
@@ -321,17 +321,25 @@
         stated = _given_up(tables, request, attempt, message)
         finish.problem(tables, now, outbox, request, stated)
         return
-    _push_later(tables, now, request, message.retry_after_s)
+    _push_later(tables, now, request, attempt, message.retry_after_s)
 
 
-def _push_later(tables, now: float, request, retry_after_s: float | None) -> None:
-    """A durable request never vanishes: it waits and tries again."""
+def _push_later(
+    tables,
+    now: float,
+    request: pipeline_tables.Request,
+    attempt: pipeline_tables.Attempt,
+    retry_after_s: float | None,
+) -> None:
+    """A durable request never vanishes: it waits and tries again, elsewhere first."""
     stage_index = request.stage_index
+    excluded = frozenset([attempt.upstream])
 
     def again(tables, now, outbox) -> None:
         if not ownership.is_live(tables, request) or request.stage_index != stage_index:
             return
-        dispatch.push(tables, now, ready_stage(tables, now, request))
+        ready = ready_stage(tables, now, request, excluded=excluded)
+        dispatch.push(tables, now, ready)
 
     pause_s = max(retry_after_s or 0.0, DURABLE_PAUSE_S * request.failures)
     timers.at(tables, now + min(pause_s, MAXIMUM_DURABLE_PAUSE_S), again)
--- a/tests/pipelines/test_refusals.py
+++ b/tests/pipelines/test_refusals.py
@@ -1,5 +1,7 @@
 """The three words of a refusal are true."""
 
+import itertools
+
 from bitternlever.journal import tables as journal_tables
 from bitternlever.messages import problems, requests
 from tests.pipelines import system
@@ -36,6 +38,20 @@
     assert len(system.calls_of(here, "billing")) == 1
 
 
+def test_a_doubtful_claim_without_a_caller_is_not_run_unless_it_is_durable():
+    here = system.create()
+    here.control.stalled.add("Claim")
+
+    caller = system.submit(here, "entry-1", "privacy-update", key="p")
+    system.pass_time(here, 4.0)
+    system.let_go(here)
+    system.pass_time(here, 5.0)
+
+    assert system.problem(here, caller).ran is problems.Ran.UNKNOWN
+    assert not here.issued
+    assert not here.control.journal.records
+
+
 def test_a_refusal_after_an_uncertain_claim_does_not_say_no():
     settings = journal_tables.JournalSettings(maximum_requests=0)
     here = system.create(settings=settings)
@@ -146,9 +162,12 @@
     here.held.add("engines")
 
     caller = system.submit(here, "entry-1", "dispute")
+    tried = []
     for _ in range(6):
         call = system.next_call(here, "engines")
+        tried.append(call.upstream)
         system.fail(here, call, requests.Sent.UNKNOWN)
+    assert all(former != later for former, later in itertools.pairwise(tried))
     system.answer(here, system.next_call(here, "engines"))
     system.pass_time(here, 0.5)
 
--- a/tests/pipelines/test_takeovers.py
+++ b/tests/pipelines/test_takeovers.py
@@ -4,6 +4,7 @@
 import pytest
 
 from bitternlever.messages import journal, problems, requests
+from bitternlever.pipelines import launch, stages
 from tests.pipelines import system
 from tests.scenarios import world
 
@@ -195,6 +196,24 @@
     assert "entry-1" not in senders
 
 
+def test_a_hedge_that_finds_no_lease_is_dropped():
+    here = system.create()
+    here.held.add("encoders")
+    system.submit(here, "entry-1", "dispute")
+    call = system.next_call(here, "encoders")
+    system.cut_off(here, "entry-1")
+    system.pass_time(here, LEASE_S)
+
+    tables = system.tables(here, "entry-1")
+    request = tables.requests.requests[call.call.binding.request]
+    ready = stages.ready_stage(tables, here.here.now, request)
+    launch.hedge(tables, here.here.now, system.ticks.Outbox(), ready)
+
+    assert not tables.requests.parked
+    senders = [here.callers[each.attempt] for each in here.issued]
+    assert senders.count("entry-1") == 1
+
+
 def test_callers_of_an_owner_that_lost_its_lease_get_the_answer_from_elsewhere():
     here = system.create()
     here.held.add("engines")
