--- a/bitternlever/entry/tables.py
+++ b/bitternlever/entry/tables.py
@@ -10,6 +10,7 @@
 from bitternlever.admission import tables as admission_tables
 from bitternlever.gossip import tables as gossip_tables
 from bitternlever.messages import calls, manifest as manifest_messages, requests
+from bitternlever.orders import tables as order_tables
 from bitternlever.pipelines import tables as pipeline_tables
 from bitternlever.routing import tables as routing_tables
 
@@ -122,6 +123,9 @@
     routing: routing_tables.RoutingTables = dataclasses.field(
         default_factory=routing_tables.RoutingTables,
     )
+    orders: order_tables.OrderTables = dataclasses.field(
+        default_factory=order_tables.OrderTables,
+    )
     counters: dict[str, int] = dataclasses.field(default_factory=dict)
     orphans_hint: bool = False
 
--- a/bitternlever/gossip/subsets.py
+++ b/bitternlever/gossip/subsets.py
@@ -11,6 +11,7 @@
 
 FOLLOWED_PER_KIND = 16
 REFRESH_S = 0.5
+VERSION_MARK = "@"
 
 
 def followed(tables, now: float, stage: manifest.Stage) -> list[str]:
@@ -18,7 +19,7 @@
     membership = tables.membership
     key = (stage.pool, stage.task.value, stage.model)
     cached = membership.followed.get(key)
-    if cached is not None and _holds(cached, membership, now):
+    if cached is not None and _is_current(cached, membership, now):
         return cached.names
     names = _choose(tables, now, stage)
     membership.followed[key] = gossip_tables.Followed(
@@ -34,7 +35,7 @@
     return binascii.crc32(name.encode(), binascii.crc32(host.encode()))
 
 
-def _holds(
+def _is_current(
     cached: gossip_tables.Followed,
     membership: gossip_tables.MembershipTables,
     now: float,
@@ -71,4 +72,11 @@
         return False
     if stage.task.value not in announcement.tasks:
         return False
-    return stage.model is None or stage.model in announcement.models
+    return stage.model is None or _holds_model(announcement.models, stage.model)
+
+
+def _holds_model(held: list[str], model: str) -> bool:
+    """Tell whether a model is held, in any version where none is named."""
+    if model in held:
+        return True
+    return any(name.partition(VERSION_MARK)[0] == model for name in held)
--- a/tests/admission/test_gate.py
+++ b/tests/admission/test_gate.py
@@ -40,7 +40,9 @@
 
 
 def test_a_durable_kind_waits_instead():
-    assert _admit(_host(waiting=80), kind=AUDIT).is_ok()
+    short = manifest.Kind("kind-3", 3, 2_000, durable=True)
+
+    assert _admit(_host(waiting=80), kind=short).is_ok()
 
 
 def test_full_tables_refuse_durable_kinds_too():
--- a/tests/gossip/test_upstreams.py
+++ b/tests/gossip/test_upstreams.py
@@ -6,6 +6,7 @@
 
 from bitternlever.core import ticks
 from bitternlever.gossip import membership
+from bitternlever.messages import manifest
 from tests.gossip import network
 
 SILENCE_S = 3.0
@@ -174,3 +175,16 @@
         membership.run(tables, net.now, outbox)
         sent.extend(each.message for each in outbox.messages)
     return sent
+
+
+def test_a_model_is_found_in_any_version():
+    net = network.create(1)
+    net.announce("h0", network.word(models=["m@2"]))
+    wanted = manifest.Stage("s", manifest.Task.GENERATE, "engines", model="m")
+    other = manifest.Stage("s", manifest.Task.GENERATE, "engines", model="m2")
+
+    def found(stage):
+        return list(membership.serving(net.hosts["h0"], net.now, stage))
+
+    assert len(found(wanted)) == 1
+    assert found(other) == []
