Let a replacement move on to another learner, and remember what it replaced

Cause 1: a successor that never came back held the sequence for good, since the same command waited and any other was refused; while it only learns, another disk or node may take its place. Cause 2: with a wrong disk id the command said «done», because some voter stood on the new node; the membership now lists what was replaced. Seen failing first: both new tests.

--- a/bitternlever/consensus/replacement.py
+++ b/bitternlever/consensus/replacement.py
@@ -15,6 +15,7 @@
 
 CAUGHT_UP_ENTRIES = 64
 RECENT_ELECTION_TIMEOUTS = 1.0
+REMEMBERED_REPLACEMENTS = 16
 
 Outcome = result.Result[directory.ReplaceProgress, directory.ReplaceRefused]
 
@@ -29,10 +30,10 @@
     """Begin a replacement as leader, or tell how far the same one has come."""
     membership = replica.membership
     if membership.replacing is not None:
-        _renew_learner(replica, now, outbox)
-        return _progress_of(membership, old, new_node)
+        _renew_learner(replica, now, outbox, old, new_node)
+        return _progress_of(replica.membership, old, new_node)
     if old not in membership.voters:
-        if any(voter.node == new_node for voter in membership.voters):
+        if any(old == was and new.node == new_node for was, new in membership.replaced):
             return result.Ok(_progress("done", "the successor is a voter"))
         return _refuse(f"replica {old.node} with disk {old.disk} is no voter")
     if not _settled(replica):
@@ -47,12 +48,7 @@
         return _wait(f"node {new_node} has not answered with a disk that is no voter")
     if successor in membership.voters:
         return _refuse(f"node {new_node} is a voter already")
-    changed = consensus.Membership(
-        voters=membership.voters,
-        learners=[successor],
-        replacing=(old, successor),
-    )
-    _change(replica, changed)
+    _learn(replica, old, successor)
     return result.Ok(_progress("learner", f"disk {successor.disk} receives the log"))
 
 
@@ -67,13 +63,16 @@
     if new in membership.learners:
         if _caught_up(replica, now, new):
             voters = [*membership.voters, new]
-            changed = consensus.Membership(voters=voters, replacing=(old, new))
-            _change(replica, changed)
+            _change(
+                replica,
+                msgspec.structs.replace(membership, voters=voters, learners=[]),
+            )
         return
     if not _caught_up(replica, now, new) or _risk(replica, now, old) is not None:
         return
     voters = [voter for voter in membership.voters if voter != old]
-    _change(replica, consensus.Membership(voters=voters))
+    replaced = [*membership.replaced, (old, new)][-REMEMBERED_REPLACEMENTS:]
+    _change(replica, consensus.Membership(voters=voters, replaced=replaced))
 
 
 def _risk(
@@ -150,16 +149,33 @@
     return None if known.reply.voter else known.reply.replica
 
 
-def _renew_learner(replica: tables.Replica, now: float, outbox: ticks.Outbox) -> None:
-    """Go on with the node's present disk where the learner's disk is gone."""
-    old, new = replica.membership.replacing
-    if new not in replica.membership.learners or not _settled(replica):
+def _renew_learner(
+    replica: tables.Replica,
+    now: float,
+    outbox: ticks.Outbox,
+    old: consensus.ReplicaId,
+    new_node: str,
+) -> None:
+    """Let another disk or node learn in the place of one that has no vote yet."""
+    wanted_old, new = replica.membership.replacing
+    if old != wanted_old or new not in replica.membership.learners:
+        return
+    if not _settled(replica):
         return
-    successor = _successor(replica, now, outbox, new.node)
+    successor = _successor(replica, now, outbox, new_node)
     if successor is None or successor == new:
         return
-    changed = consensus.Membership(
-        voters=replica.membership.voters,
+    if successor not in replica.membership.voters:
+        _learn(replica, old, successor)
+
+
+def _learn(
+    replica: tables.Replica,
+    old: consensus.ReplicaId,
+    successor: consensus.ReplicaId,
+) -> None:
+    changed = msgspec.structs.replace(
+        replica.membership,
         learners=[successor],
         replacing=(old, successor),
     )
--- a/bitternlever/messages/consensus.py
+++ b/bitternlever/messages/consensus.py
@@ -37,12 +37,14 @@
     """The replicas of a group; learners receive the log but do not vote.
 
     ``replacing`` is set while a replacement goes on: the voter that will be removed
-    and the replica that takes its place.
+    and the replica that takes its place. ``replaced`` lists the newest pairs that are
+    done, so that a resent command gets the same answer.
     """
 
     voters: list[ReplicaId]
     learners: list[ReplicaId] = []
     replacing: tuple[ReplicaId, ReplicaId] | None = None
+    replaced: list[tuple[ReplicaId, ReplicaId]] = []
 
 
 class VoteRequest(msgspec.Struct, tag=True, frozen=True):
--- a/tests/consensus/test_replacement.py
+++ b/tests/consensus/test_replacement.py
@@ -176,6 +176,32 @@
     assert replace(cluster, old, new.node).step == "done"
 
 
+def test_a_learner_that_never_comes_back_gives_way_to_another_node():
+    cluster = started()
+    old, new = lost_one(cluster)
+    cluster.nodes[new.node].sync_held = True
+    begin(cluster, directory.ReplaceReplica(old.node, old.disk, new.node))
+    cluster.kill(new.node)
+    cluster.add("control-z")
+    cluster.run(1.0)
+
+    assert replace(cluster, old, "control-z").step == "done"
+
+    assert identity(cluster, "control-z") in voters(cluster)
+    assert not {old, new} & voters(cluster)
+
+
+def test_a_wrong_disk_id_is_not_called_done():
+    cluster = started()
+    old, new = lost_one(cluster)
+    command = directory.ReplaceReplica(old.node, "no-such-disk", new.node)
+
+    reply = cluster.ask(command)
+
+    assert "no-such-disk is no voter" in reply.reason
+    assert old in voters(cluster)
+
+
 def test_a_learner_is_not_promoted_before_its_start_is_committed():
     cluster = started()
     old, new = lost_one(cluster)
