Replace a voter through a joint membership

Cause: between adding the successor and removing the old voter a group of three needed three of four. A successor that was lost in this moment left two sound voters of the first three that could never go on.

Ruled out: removing first, which leaves two voters that are both needed. The promotion goes through a joint membership now, in which the sound voters are a quorum of both sets; the removal follows once it is committed.

--- a/bitternlever/consensus/commits.py
+++ b/bitternlever/consensus/commits.py
@@ -58,9 +58,10 @@
 
     Entries of earlier terms commit with it (Raft paper, section 5.4.2).
     """
-    matches = [_match_index(replica, voter) for voter in replica.membership.voters]
-    matches.sort(reverse=True)
-    index = matches[tables.quorum(len(matches)) - 1]
+    index = tables.reached_by_quorum(
+        replica.membership,
+        lambda voter: _match_index(replica, voter),
+    )
     if index <= replica.commit_index:
         return
     if consensus_log.term_at(replica.log, index) == replica.term:
@@ -93,9 +94,6 @@
     proposal = office.proposals.pop(index, None)
     if proposal is not None and proposal.term == entry.term:
         proposal.on_outcome(now, outbox, result.Ok(reply))
-    if entry.kind is consensus.EntryKind.MEMBERSHIP and _removed(replica):
+    removed = not tables.is_voter(replica)
+    if entry.kind is consensus.EntryKind.MEMBERSHIP and removed:
         elections.step_down(replica, now, outbox)
-
-
-def _removed(replica: tables.Replica) -> bool:
-    return replica.settings.identity not in replica.membership.voters
--- a/bitternlever/consensus/elections.py
+++ b/bitternlever/consensus/elections.py
@@ -167,7 +167,7 @@
         last_term=consensus_log.last_term(replica.log),
         pre_vote=pre_vote,
     )
-    for peer in replica.membership.voters:
+    for peer in tables.voters(replica.membership):
         if peer != replica.settings.identity:
             disk.send(replica, outbox, peer, request)
 
@@ -175,9 +175,11 @@
 def _count_votes(replica: tables.Replica, now: float, outbox: ticks.Outbox) -> None:
     if replica.membership is None:
         return
-    voters = replica.membership.voters
-    granted = sum(1 for voter in voters if voter in replica.votes)
-    if granted < tables.quorum(len(voters)):
+    won = tables.reached_by_quorum(
+        replica.membership,
+        lambda voter: voter in replica.votes,
+    )
+    if not won:
         return
     if replica.role is tables.Role.PRE_CANDIDATE:
         _start_election(replica, outbox)
--- a/bitternlever/consensus/reads.py
+++ b/bitternlever/consensus/reads.py
@@ -8,6 +8,7 @@
 
 from bitternlever.consensus import tables
 from bitternlever.core import ticks
+from bitternlever.messages import consensus
 
 
 def quorum_heard_s(replica: tables.Replica, now: float) -> float:
@@ -65,27 +66,24 @@
 
 
 def _quorum_contact_s(replica: tables.Replica, now: float) -> float:
-    contacts = [
-        now
-        if voter == replica.settings.identity
-        else _progress(replica, voter).contact_s
-        for voter in replica.membership.voters
-    ]
-    contacts.sort(reverse=True)
-    return contacts[tables.quorum(len(contacts)) - 1]
+    def contact_s(voter: consensus.ReplicaId) -> float:
+        if voter == replica.settings.identity:
+            return now
+        return _progress(replica, voter).contact_s
+
+    return tables.reached_by_quorum(replica.membership, contact_s)
 
 
 def _quorum_round(replica: tables.Replica) -> int:
     office = replica.office
-    rounds = [
-        office.round
-        if voter == replica.settings.identity
-        else _progress(replica, voter).round
-        for voter in replica.membership.voters
-    ]
-    rounds.sort(reverse=True)
-    return rounds[tables.quorum(len(rounds)) - 1]
+
+    def round_of(voter: consensus.ReplicaId) -> int:
+        if voter == replica.settings.identity:
+            return office.round
+        return _progress(replica, voter).round
+
+    return tables.reached_by_quorum(replica.membership, round_of)
 
 
-def _progress(replica: tables.Replica, voter) -> tables.Progress:
+def _progress(replica: tables.Replica, voter: consensus.ReplicaId) -> tables.Progress:
     return replica.office.progress.get(voter) or tables.Progress(next_index=0)
--- a/bitternlever/consensus/replacement.py
+++ b/bitternlever/consensus/replacement.py
@@ -2,8 +2,9 @@
 
 The membership in the log carries the sequence: the successor joins as a learner,
 becomes a voter once its synced log has caught up, and then the old voter leaves.
-Whoever leads goes on from the newest membership, so neither the tool nor a leader
-is needed to the end.
+Between the last two the membership is joint, so that neither the lost voter nor a
+successor that is lost in this moment is needed. Whoever leads goes on from the newest
+membership, so neither the tool nor a leader is needed to the end.
 """
 
 import msgspec
@@ -60,19 +61,21 @@
     if membership.replacing is None:
         return
     old, new = membership.replacing
-    if new in membership.learners:
-        if _caught_up(replica, now, new):
-            voters = [*membership.voters, new]
-            _change(
-                replica,
-                msgspec.structs.replace(membership, voters=voters, learners=[]),
-            )
+    if membership.outgoing:
+        replaced = [*membership.replaced, (old, new)][-REMEMBERED_REPLACEMENTS:]
+        left = consensus.Membership(voters=membership.voters, replaced=replaced)
+        _change(replica, left)
         return
     if not _caught_up(replica, now, new) or _risk(replica, now, old) is not None:
         return
-    voters = [voter for voter in membership.voters if voter != old]
-    replaced = [*membership.replaced, (old, new)][-REMEMBERED_REPLACEMENTS:]
-    _change(replica, consensus.Membership(voters=voters, replaced=replaced))
+    remaining = [voter for voter in membership.voters if voter != old]
+    joint = msgspec.structs.replace(
+        membership,
+        voters=[*remaining, new],
+        outgoing=membership.voters,
+        learners=[],
+    )
+    _change(replica, joint)
 
 
 def _risk(
--- a/bitternlever/consensus/tables.py
+++ b/bitternlever/consensus/tables.py
@@ -241,15 +241,40 @@
     return voters // 2 + 1
 
 
+def voters(membership: consensus.Membership) -> list[consensus.ReplicaId]:
+    """Return everyone who votes, also those who are about to leave."""
+    leaving = [each for each in membership.outgoing if each not in membership.voters]
+    return [*membership.voters, *leaving]
+
+
+def reached_by_quorum(
+    membership: consensus.Membership,
+    reached: Callable[[consensus.ReplicaId], float],
+) -> float:
+    """Return the highest value that a quorum has reached, of both sets if joint."""
+    lowest = _reached(membership.voters, reached)
+    if membership.outgoing:
+        lowest = min(lowest, _reached(membership.outgoing, reached))
+    return lowest
+
+
+def _reached(
+    electorate: list[consensus.ReplicaId],
+    reached: Callable[[consensus.ReplicaId], float],
+) -> float:
+    values = sorted((reached(voter) for voter in electorate), reverse=True)
+    return values[quorum(len(values)) - 1]
+
+
 def is_voter(replica: Replica) -> bool:
     """Tell whether this replica votes in the newest membership of its log."""
     membership = replica.membership
-    return membership is not None and replica.settings.identity in membership.voters
+    return membership is not None and replica.settings.identity in voters(membership)
 
 
 def peers(replica: Replica) -> list[consensus.ReplicaId]:
     """Return all other replicas of the newest membership."""
     if replica.membership is None:
         return []
-    every = [*replica.membership.voters, *replica.membership.learners]
+    every = [*voters(replica.membership), *replica.membership.learners]
     return [each for each in every if each != replica.settings.identity]
--- a/bitternlever/control/status.py
+++ b/bitternlever/control/status.py
@@ -66,7 +66,7 @@
     membership = group.replica.membership
     if membership is None:
         return []
-    roles = [(voter, "voter") for voter in membership.voters]
+    roles = [(voter, "voter") for voter in consensus_tables.voters(membership)]
     roles += [(learner, "learner") for learner in membership.learners]
     return [_replica(tables, group, member, role) for member, role in roles]
 
--- a/bitternlever/messages/consensus.py
+++ b/bitternlever/messages/consensus.py
@@ -39,11 +39,15 @@
     ``replacing`` is set while a replacement goes on: the voter that will be removed
     and the replica that takes its place. ``replaced`` lists the newest pairs that are
     done, so that a resent command gets the same answer.
+
+    With ``outgoing`` the membership is joint: every decision needs a quorum of the
+    voters and one of the outgoing voters (Raft paper, section 6).
     """
 
     voters: list[ReplicaId]
     learners: list[ReplicaId] = []
     replacing: tuple[ReplicaId, ReplicaId] | None = None
+    outgoing: list[ReplicaId] = []
     replaced: list[tuple[ReplicaId, ReplicaId]] = []
 
 
--- a/tests/consensus/test_replacement.py
+++ b/tests/consensus/test_replacement.py
@@ -236,6 +236,26 @@
     assert old in voters(cluster)
 
 
+@pytest.mark.parametrize("seed", range(3))
+def test_a_successor_lost_in_the_middle_does_not_stop_the_others(seed):
+    """Two of three live on; the old disk and its successor are both gone for good."""
+    cluster = started(seed=seed)
+    old, new = lost_one(cluster)
+    command = directory.ReplaceReplica(old.node, old.disk, new.node)
+    leader = cluster.replica(cluster.leader())
+    while new not in leader.membership.voters:
+        assert cluster.now < SECONDS, "the successor did not become a voter"
+        cluster.call(command, to=cluster.leader())
+        cluster.run(0.0005)
+    assert leader.membership.replacing is not None
+    cluster.lose_disk(new.node)
+    cluster.run(4.0)
+
+    assert cluster.ask(harness.manifest(4, b"4")).number == 4
+    assert replace(cluster, new, new.node).step == "done"
+    assert identity(cluster, new.node) in voters(cluster)
+
+
 def test_a_resent_replacement_that_is_done_says_so():
     cluster = started()
     old, new = lost_one(cluster)
