--- a/bitternlever/consensus/tables.py
+++ b/bitternlever/consensus/tables.py
@@ -1,7 +1,7 @@
 """All state of one replica of one group.
 
 The algorithm is Raft (Ongaro and Ousterhout, 2014; Ongaro's thesis for pre-vote,
-check-quorum, leader lease, read index and single-server membership changes).
+check-quorum, leader lease and read index).
 """
 
 import collections
