--- a/tests/docs/test_pages.py
+++ b/tests/docs/test_pages.py
@@ -77,3 +77,15 @@
     targets = LINK.findall(path.read_text(encoding="utf-8"))
 
     assert [each for each in targets if not (path.parent / each).exists()] == []
+
+
+def test_every_page_stands_in_the_index():
+    index = page("README.md")
+
+    missing = [
+        path.relative_to(DOCS).as_posix()
+        for path in DOCS.rglob("*.md")
+        if path.name != "README.md"
+        and f"({path.relative_to(DOCS).as_posix()})" not in index
+    ]
+    assert missing == []
