--- a/tests/commands/test_operator.py
+++ b/tests/commands/test_operator.py
@@ -2,8 +2,11 @@
 
 import asyncio
 import hashlib
+import io
+import itertools
 import json
 import pathlib
+import sys
 import threading
 
 import msgspec
@@ -276,3 +279,30 @@
         "settings.E003",
         "settings.W001",
     ]
+
+
+class Terminal(io.StringIO):
+    """Standard error that is a terminal."""
+
+    def isatty(self) -> bool:
+        """Say that it is one."""
+        return True
+
+
+@pytest.mark.parametrize(
+    ("stream", "shown"), [(Terminal(), True), (io.StringIO(), False)]
+)
+def test_progress_is_shown_on_a_terminal_only(stream, shown, monkeypatch):
+    monkeypatch.setattr(sys, "stderr", stream)
+    steps = iter([(False, "1/2 hosts"), (True, "2/2 hosts")])
+    clock = itertools.count()
+
+    done = operator_output.wait(
+        lambda: next(steps),
+        limit_s=60.0,
+        now=lambda: float(next(clock)),
+        sleep=lambda seconds: None,
+    )
+
+    assert done
+    assert ("1/2 hosts" in stream.getvalue()) is shown
