Let the demo go on running, and measure idle cost before the load too

A newcomer had no running system to try the first example on: the demo ended at once and used any free ports.

--- a/bench/path.py
+++ b/bench/path.py
@@ -79,10 +79,12 @@
             traced=options.traced,
         )
         connector = aiohttp.TCPConnector(limit=0)
+        await _measure_idle(running, after="the start")
         async with aiohttp.ClientSession(connector=connector) as session:
             await _measure_added(system, session, options.calls)
             await _measure_rate(system, session, running, options)
-        await _measure_idle(running)
+        await _measure_idle(running, after="the load of this run")
+        await site.stop(running)
     return 0
 
 
@@ -173,7 +175,7 @@
         )
 
 
-async def _measure_idle(running: standin_processes.Processes) -> None:
+async def _measure_idle(running: standin_processes.Processes, after: str) -> None:
     """Print memory and CPU of both programs while nothing is asked of them."""
     pids = {
         name: process.pid
@@ -191,7 +193,7 @@
             core_share=round(used, 4),
             aim_resident_mb=CONTROL_MEMORY_AIM_MB if is_control else None,
             aim_core_share=IDLE_CPU_AIM,
-            after="the load of this run",
+            after=after,
         )
 
 
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -23,9 +23,11 @@
 EXIT_NOT_WHOLE = 1
 EXIT_NOT_STARTED = 3
 EXIT_INTERRUPTED = 130
+STAY_PORT = 8101
 TOKEN_SUFFIX = "-example-token"
 
 EXAMPLE = cappa.Arg(long=True, choices=sorted(site.ZONES), help="Which example to run.")
+STAY = cappa.Arg(long=True, help="Go on running on ports from 8101 until Ctrl-C.")
 KEEP = cappa.Arg(long=True, help="Keep logs, spans and data in this folder.")
 
 
@@ -36,6 +38,7 @@
 
     example: Annotated[str, EXAMPLE] = "cantref"
     keep: Annotated[pathlib.Path | None, KEEP] = None
+    stay: Annotated[bool, STAY] = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -53,10 +56,11 @@
     print(text, flush=True)
 
 
-async def run(example: str, folder: pathlib.Path) -> int:
+async def run(example: str, folder: pathlib.Path, stay: bool) -> int:
     """Run the demo in ``folder`` and return its exit code."""
     begin_s = time.monotonic()
-    system = site.create(example, folder)
+    first_port = STAY_PORT if stay else None
+    system = site.create(example, folder, first_http_port=first_port)
     commands = site.commands(system)
     async with standin_processes.manage(folder) as running:
         say(f"starting {len(commands)} processes: {_names(commands)}")
@@ -69,6 +73,8 @@
         if not await _apply(system, running):
             return EXIT_NOT_STARTED
         sent = await _send_all(system)
+        if stay:
+            await _stay(system)
         say("\nstopping every process")
         codes = await site.stop(running)
     in_order = _report_ends(codes)
@@ -91,6 +97,14 @@
     return applied
 
 
+async def _stay(system: site.Site) -> None:
+    """Say how to reach the running system, and wait for Ctrl-C."""
+    say("\nrunning until Ctrl-C; for the operator's tool in another terminal:")
+    for name, value in system.operator_environment().items():
+        say(f"  export {name}={value}")
+    await asyncio.Event().wait()
+
+
 async def _send_all(system: site.Site) -> list[Sent]:
     sent = []
     timeout = aiohttp.ClientTimeout(total=callers.CALL_TIMEOUT_S)
@@ -201,13 +215,13 @@
     return ", ".join(command.name for command in commands)
 
 
-async def _run_until_signal(example: str, folder: pathlib.Path) -> int:
+async def _run_until_signal(arguments: Demo, folder: pathlib.Path) -> int:
     task = asyncio.current_task()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGINT, signal.SIGTERM):
         loop.add_signal_handler(number, task.cancel)
     try:
-        return await run(example, folder)
+        return await run(arguments.example, folder, arguments.stay)
     except asyncio.CancelledError:
         say("\ninterrupted; every process was stopped")
         return EXIT_INTERRUPTED
@@ -218,9 +232,9 @@
     arguments = cappa.parse(Demo, completion=False)
     if arguments.keep is not None:
         arguments.keep.mkdir(parents=True, exist_ok=True)
-        return asyncio.run(_run_until_signal(arguments.example, arguments.keep))
+        return asyncio.run(_run_until_signal(arguments, arguments.keep))
     with tempfile.TemporaryDirectory(prefix="bitternlever-demo-") as folder:
-        return asyncio.run(_run_until_signal(arguments.example, pathlib.Path(folder)))
+        return asyncio.run(_run_until_signal(arguments, pathlib.Path(folder)))
 
 
 if __name__ == "__main__":
--- a/standins/site.py
+++ b/standins/site.py
@@ -76,11 +76,17 @@
     example: str,
     folder: pathlib.Path,
     own_manifest: manifest.Manifest | None = None,
+    first_http_port: int | None = None,
 ) -> Site:
-    """Choose addresses for the system of an example, or of a manifest of its own."""
+    """Choose addresses for the system of an example, or of a manifest of its own.
+
+    The entry hosts answer on ports from ``first_http_port`` on, or on any free ones.
+    """
     ports = standin_processes.free_ports(CONTROL_NODES + 2 * ENTRY_HOSTS)
     control, rest = ports[:CONTROL_NODES], ports[CONTROL_NODES:]
     links, http = rest[:ENTRY_HOSTS], rest[ENTRY_HOSTS:]
+    if first_http_port is not None:
+        http = [first_http_port + number for number in range(ENTRY_HOSTS)]
     whole = own_manifest or load(example)
     if own_manifest is not None:
         (folder / OWN_MANIFEST).write_bytes(msgspec.json.encode(own_manifest))
