Strike the host that runs a request, and the leader that gets a claim

The drain by SIGTERM now asserts that the draining host itself finished its answer: with a drain that ends at once the test had passed, since the client went elsewhere.

--- a/tests/processes/system.py
+++ b/tests/processes/system.py
@@ -166,14 +166,20 @@
     return outcome
 
 
-async def until_called(system: System, stage: str, key: str) -> None:
-    """Wait until a stand-in records that a stage of this key's request runs."""
+def calls_of(system: System, stage: str, key: str) -> list[records.StageCalled]:
+    """Return the recorded calls of a stage for this key's request."""
     digest = records.digest({"marker": key})
-    while not any(
-        isinstance(record, records.StageCalled)
-        and (record.stage, record.input_digest) == (stage, digest)
+    return [
+        record
         for record in files.read(system.site.folder / "records")
-    ):
+        if isinstance(record, records.StageCalled)
+        and (record.stage, record.input_digest) == (stage, digest)
+    ]
+
+
+async def until_called(system: System, stage: str, key: str) -> None:
+    """Wait until a stand-in records that a stage of this key's request runs."""
+    while not calls_of(system, stage, key):
         await asyncio.sleep(POLL_S)
 
 
--- a/tests/processes/test_failures.py
+++ b/tests/processes/test_failures.py
@@ -96,6 +96,7 @@
     assert await answer_of(task) != ""
     ended = system.running.running["entry-a"].wait()
     assert await asyncio.wait_for(ended, TAKEOVER_LIMIT_S) == 0
+    assert len(systems.calls_of(system, "draft", "drained")) == 1
     assert await answer_of(systems.audit(system, "elsewhere", first=1)) != ""
 
 
--- a/tests/scenarios/steps_requests.py
+++ b/tests/scenarios/steps_requests.py
@@ -54,6 +54,29 @@
         world.pass_time(cluster.here, duration / count)
 
 
+def calls_of(cluster, name):
+    digest = records.digest(cluster.crowd.by_name[name].input)
+    return [
+        call
+        for call in cluster.here.recorded
+        if isinstance(call, records.StageCalled) and call.input_digest == digest
+    ]
+
+
+@when(parsers.parse('the host that runs "{name}" is killed'))
+def kill_owner(cluster, name):
+    epoch = calls_of(cluster, name)[-1].epoch
+    for host in cluster.entry:
+        process = cluster.here.processes[host]
+        if process.alive and process.tables.lease.epoch == epoch:
+            world.kill(cluster.here, host)
+
+
+@then(parsers.parse('{count:d} hosts have run "{name}"'))
+def hosts_have_run(cluster, count, name):
+    assert len({call.epoch for call in calls_of(cluster, name)}) == count
+
+
 @when(parsers.parse('"{name}" hangs up'))
 def hang_up(cluster, name):
     caller = cluster.crowd.by_name[name]
@@ -179,13 +202,7 @@
 
 @then(parsers.parse('stage "{stage}" of "{name}" ran {count:d} times'))
 def ran(cluster, stage, name, count):
-    digest = records.digest(cluster.crowd.by_name[name].input)
-    found = [
-        call
-        for call in cluster.here.recorded
-        if isinstance(call, records.StageCalled)
-        and (call.input_digest, call.stage) == (digest, stage)
-    ]
+    found = [call for call in calls_of(cluster, name) if call.stage == stage]
     assert len(found) == count, found
 
 
--- a/tests/scenarios/takeover.feature
+++ b/tests/scenarios/takeover.feature
@@ -112,14 +112,15 @@
     And stage "billing" of "farmer" ran 1 times
 
   Scenario: The takeover host dies too
-    When upstreams of "engines" take 4 seconds
+    When upstreams of "engines" take 6 seconds
     And "farmer" sends a "audit" to "entry-1" with key "a1"
     And 1 seconds pass
-    And "entry-1" is killed
-    And 8 seconds pass
-    And "entry-2" is killed
+    And the host that runs "farmer" is killed
+    And 5 seconds pass
+    And the host that runs "farmer" is killed
     And 60 seconds pass
     Then "farmer" holds its whole answer
+    And 3 hosts have run "farmer"
     And stage "billing" of "farmer" ran 1 times
 
   Scenario: A resend meets a takeover
@@ -133,13 +134,20 @@
     Then "farmer" and "officer" hold the same answer
     And stage "billing" of "farmer" ran 1 times
 
-  Scenario: The control leader dies during a claim
-    When "control-1" is killed after it sends "AppendRequest"
+  Scenario Outline: The control leader dies <order> it <way> a claim
+    Given "control-1" leads group 1
+    When "control-1" is killed <order> it <way> "<message>"
     And "farmer" sends a "audit" to "entry-1" with key "a1"
     And 40 seconds pass
     Then "farmer" holds its whole answer
     And stage "billing" of "farmer" ran 1 times
 
+    Examples:
+      | order               | way   | message |
+      | before              | gets  | Claim   |
+      | 0.001 seconds after | gets  | Claim   |
+      | before              | sends | Claimed |
+
   Scenario: Owner and control leader die together
     When upstreams of "engines" take 4 seconds
     And "farmer" sends a "audit" to "entry-1" with key "a1"
