--- a/tests/scenarios/manifests.feature
+++ b/tests/scenarios/manifests.feature
@@ -44,6 +44,9 @@
     And 3 seconds pass
     And operator "anna" applies manifest 2 "red" through "entry-1"
     And 3 seconds pass
+    And "entry-3" is killed
+    And "entry-3" starts again
+    And 5 seconds pass
     Then manifest 3 is in force on "entry-1"
     And manifest 3 is in force on "entry-3"
 
