--- a/bitternlever/client/calls.py
+++ b/bitternlever/client/calls.py
@@ -1,7 +1,6 @@
 """Calls of the client: run a request to its one outcome, cancel, acknowledge."""
 
 import asyncio
-import dataclasses
 import random
 import time
 from collections.abc import Callable
@@ -10,12 +9,9 @@
 import msgspec
 import result
 
-from bitternlever.client import hosts, streams, tables as client_tables
+from bitternlever.client import hosts, retries, streams, tables as client_tables
 from bitternlever.messages import problems
 
-FIRST_PAUSE_S = 0.1
-MAXIMUM_PAUSE_S = 3.0
-PAUSE_SPREAD = 0.3
 NAMED_CALL_TIMEOUT_S = 5.0
 NAMED_CALL_TRIES = 3
 REQUEST_ID_HEADER = "Bitternlever-Request-Id"
@@ -79,11 +75,11 @@
             return result.Ok(outcome)
         failure, pause_s = outcome
         tries += 1
-        pause_s = _pause_s(client, pause_s, tries)
-        if not _may_repeat(state, failure):
-            return result.Err(_doubtful(state, failure))
+        pause_s = retries.pause_s(client, pause_s, tries)
+        if not retries.may_repeat(state, failure):
+            return result.Err(retries.doubtful(state, failure))
         if client.clock() + pause_s >= state.ends_s:
-            return result.Err(_doubtful(state, failure))
+            return result.Err(retries.doubtful(state, failure))
         await asyncio.sleep(pause_s)
 
 
@@ -107,11 +103,11 @@
         return await _send(client, state, address)
     except aiohttp.ClientConnectorError as error:
         hosts.leave(client)
-        return _failure(state, f"{address}: {error}"), 0.0
+        return retries.failed(state, f"{address}: {error}"), 0.0
     except EXCHANGE_ERRORS as error:
         hosts.leave(client)
-        _doubt(state)
-        return _failure(state, f"{address}: {type(error).__name__} {error}"), 0.0
+        retries.doubt(state)
+        return retries.failed(state, f"{address}: {type(error).__name__} {error}"), 0.0
 
 
 async def _send(
@@ -131,7 +127,7 @@
         if response.status == OPEN_STATUS:
             state.ask_by_id = True
             retry_after_s = float(response.headers.get("Retry-After", 1))
-            return _failure(state, "the request is still open"), retry_after_s
+            return retries.failed(state, "the request is still open"), retry_after_s
         data = await response.read()
         return _refused(client, state, msgspec.json.decode(data, type=problems.Problem))
 
@@ -186,7 +182,7 @@
     """Take a problem; only one with a time to come back may pass."""
     state.request_id = problem.request_id or state.request_id
     if problem.ran is not problems.Ran.NO:
-        _doubt(state)
+        retries.doubt(state)
     if problem.type.endswith("stream-garbled"):
         state.text = ""
     hosts.leave(client)
@@ -202,51 +198,6 @@
     return failure, problem.retry_after_s
 
 
-def _doubt(state: client_tables.Run) -> None:
-    """Without a key, what may have run is asked for by its id and not sent again."""
-    state.in_doubt = True
-    if state.submission.key is None and state.request_id is not None:
-        state.ask_by_id = True
-
-
-def _may_repeat(state: client_tables.Run, failure: client_tables.Failure) -> bool:
-    """Tell whether sending again cannot run the request twice, and may help."""
-    if failure.final:
-        return False
-    return state.submission.key is not None or state.ask_by_id or not state.in_doubt
-
-
-def _failure(state: client_tables.Run, detail: str) -> client_tables.Failure:
-    return client_tables.Failure(
-        ran=problems.Ran.UNKNOWN if state.in_doubt else problems.Ran.NO,
-        detail=detail,
-        request_id=state.request_id,
-    )
-
-
-def _doubtful(
-    state: client_tables.Run,
-    failure: client_tables.Failure,
-) -> client_tables.Failure:
-    """An earlier try that may have run outweighs a last one that did not."""
-    if not state.in_doubt or failure.ran is not problems.Ran.NO:
-        return failure
-    return dataclasses.replace(failure, ran=problems.Ran.UNKNOWN)
-
-
-def _pause_s(
-    client: client_tables.Client,
-    retry_after_s: float | None,
-    tries: int,
-) -> float:
-    """Wait as long as asked, else a little longer each time; spread over callers."""
-    wanted_s = retry_after_s or FIRST_PAUSE_S * 2 ** min(tries, 10)
-    spread = 1.0 + client.random.random() * PAUSE_SPREAD
-    if retry_after_s:
-        return retry_after_s * spread
-    return min(MAXIMUM_PAUSE_S, wanted_s) * spread
-
-
 async def _named(client: client_tables.Client, method: str, path: str) -> bool:
     for _ in range(NAMED_CALL_TRIES):
         address = await hosts.next_address(client)
@@ -262,7 +213,7 @@
         except (TimeoutError, aiohttp.ClientError, OSError):
             pass
         hosts.leave(client)
-        await asyncio.sleep(FIRST_PAUSE_S)
+        await asyncio.sleep(retries.FIRST_PAUSE_S)
     return False
 
 
--- a/bitternlever/entry/tick.py
+++ b/bitternlever/entry/tick.py
@@ -8,7 +8,17 @@
 from bitternlever.gossip import membership
 from bitternlever.messages import calls, frames, gossip, requests
 from bitternlever.orders import placement
-from bitternlever.pipelines import answers, drain, intake, launch, stages, takeover
+from bitternlever.pipelines import (
+    answers,
+    cancellations,
+    drain,
+    failures,
+    intake,
+    launch,
+    outcomes,
+    stages,
+    takeover,
+)
 from bitternlever.routing import hedges
 
 CONTROL_ANSWERS = (
@@ -71,20 +81,20 @@
     elif isinstance(message, calls.ManifestChanged):
         lease.manifest_changed(tables, now, outbox, message)
     elif isinstance(message, calls.CancelledHint):
-        answers.cancelled_elsewhere(tables, now, outbox, message.request_id)
+        cancellations.cancelled_elsewhere(tables, now, outbox, message.request_id)
     elif isinstance(message, calls.WatchedHint):
-        answers.watched_elsewhere(tables, now, message.request_id)
+        cancellations.watched_elsewhere(tables, now, message.request_id)
 
 
 RECEIVERS = {
     requests.RequestSubmitted: intake.submit,
     requests.RequestQueried: answers.query,
-    requests.RequestCancelled: answers.cancel,
+    requests.RequestCancelled: cancellations.cancel,
     requests.AnswerAcknowledged: answers.acknowledge,
-    requests.CallerGone: answers.caller_gone,
-    requests.UpstreamPart: stages.part,
-    requests.UpstreamFinished: stages.finished,
-    requests.UpstreamFailed: stages.failed,
+    requests.CallerGone: cancellations.caller_gone,
+    requests.UpstreamPart: outcomes.part,
+    requests.UpstreamFinished: outcomes.finished,
+    requests.UpstreamFailed: failures.failed,
     requests.UpstreamAnnounced: membership.announced,
     requests.OrderAnswered: placement.answered,
     requests.OperatorCalled: operators.called,
--- a/bitternlever/pipelines/intake.py
+++ b/bitternlever/pipelines/intake.py
@@ -1,8 +1,5 @@
 """New requests: join a run of the same key, admit, claim where journaled."""
 
-import hashlib
-from typing import Any
-
 import msgspec
 import result
 
@@ -12,24 +9,15 @@
 from bitternlever.messages import manifest, problems, requests
 from bitternlever.pipelines import (
     claims,
+    creation,
     delivery,
     refusals,
     stages,
     tables as pipeline_tables,
-    timers,
     watch,
 )
 
-KEYED_PREFIX = "k-"
-KEYED_ID_DIGITS = 40
 CHARACTERS_PER_TOKEN = 4
-DEADLINE_CHECK_S = 30.0
-
-
-class SubmittedBody(msgspec.Struct):
-    """The part of a caller's JSON body that the stages get."""
-
-    input: Any = None
 
 
 def submit(
@@ -44,7 +32,7 @@
         stream=message.stream,
         offset=message.resume_offset,
     )
-    request_id = identify(tables, message)
+    request_id = creation.identify(tables, message)
     if request_id in tables.requests.requests:
         _join(tables, outbox, message, request_id, caller)
         return
@@ -55,64 +43,6 @@
     _accept(tables, now, outbox, message, checked.ok(), caller)
 
 
-def identify(tables, message: requests.RequestSubmitted) -> str:
-    """Return the request's id: from its key, or made by this host."""
-    if message.key is not None:
-        text = f"{message.workspace}\0{message.key}"
-        digest = hashlib.sha256(text.encode()).hexdigest()
-        return KEYED_PREFIX + digest[:KEYED_ID_DIGITS]
-    tables.requests.next_request += 1
-    settings = tables.settings
-    return f"r-{settings.host}-{tables.lease.epoch}-{tables.requests.next_request}"
-
-
-def make_request(
-    tables,
-    now: float,
-    request_id: str,
-    workspace: str,
-    pipeline: manifest.Pipeline,
-    kind: manifest.Kind,
-    body: bytes,
-    digest: str,
-    deadline_s: float,
-    keyed: bool,
-) -> pipeline_tables.Request:
-    """Make the entity of a request in its first phase."""
-    once_only = any(not stage.idempotent for stage in pipeline.stages)
-    return pipeline_tables.Request(
-        request_id=request_id,
-        workspace=workspace,
-        pipeline=pipeline,
-        kind=kind,
-        digest=digest,
-        body=body,
-        input=msgspec.json.decode(body, type=SubmittedBody).input,
-        journaled=keyed or once_only or kind.durable,
-        arrived_s=now,
-        deadline_s=deadline_s,
-        phase=pipeline_tables.Phase.CLAIMING,
-        epoch=tables.lease.epoch,
-        keyed=keyed,
-    )
-
-
-def watch_deadline(tables, now: float, request: pipeline_tables.Request) -> None:
-    """Let a request that is not durable end at its deadline."""
-    if request.kind.durable:
-        return
-
-    def check(tables, now, outbox) -> None:
-        if tables.requests.requests.get(request.request_id) is not request:
-            return
-        if now < request.deadline_s:
-            watch_deadline(tables, now, request)
-            return
-        stages.expire(tables, now, outbox, request)
-
-    timers.at(tables, min(request.deadline_s, now + DEADLINE_CHECK_S), check)
-
-
 def _check(
     tables,
     now: float,
@@ -134,7 +64,7 @@
         return _refusal(tables, 404, "No such kind", detail)
     deadline_ms = min(message.deadline_ms or kind.deadline_ms, kind.deadline_ms)
     try:
-        request = make_request(
+        request = creation.make_request(
             tables,
             now,
             request_id,
@@ -264,7 +194,7 @@
     tables.requests.requests[request.request_id] = request
     tables.requests.callers[caller.caller] = request.request_id
     request.callers[caller.caller] = caller
-    watch_deadline(tables, now, request)
+    creation.watch_deadline(tables, now, request)
     if not request.journaled:
         stages.advance(tables, now, outbox, request)
         return
--- /dev/null
+++ b/bitternlever/pipelines/outcomes.py
@@ -0,0 +1,144 @@
+"""What upstreams send: pieces and ends of stage calls, checked before they count."""
+
+import hashlib
+from typing import Any
+
+import msgspec
+
+from bitternlever.core import ticks
+from bitternlever.messages import manifest, requests, upstream
+from bitternlever.pipelines import (
+    delivery,
+    failures,
+    ownership,
+    progress,
+    refusals,
+    stages,
+    tables as pipeline_tables,
+)
+from bitternlever.routing import feedback
+
+
+def part(
+    tables,
+    now: float,
+    outbox: ticks.Outbox,
+    message: requests.UpstreamPart,
+) -> None:
+    """Take a piece of streamed output, if it continues what its attempt brought."""
+    attempt = tables.requests.attempts.get(message.attempt)
+    if attempt is None:
+        tables.count("part_late")
+        return
+    if attempt.first_byte_s is None:
+        attempt.first_byte_s = now
+        feedback.first_byte(tables, now, attempt)
+    have = len(attempt.output)
+    known = attempt.output[message.offset : message.offset + len(message.text)]
+    if message.offset < have and known == message.text:
+        tables.count("part_duplicate")
+        return
+    if message.offset != have:
+        tables.count("part_out_of_order")
+        failures.fail(tables, now, outbox, attempt, "a part of the stream is missing")
+        return
+    attempt.output += message.text
+    request = tables.requests.requests[attempt.request_id]
+    if not attempt.hedge:
+        request.texts[attempt.stage.name] = attempt.output
+        progress.extend(tables, now, outbox, request, attempt.stage.name)
+
+
+def finished(
+    tables,
+    now: float,
+    outbox: ticks.Outbox,
+    message: requests.UpstreamFinished,
+) -> None:
+    """Take the end of a stage call, if it is whole and belongs to its attempt."""
+    attempt = tables.requests.attempts.get(message.attempt)
+    if attempt is None:
+        tables.count("answer_late")
+        return
+    if message.binding != stages.binding(attempt):
+        tables.count("answer_crossed")
+        failures.fail(tables, now, outbox, attempt, "the answer is another call's")
+        return
+    if not _is_whole(attempt, message):
+        tables.count("answer_garbled")
+        _begin_anew(tables, now, outbox, attempt)
+        failures.fail(tables, now, outbox, attempt, "the digest is wrong")
+        return
+    output = message.output if message.length is None else attempt.output
+    _complete(tables, now, outbox, attempt, output, message.usage)
+
+
+def _complete(
+    tables,
+    now: float,
+    outbox: ticks.Outbox,
+    attempt: pipeline_tables.Attempt,
+    output: Any,
+    usage: upstream.Usage,
+) -> None:
+    """Take a whole output as the stage's one result; other attempts end."""
+    request = tables.requests.requests[attempt.request_id]
+    name = attempt.stage.name
+    ownership.end_attempt(tables, now, outbox, attempt, ended="whole")
+    feedback.finished(tables, now, attempt, usage)
+    if attempt.hedge and not _goes_on_from(progress.shown(request, name), output):
+        tables.count("hedge_diverged")
+        return
+    for other in sorted(request.attempts):
+        ownership.cancel_attempt(tables, now, outbox, tables.requests.attempts[other])
+    request.results[name] = output
+    request.cost_ms[name] = request.cost_ms.get(name, 0.0) + usage.busy_ms
+    request.failures = 0
+    if attempt.stage.task is manifest.Task.GENERATE and isinstance(output, str):
+        progress.replace(tables, now, outbox, request, name, output)
+    if not attempt.stage.idempotent:
+        request.completed_once_only = True
+    request.stage_index += 1
+    if request.journaled and request.stage_index < len(request.pipeline.stages):
+        progress.record_result(tables, now, outbox, request, attempt, usage)
+    stages.advance(tables, now, outbox, request)
+
+
+def _goes_on_from(text: str, output: Any) -> bool:
+    """A caller's text must not change: a hedge may only go on from what was shown."""
+    return not text or (isinstance(output, str) and output.startswith(text))
+
+
+def _begin_anew(
+    tables,
+    now: float,
+    outbox: ticks.Outbox,
+    attempt: pipeline_tables.Attempt,
+) -> None:
+    """Forget a text that proved to be garbled; who saw some of it is told so."""
+    request = tables.requests.requests[attempt.request_id]
+    name = attempt.stage.name
+    if attempt.hedge or not request.texts.get(name):
+        return
+    if progress.shown(request, name):
+        streaming = {
+            number: caller
+            for number, caller in request.callers.items()
+            if caller.stream
+        }
+        for number in streaming:
+            del request.callers[number]
+        delivery.problem(tables, outbox, streaming, refusals.garbled(tables, request))
+    progress.replace(tables, now, outbox, request, name, "")
+
+
+def _is_whole(
+    attempt: pipeline_tables.Attempt,
+    message: requests.UpstreamFinished,
+) -> bool:
+    if message.length is None:
+        data = msgspec.json.encode(message.output)
+        return hashlib.sha256(data).hexdigest() == message.digest
+    if message.length != len(attempt.output):
+        return False
+    return hashlib.sha256(attempt.output.encode()).hexdigest() == message.digest
--- a/bitternlever/pipelines/takeover.py
+++ b/bitternlever/pipelines/takeover.py
@@ -6,8 +6,8 @@
 from bitternlever.entry import control_client, lease
 from bitternlever.messages import journal, manifest, problems
 from bitternlever.pipelines import (
+    creation,
     finish,
-    intake,
     refusals,
     stages,
     tables as pipeline_tables,
@@ -164,7 +164,7 @@
     tables.count("request_taken_over")
     pipeline = tables.manifest.pipelines.get(taken.pipeline)
     kind = _kind(pipeline, taken)
-    request = intake.make_request(
+    request = creation.make_request(
         tables,
         now,
         taken.request_id,
@@ -174,12 +174,12 @@
         taken.body,
         taken.digest,
         deadline_s=now + taken.time_left_ms / MILLISECONDS,
-        keyed=taken.request_id.startswith(intake.KEYED_PREFIX),
+        keyed=taken.request_id.startswith(creation.KEYED_PREFIX),
     )
     request.journaled = True
     tables.requests.requests[taken.request_id] = request
     _bring_callers(tables, outbox, request)
-    intake.watch_deadline(tables, now, request)
+    creation.watch_deadline(tables, now, request)
     if pipeline is None:
         stated = _pipeline_gone(tables, request)
         finish.problem(tables, now, outbox, request, stated)
