End a request whose claim commits after its deadline

Seen failing first: test_a_claim_that_commits_after_its_deadline_does_not_stay_open for a request with a key and one without.

--- a/bitternlever/pipelines/stages.py
+++ b/bitternlever/pipelines/stages.py
@@ -46,10 +46,10 @@
     if request.stage_index >= len(stages):
         finish.whole(tables, now, outbox, request)
         return
+    request.phase = pipeline_tables.Phase.READY
     if not request.kind.durable and now >= request.deadline_s:
         expire(tables, now, outbox, request)
         return
-    request.phase = pipeline_tables.Phase.READY
     dispatch.push(tables, now, ready_stage(tables, now, request))
 
 
--- a/tests/pipelines/test_refusals.py
+++ b/tests/pipelines/test_refusals.py
@@ -2,6 +2,8 @@
 
 import itertools
 
+import pytest
+
 from bitternlever.journal import tables as journal_tables
 from bitternlever.messages import problems, requests
 from tests.pipelines import system
@@ -52,6 +54,23 @@
     assert not here.control.journal.records
 
 
+@pytest.mark.parametrize("key", ["p", None])
+def test_a_claim_that_commits_after_its_deadline_does_not_stay_open(key):
+    here = system.create()
+    here.control.stalled.add("Claim")
+
+    caller = system.submit(here, "entry-1", "privacy-update", key=key, deadline_ms=300)
+    system.pass_time(here, 0.5)
+    system.let_go(here)
+    system.pass_time(here, 1.0)
+
+    assert system.problem(here, caller).ran is problems.Ran.UNKNOWN
+    assert not here.issued
+    records = here.control.journal.records.values()
+    assert all(record.answer for record in records)
+    assert not system.tables(here, "entry-1").requests.requests
+
+
 def test_a_refusal_after_an_uncertain_claim_does_not_say_no():
     settings = journal_tables.JournalSettings(maximum_requests=0)
     here = system.create(settings=settings)
