Never go on from the text of another run

A caller that came back under a withdrawn key with an offset got the rest of a new run's text after the beginning of the old one's; only the end mark's digest told it.

--- a/bitternlever/journal/answers.py
+++ b/bitternlever/journal/answers.py
@@ -212,6 +212,7 @@
         progress=text[offset:],
         offset=offset,
         length=len(text),
+        generation=0 if state is None else state.generation,
     )
 
 
--- a/bitternlever/messages/journal.py
+++ b/bitternlever/messages/journal.py
@@ -284,7 +284,8 @@
 class RequestOpen(msgspec.Struct, tag=True, frozen=True):
     """The request is open; ``host`` is empty while no host owns it.
 
-    ``progress`` begins at ``offset``; ``length`` is the whole committed length.
+    ``progress`` begins at ``offset``; ``length`` is the whole committed length. A
+    higher ``generation`` is a text that began anew.
     """
 
     request_id: str
@@ -295,6 +296,7 @@
     progress: str
     offset: int = 0
     length: int = 0
+    generation: int = 0
 
 
 class RequestUnknown(msgspec.Struct, tag=True, frozen=True):
--- a/bitternlever/pipelines/claims.py
+++ b/bitternlever/pipelines/claims.py
@@ -93,8 +93,10 @@
 def _begin(tables, now: float, outbox: ticks.Outbox, request) -> None:
     """Run a claimed request, unless its callers were told that nothing is known.
 
-    Without a caller only a durable request is worth running.
+    Without a caller only a durable request is worth running. Text that a caller holds
+    is that of an earlier run, which the journal has forgotten.
     """
+    delivery.drop_text(tables, outbox, request.request_id, request.callers)
     abandoned = request.claim_in_doubt and not request.callers
     if abandoned and not request.kind.durable:
         stated = refusals.cancelled(tables, request)
--- a/bitternlever/pipelines/delivery.py
+++ b/bitternlever/pipelines/delivery.py
@@ -76,6 +76,23 @@
     callers.clear()
 
 
+def drop_text(
+    tables,
+    outbox: ticks.Outbox,
+    request_id: str,
+    callers: Callers,
+) -> None:
+    """Tell streaming callers who hold text that it is not that of the answer."""
+    streaming = {
+        number: caller
+        for number, caller in callers.items()
+        if caller.stream and caller.offset > 0
+    }
+    for number in streaming:
+        del callers[number]
+    problem(tables, outbox, streaming, refusals.garbled(tables, request_id))
+
+
 def state(
     tables,
     outbox: ticks.Outbox,
--- a/bitternlever/pipelines/outcomes.py
+++ b/bitternlever/pipelines/outcomes.py
@@ -12,7 +12,6 @@
     failures,
     ownership,
     progress,
-    refusals,
     stages,
     tables as pipeline_tables,
 )
@@ -121,14 +120,7 @@
     if attempt.hedge or not request.texts.get(name):
         return
     if progress.shown(request, name):
-        streaming = {
-            number: caller
-            for number, caller in request.callers.items()
-            if caller.stream
-        }
-        for number in streaming:
-            del request.callers[number]
-        delivery.problem(tables, outbox, streaming, refusals.garbled(tables, request))
+        delivery.drop_text(tables, outbox, request.request_id, request.callers)
     progress.replace(tables, now, outbox, request, name, "")
 
 
--- a/bitternlever/pipelines/refusals.py
+++ b/bitternlever/pipelines/refusals.py
@@ -77,7 +77,7 @@
     )
 
 
-def garbled(tables, request: pipeline_tables.Request) -> problems.Problem:
+def garbled(tables, request_id: str) -> problems.Problem:
     """Return the problem of a streamed text that must be fetched from its beginning."""
     return problem(
         tables,
@@ -85,7 +85,7 @@
         title="Stream garbled",
         detail="the text so far is wrong: drop it and fetch it again from offset 0",
         ran=problems.Ran.UNKNOWN,
-        request_id=request.request_id,
+        request_id=request_id,
         retry_after_s=RETRY_AFTER_S,
     )
 
--- a/bitternlever/pipelines/tables.py
+++ b/bitternlever/pipelines/tables.py
@@ -93,6 +93,7 @@
     polling: bool = False
     interval_s: float = 0.0
     next_hint_s: float = 0.0
+    generation: int | None = None
     unheard_since_s: float | None = None
 
 
--- a/bitternlever/pipelines/watch.py
+++ b/bitternlever/pipelines/watch.py
@@ -87,13 +87,15 @@
 
 
 def _open(tables, now: float, outbox: ticks.Outbox, watch, reply) -> None:
-    before = reply.offset
+    if watch.generation not in (None, reply.generation):
+        delivery.drop_text(tables, outbox, watch.request_id, watch.callers)
+    watch.generation = reply.generation
     delivery.pieces(
         outbox,
         watch.request_id,
         watch.callers,
         reply.progress,
-        start=before,
+        start=reply.offset,
     )
     for caller in [each for each in watch.callers.values() if each.once]:
         del watch.callers[caller.caller]
--- a/tests/pipelines/test_streams.py
+++ b/tests/pipelines/test_streams.py
@@ -176,6 +176,45 @@
     assert system.whole(here, later)
 
 
+def test_who_saw_a_garbled_text_on_another_host_is_told_to_drop_it():
+    here = system.create()
+    _, call = streamed(here, kind="dispute")
+    later = system.query(here, "entry-2", call.call.binding.request, stream=True)
+    system.send_part(here, call, "rxin ", 0)
+    system.pass_time(here, 1.0)
+    seen = system.text(here, later)
+    system.end_stream(here, call, "rain ")
+
+    system.next_call(here, "engines")
+    system.pass_time(here, 1.0)
+
+    assert seen == "rxin "
+    assert system.problem(here, later).title == "Stream garbled"
+
+
+def test_text_of_a_run_that_was_withdrawn_is_not_gone_on_from():
+    here = system.create()
+    first, call = streamed(here, key="p", deadline_ms=500)
+    system.send_part(here, call, "rain ", 0)
+    system.pass_time(here, 0.6)
+    held = len(system.text(here, first))
+
+    second = system.submit(
+        here,
+        "entry-2",
+        "question",
+        key="p",
+        stream=True,
+        resume_offset=held,
+        deadline_ms=500,
+    )
+    system.pass_time(here, 0.1)
+
+    assert system.problem(here, first).status == 504
+    assert held
+    assert system.problem(here, second).title == "Stream garbled"
+
+
 def test_a_garbled_text_that_nobody_saw_is_replaced():
     here = system.create()
     here.held.add("engines")
