--- a/tests/consensus/harness.py
+++ b/tests/consensus/harness.py
@@ -12,7 +12,7 @@
 import random
 from typing import Any
 
-from bitternlever.consensus import log as consensus_log, tables as consensus_tables
+from bitternlever.consensus import log, reads, tables as consensus_tables
 from bitternlever.control import tables as control_tables, tick
 from bitternlever.messages import calls, consensus, directory, frames
 from bitternlever.storage import restored as storage_restored
@@ -34,6 +34,7 @@
     frozen: bool = False
     sync_held: bool = False
     synced_s: float = 0.0
+    clock_rate: float = 1.0
     inbox: list[Any] = dataclasses.field(default_factory=list)
     writes: list[Any] = dataclasses.field(default_factory=list)
 
@@ -151,16 +152,15 @@
         persist(node.durable, message)
         if isinstance(message, consensus.WriteLog):
             return consensus.LogSynced(message.group, message.write_id)
-        return consensus.SnapshotSynced(
-            message.group,
-            message.write_id,
-            message.last_index,
-        )
+        synced = consensus.SnapshotSynced
+        return synced(message.group, message.write_id, message.last_index)
 
     def tick(self, node):
         inbox, node.inbox = node.inbox, []
-        outbox = tick.tick(node.tables, self.now, inbox)
-        node.wake_s = outbox.wake_at_s or self.now + 1.0
+        outbox = tick.tick(node.tables, self.now * node.clock_rate, inbox)
+        node.wake_s = self.now + 1.0
+        if outbox.wake_at_s is not None:
+            node.wake_s = outbox.wake_at_s / node.clock_rate
         if node.wake_s <= self.now:
             node.wake_s = self.now + 0.0001
         for message in outbox.messages:
@@ -244,16 +244,26 @@
                 first = self.leaders.setdefault(key, node.name)
                 assert first == node.name, f"two leaders in term {replica.term}"
             self.check_applied(node, group.number, replica)
+        self.check_leases()
         state = node.tables.directory.state
         before = self.manifests.get((node.name, node.run), 0)
         assert state.number >= before, "manifest reverted"
         self.manifests[(node.name, node.run)] = state.number
 
+    def check_leases(self):
+        """No two processes believe at one moment that they may serve reads."""
+        holders = [n.name for n in self.nodes.values() if n.tables and self.serves(n)]
+        assert len(holders) <= 1, f"leases of {holders} overlap"
+
+    def serves(self, node):
+        replica = node.tables.groups[0].replica
+        clock_s = self.now * node.clock_rate
+        return reads.ready(replica) and reads.lease_valid(replica, clock_s)
+
     def check_applied(self, node, number, replica):
-        log = replica.log
         newest = replica.applied_index
-        for index in range(max(log.base_index + 1, newest - 20), newest + 1):
-            entry = consensus_log.entry_at(log, index)
+        for index in range(max(replica.log.base_index + 1, newest - 20), newest + 1):
+            entry = log.entry_at(replica.log, index)
             first = self.applied.setdefault((number, index), entry)
             assert first == entry, f"{node.name} applied another entry at {index}"
 
