--- /dev/null
+++ b/bench/decision.py
@@ -0,0 +1,96 @@
+"""Measure the time of one routing decision against the known and followed upstreams."""
+
+import argparse
+import json
+import statistics
+import time
+
+from bitternlever.entry import tables as entry_tables
+from bitternlever.gossip import tables as gossip_tables, upstreams
+from bitternlever.messages import manifest, upstream
+from bitternlever.pipelines import tables as pipeline_tables
+from bitternlever.routing import choice, occupancy
+
+ZONES = 9
+WARM_UP = 200
+STAGE = manifest.Stage("write", manifest.Task.GENERATE, "engines")
+
+
+def make_tables(known: int, hosts: int) -> entry_tables.EntryTables:
+    """Make an entry host that knows upstreams with some calls of its own on each."""
+    settings = entry_tables.EntrySettings(
+        host="h0",
+        zone="zone-0",
+        address="",
+        link="",
+        incarnation="1",
+        control_nodes={},
+        seed_links=[],
+    )
+    tables = entry_tables.create(settings, seed=1)
+    for index in range(hosts - 1):
+        name = f"h{index + 1}"
+        row = gossip_tables.Host(name, "1", 1, "", "", "", False, 0, 1.0)
+        tables.membership.hosts[name] = row
+    for index in range(known):
+        name = f"engine-{index}"
+        word = upstream.Announcement(
+            name=name,
+            incarnation=1,
+            sequence=1,
+            address=name,
+            pool="engines",
+            zone=f"zone-{index % ZONES}",
+            tasks=["generate"],
+            load=upstream.LoadReport(running=3),
+        )
+        upstreams.take_announcement(tables.membership, word, 1.0)
+        load = occupancy.load_of(tables, name)
+        load.in_flight.update(f"{name}-{call}" for call in range(index % 3))
+        occupancy.sample(load, 0.5)
+    return tables
+
+
+def measure(known: int, hosts: int, count: int) -> dict:
+    """Time decisions one by one."""
+    tables = make_tables(known, hosts)
+    ready = pipeline_tables.ReadyStage(
+        request_id="r",
+        workspace="w",
+        weight=1.0,
+        kind="check",
+        priority=0,
+        stage_index=0,
+        stage=STAGE,
+        enqueued_s=1.0,
+        deadline_s=9.0,
+        stage_deadline_s=9.0,
+        durable=False,
+        prefix="p",
+        prompt_tokens=300,
+    )
+    spent = []
+    for number in range(WARM_UP + count):
+        began_s = time.perf_counter()
+        choice.choose(tables, 1.0, ready)
+        if number >= WARM_UP:
+            spent.append(time.perf_counter() - began_s)
+    return {
+        "known_upstreams": known,
+        "hosts": hosts,
+        "decisions": count,
+        "p50_us": round(statistics.median(spent) * 1e6, 1),
+        "p99_us": round(sorted(spent)[int(count * 0.99)] * 1e6, 1),
+    }
+
+
+def run(arguments: list[str]) -> int:
+    """Measure the sizes that the arguments name."""
+    parser = argparse.ArgumentParser(prog="bench decision")
+    parser.add_argument("--upstreams", type=int, nargs="+", default=[9, 16, 64, 640])
+    parser.add_argument("--hosts", type=int, default=9)
+    parser.add_argument("--count", type=int, default=5_000)
+    options = parser.parse_args(arguments)
+    for known in options.upstreams:
+        print(json.dumps(measure(known, options.hosts, options.count)), flush=True)
+    return 0
--- a/bitternlever/routing/occupancy.py
+++ b/bitternlever/routing/occupancy.py
@@ -10,6 +10,7 @@
 from bitternlever.routing import tables as routing_tables
 
 REPORT_FADES_S = 2.0
+COUNT_INTERVAL_S = 0.25
 
 
 def load_of(tables, name: str) -> routing_tables.UpstreamLoad:
@@ -22,10 +23,14 @@
 
 
 def host_count(tables, now: float) -> int:
-    """Return how many entry hosts live, this one included."""
-    oldest_s = now - peers.HOST_SILENCE_S
-    hosts = tables.membership.hosts.values()
-    return 1 + sum(host.heard_s >= oldest_s for host in hosts)
+    """Return how many entry hosts live, this one included; counted now and then."""
+    routing = tables.routing
+    if now >= routing.next_count_s:
+        routing.next_count_s = now + COUNT_INTERVAL_S
+        oldest_s = now - peers.HOST_SILENCE_S
+        rows = tables.membership.hosts.values()
+        routing.live_hosts = 1 + sum(row.heard_s >= oldest_s for row in rows)
+    return routing.live_hosts
 
 
 def others(
@@ -39,17 +44,24 @@
         return usual
     report = upstream.announcement.load
     then = own_at(load, upstream.load_s)
-    reported = max(0.0, report.running + report.waiting - then)
+    reported = report.running + report.waiting - then
+    if reported < 0:
+        reported = 0
     trust = math.exp((upstream.load_s - now) / REPORT_FADES_S)
     return trust * reported + (1.0 - trust) * usual
 
 
 def own_at(load: routing_tables.UpstreamLoad, at_s: float) -> int:
     """Return how many calls this host had there at an earlier time."""
+    if not load.samples:
+        return len(load.in_flight)
+    newest_s, count = load.samples[-1]
+    if newest_s <= at_s:
+        return count
     for sampled_s, count in reversed(load.samples):
         if sampled_s <= at_s:
             return count
-    return load.samples[0][1] if load.samples else len(load.in_flight)
+    return load.samples[0][1]
 
 
 def sample(load: routing_tables.UpstreamLoad, now: float) -> None:
--- a/bitternlever/routing/predicted.py
+++ b/bitternlever/routing/predicted.py
@@ -6,6 +6,7 @@
 
 import dataclasses
 import math
+from typing import NamedTuple
 
 from bitternlever.admission import queues
 from bitternlever.gossip import tables as gossip_tables
@@ -32,6 +33,14 @@
     held: float
 
 
+class Row(NamedTuple):
+    """An upstream, this host's view of it, and its limit."""
+
+    upstream: gossip_tables.Upstream
+    load: routing_tables.UpstreamLoad
+    limit: float
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class Pool:
     """What this host's calls in a pool say of all hosts' calls there."""
@@ -58,7 +67,12 @@
     serving: list[gossip_tables.Upstream],
 ) -> Choice | None:
     """Choose among serving upstreams; ``None`` where none has room."""
-    candidates = with_room(tables, now, ready, _admitting(tables, now, ready, serving))
+    candidates = with_room(
+        tables,
+        now,
+        ready,
+        _admitting(tables, now, ready, serving),
+    )
     if not candidates:
         return None
     work = estimates.units(tables, ready)
@@ -82,9 +96,11 @@
     serving: list[gossip_tables.Upstream],
 ) -> list[gossip_tables.Upstream]:
     """Leave out ejected upstreams, but for a probe."""
-    loads = [occupancy.load_of(tables, each.announcement.name) for each in serving]
-    if not any(load.probing for load in loads):
+    known = tables.routing.loads
+    loads = [known.get(each.announcement.name) for each in serving]
+    if not any(load is not None and load.probing for load in loads):
         return serving
+    loads = [occupancy.load_of(tables, each.announcement.name) for each in serving]
     alone = all(load.probing for load in loads)
     return [
         each
@@ -100,8 +116,8 @@
     serving: list[gossip_tables.Upstream],
 ) -> list[Candidate]:
     """Return the upstreams that this stage may bring one more call."""
-    loads = [occupancy.load_of(tables, each.announcement.name) for each in serving]
-    pool = _pool(tables, now, serving, loads)
+    rows = [_row(tables, each) for each in serving]
+    pool = _pool(tables, now, rows)
     urgent = queues.is_urgent(tables, ready.priority)
     share = 1.0 if urgent else 1.0 - queues.limits(tables).urgent_share
     part = 1.0 if urgent else pool.patient_part
@@ -110,42 +126,50 @@
         and pool.own * part < pool.limit * share / pool.hosts
     )
     found = []
-    for upstream, load in zip(serving, loads, strict=True):
+    for upstream, load, limit in rows:
         mine = len(load.in_flight)
         others = occupancy.others(now, upstream, load, pool.usual_others)
-        limit = min(load.limit, upstream.announcement.concurrency)
         kin = mine if urgent else mine - len(load.urgent)
         bound = math.ceil(limit * share)
         fits = (
             mine + others < limit - HALF_A_CALL
             and kin + others * part < bound - HALF_A_CALL
         )
-        own_share = max(1.0, limit / pool.hosts)
-        own_bound = max(1.0, bound / pool.hosts)
-        owed = starved and mine < own_share and kin < own_bound
-        if fits or owed:
+        if fits or (starved and _is_owed(pool, mine, kin, limit, bound)):
             found.append(Candidate(upstream, load, mine + others))
     return found
 
 
-def _pool(
-    tables,
-    now: float,
-    serving: list[gossip_tables.Upstream],
-    loads: list[routing_tables.UpstreamLoad],
-) -> Pool:
+def _is_owed(pool: Pool, mine: int, kin: int, limit: float, bound: int) -> bool:
+    """Tell whether a host below its share of the pool is below it here too."""
+    own_share = max(1.0, limit / pool.hosts)
+    own_bound = max(1.0, bound / pool.hosts)
+    return mine < own_share and kin < own_bound
+
+
+def _row(tables, upstream: gossip_tables.Upstream) -> Row:
+    announcement = upstream.announcement
+    load = occupancy.load_of(tables, announcement.name)
+    limit = load.limit
+    if limit > announcement.concurrency:
+        limit = float(announcement.concurrency)
+    return Row(upstream, load, limit)
+
+
+def _pool(tables, now: float, rows: list[Row]) -> Pool:
     hosts = occupancy.host_count(tables, now)
-    own = sum(len(load.in_flight) for load in loads)
-    urgent = sum(len(load.urgent) for load in loads)
-    limit = sum(
-        min(load.limit, each.announcement.concurrency)
-        for each, load in zip(serving, loads, strict=True)
-    )
+    own = 0
+    urgent = 0
+    limit = 0.0
+    for _, load, row_limit in rows:
+        own += len(load.in_flight)
+        urgent += len(load.urgent)
+        limit += row_limit
     return Pool(
         hosts=hosts,
         own=own,
         limit=limit,
-        usual_others=own / max(1, len(loads)) * (hosts - 1),
+        usual_others=own / max(1, len(rows)) * (hosts - 1),
         patient_part=1.0 if own == 0 else (own - urgent) / own,
     )
 
--- a/bitternlever/routing/prefixes.py
+++ b/bitternlever/routing/prefixes.py
@@ -18,7 +18,12 @@
     """Tell whether an upstream is believed to hold a prefix."""
     if not prefix:
         return False
-    _catch_up(load.view, upstream)
+    events = upstream.announcement.cache_events
+    view = load.view
+    if upstream.announcement.incarnation != view.incarnation or (
+        events and events[-1].number > view.number
+    ):
+        _catch_up(view, upstream)
     return prefix in load.view.prefixes
 
 
--- a/bitternlever/routing/tables.py
+++ b/bitternlever/routing/tables.py
@@ -58,7 +58,8 @@
 class RoutingTables:
     """Loads by upstream name, models by kind of work, and budgets.
 
-    ``outputs`` are the tokens that a stage usually brings, by kind of request and
+    ``live_hosts`` counts this host and the others that are heard. ``outputs`` are the
+    tokens that a stage usually brings, by kind of request and
     stage. ``turns`` serve the round robin.
     """
 
@@ -68,6 +69,8 @@
     )
     outputs: dict[tuple[str, str], float] = dataclasses.field(default_factory=dict)
     cached_share: float = 0.5
+    live_hosts: int = 1
+    next_count_s: float = 0.0
     next_sweep_s: float = 0.0
     next_probe_s: dict[str, float] = dataclasses.field(default_factory=dict)
     retry_tokens: float = 3.0
