Halve the idle cost of control: heartbeats every 0.2 s, shared by all groups

Cause: an idle leader spent 1.9% of a core (20 s, three voters, nothing to do), above the aim of 1%. It sends and takes 40 small frames a second and group, each a wake-up of both ends.

Change: a heartbeat every 0.2 s, a quarter of the election timeout, and at multiples of the interval, so that the groups of a process share ticks and frames.

--- a/bitternlever/conf/settings.py
+++ b/bitternlever/conf/settings.py
@@ -198,7 +198,7 @@
     "heartbeat_s",
     parsers.number(minimum=0.02, maximum=1, unit="seconds"),
     "Time between two heartbeats of the leader.",
-    default="0.1",
+    default="0.2",
 )
 ANSWER_RETENTION_S = Setting(
     "answer_retention_s",
--- a/bitternlever/consensus/replication.py
+++ b/bitternlever/consensus/replication.py
@@ -21,7 +21,7 @@
     if beat:
         office.round += 1
         office.rounds.append((office.round, now))
-        office.heartbeat_at_s = now + replica.settings.heartbeat_s
+        office.heartbeat_at_s = _next_beat_s(replica, now)
     outbox.wake(office.heartbeat_at_s)
     for follower, progress in office.progress.items():
         if progress.next_index <= replica.log.base_index:
@@ -29,6 +29,12 @@
         _send_entries(replica, outbox, follower, progress, beat=beat)
 
 
+def _next_beat_s(replica: tables.Replica, now: float) -> float:
+    """Return the next multiple of the interval: all groups share ticks and frames."""
+    interval_s = replica.settings.heartbeat_s
+    return (now // interval_s + 1.0) * interval_s
+
+
 def append_requested(
     replica: tables.Replica,
     now: float,
--- a/bitternlever/control/tables.py
+++ b/bitternlever/control/tables.py
@@ -36,7 +36,7 @@
     order_lease_s: float = 5.0
     order_quiet_s: float = 3.0
     election_timeout_s: float = 0.8
-    heartbeat_s: float = 0.1
+    heartbeat_s: float = 0.2
     answer_retention_s: float = 3_600.0
     maximum_journal_bytes: int = 16_000_000
     snapshot_after_entries: int = consensus_tables.SNAPSHOT_AFTER_ENTRIES
