--- a/tests/control/test_leases.py
+++ b/tests/control/test_leases.py
@@ -1,5 +1,9 @@
 """Host leases: epochs, renewals from memory, and leaders that change."""
 
+import pytest
+
+from bitternlever.consensus import tables
+from bitternlever.entry import lease
 from bitternlever.messages import directory
 from tests.consensus import harness
 
@@ -114,3 +118,38 @@
     cluster.run(0.2)
 
     assert isinstance(cluster.replies[call_id], directory.HostLeaseLost)
+
+
+def test_both_ends_of_a_lease_count_on_the_same_clock_bound():
+    assert lease.CLOCK_RATE_ERROR >= tables.CLOCK_RATE_ERROR
+
+
+@pytest.mark.parametrize("leader_dies", [False, True])
+@pytest.mark.parametrize("seed", range(4))
+def test_no_epoch_ends_before_its_holder_has_stopped(seed, leader_dies):
+    """The holder counts from the sending of its last renewal that was granted."""
+    cluster = harness.Cluster(nodes=3, seed=seed)
+    cluster.run(3.0)
+    epoch = cluster.ask(acquire()).epoch
+    cluster.run(1.3)
+    sent_s = cluster.now
+    call_id = cluster.call(renew(epoch))
+    cluster.run(0.1)
+    assert isinstance(cluster.replies[call_id], directory.HostLeaseGranted)
+    if leader_dies:
+        cluster.kill(cluster.leader())
+    stops_s = sent_s + 3.0 * (1.0 - lease.CLOCK_RATE_ERROR)
+
+    while not ended(cluster):
+        assert cluster.now < sent_s + 10.0, "the lease never ended"
+        cluster.run(0.01)
+
+    assert cluster.now >= stops_s
+
+
+def ended(cluster):
+    """Tell whether any node has applied the end of host x's epoch."""
+    return any(
+        node.tables is not None and node.tables.directory.state.hosts["x"].ended
+        for node in cluster.nodes.values()
+    )
