--- a/bitternlever/consensus/replica.py
+++ b/bitternlever/consensus/replica.py
@@ -13,6 +13,7 @@
     replication,
     snapshots,
     tables,
+    transfers,
 )
 from bitternlever.core import ticks
 from bitternlever.messages import consensus
@@ -69,9 +70,9 @@
         case consensus.AppendReply():
             replication.append_answered(replica, now, outbox, message)
         case consensus.SnapshotRequest():
-            snapshots.piece_requested(replica, now, outbox, message)
+            transfers.piece_requested(replica, now, outbox, message)
         case consensus.SnapshotReply():
-            snapshots.piece_answered(replica, now, message)
+            transfers.piece_answered(replica, now, message)
         case consensus.IdentityRequest():
             founding.identity_requested(replica, outbox, message)
         case consensus.IdentityReply():
--- a/bitternlever/consensus/replication.py
+++ b/bitternlever/consensus/replication.py
@@ -4,8 +4,8 @@
     disk,
     elections,
     log as consensus_log,
-    snapshots,
     tables,
+    transfers,
 )
 from bitternlever.core import ticks
 from bitternlever.messages import consensus
@@ -25,7 +25,7 @@
     outbox.wake(office.heartbeat_at_s)
     for follower, progress in office.progress.items():
         if progress.next_index <= replica.log.base_index:
-            snapshots.send_piece(replica, now, outbox, follower, progress)
+            transfers.send_piece(replica, now, outbox, follower, progress)
         _send_entries(replica, outbox, follower, progress, beat=beat)
 
 
--- a/bitternlever/consensus/snapshots.py
+++ b/bitternlever/consensus/snapshots.py
@@ -1,6 +1,6 @@
-"""Snapshots: taken for compaction, sent in pieces, installed once synced."""
+"""Snapshots: taken for compaction, and a leader's installed once synced."""
 
-from bitternlever.consensus import disk, log as consensus_log, replication, tables
+from bitternlever.consensus import disk, log as consensus_log, tables
 from bitternlever.core import ticks
 from bitternlever.messages import consensus
 
@@ -16,7 +16,7 @@
     if applied == 0:
         return
     index = replica.applied_index
-    _write(
+    write(
         replica,
         outbox,
         tables.PendingSnapshot(
@@ -43,7 +43,7 @@
     replica.snapshot_index = pending.last_index
     if pending.install is not None:
         _install(replica, pending)
-        _reply(
+        reply(
             replica,
             outbox,
             pending.leader,
@@ -55,105 +55,6 @@
     _compact(replica, pending.last_index)
 
 
-def send_piece(
-    replica: tables.Replica,
-    now: float,
-    outbox: ticks.Outbox,
-    follower: consensus.ReplicaId,
-    progress: tables.Progress,
-) -> None:
-    """Send the piece that the follower waits for, again after silence."""
-    if progress.transfer is None:
-        progress.transfer = _start_transfer(replica)
-    transfer = progress.transfer
-    if transfer.sent_s is not None:
-        resend_s = transfer.sent_s + tables.SNAPSHOT_RESEND_S
-        outbox.wake(resend_s)
-        if now < resend_s:
-            return
-    transfer.sent_s = now
-    end = transfer.offset + tables.SNAPSHOT_PIECE_BYTES
-    request = consensus.SnapshotRequest(
-        group=replica.settings.group,
-        term=replica.term,
-        leader=replica.settings.identity,
-        follower=follower,
-        last_index=transfer.last_index,
-        last_term=transfer.last_term,
-        membership=transfer.membership,
-        offset=transfer.offset,
-        data=transfer.data[transfer.offset : end],
-        done=end >= len(transfer.data),
-    )
-    disk.send(replica, outbox, follower, request)
-
-
-def piece_requested(
-    replica: tables.Replica,
-    now: float,
-    outbox: ticks.Outbox,
-    request: consensus.SnapshotRequest,
-) -> None:
-    """Take a piece of the leader's snapshot."""
-    if request.follower != replica.settings.identity:
-        replica.count("snapshot_for_another_disk")
-        return
-    if request.term < replica.term:
-        return
-    replication.heard_leader(replica, now, outbox, request.term, request.leader)
-    if replica.disk.snapshot is not None:
-        return
-    if request.last_index <= replica.applied_index:
-        installed = replica.disk.synced_index >= request.last_index
-        _reply(
-            replica,
-            outbox,
-            request.leader,
-            request.last_index,
-            next_offset=0,
-            installed=installed,
-        )
-        return
-    receiving = _receive(replica, request)
-    if request.done and len(receiving.data) == request.offset + len(request.data):
-        _write_received(replica, outbox, request, bytes(receiving.data))
-        return
-    _reply(
-        replica,
-        outbox,
-        request.leader,
-        request.last_index,
-        next_offset=len(receiving.data),
-        installed=False,
-    )
-
-
-def piece_answered(
-    replica: tables.Replica,
-    now: float,
-    reply: consensus.SnapshotReply,
-) -> None:
-    """Move on to the next piece, or back to the log after the last."""
-    if replica.role is not tables.Role.LEADER or reply.term != replica.term:
-        return
-    progress = replica.office.progress.get(reply.follower)
-    if progress is None or progress.transfer is None:
-        return
-    transfer = progress.transfer
-    if reply.last_index != transfer.last_index:
-        return
-    if reply.installed:
-        progress.transfer = None
-        progress.match_index = max(progress.match_index, reply.last_index)
-        progress.next_index = progress.match_index + 1
-        progress.probing = True
-        progress.probe_sent = False
-        return
-    if reply.next_offset != transfer.offset:
-        transfer.offset = reply.next_offset
-        transfer.sent_s = None
-
-
 def _compact(replica: tables.Replica, snapshot_index: int) -> None:
     """Drop the log before a snapshot but for a tail that spares others a transfer."""
     first_kept = consensus_log.tail_start(
@@ -167,64 +68,13 @@
         _drop_old_memberships(replica)
 
 
-def _start_transfer(replica: tables.Replica) -> tables.Transfer:
-    index = replica.applied_index
-    return tables.Transfer(
-        last_index=index,
-        last_term=consensus_log.term_at(replica.log, index),
-        membership=disk.membership_at(replica, index),
-        data=replica.machine.snapshot(),
-    )
-
-
-def _receive(
-    replica: tables.Replica,
-    request: consensus.SnapshotRequest,
-) -> tables.Receiving:
-    receiving = replica.receiving
-    asked = (request.last_index, request.last_term)
-    if receiving is None or (receiving.last_index, receiving.last_term) != asked:
-        receiving = tables.Receiving(*asked)
-        replica.receiving = receiving
-    fits = len(receiving.data) + len(request.data) <= tables.MAXIMUM_SNAPSHOT_BYTES
-    if request.offset == len(receiving.data) and fits:
-        receiving.data += request.data
-    return receiving
-
-
-def _write_received(
-    replica: tables.Replica,
-    outbox: ticks.Outbox,
-    request: consensus.SnapshotRequest,
-    data: bytes,
-) -> None:
-    replica.receiving = None
-    held = consensus_log.term_at(replica.log, request.last_index)
-    stale = consensus_log.last_index(replica.log) > replica.commit_index
-    if held != request.last_term and stale:
-        disk.truncate(replica, replica.commit_index + 1)
-        disk.flush(replica, outbox)
-    _write(
-        replica,
-        outbox,
-        tables.PendingSnapshot(
-            write_id=replica.disk.next_write,
-            last_index=request.last_index,
-            last_term=request.last_term,
-            membership=request.membership,
-            install=data,
-            leader=request.leader,
-        ),
-        data,
-    )
-
-
-def _write(
+def write(
     replica: tables.Replica,
     outbox: ticks.Outbox,
     pending: tables.PendingSnapshot,
     data: bytes,
 ) -> None:
+    """Hand a snapshot to the disk; one at a time."""
     replica.disk.snapshot = pending
     replica.disk.next_write += 1
     replica.applied_bytes = 0
@@ -262,7 +112,7 @@
         replica.memberships.pop(0)
 
 
-def _reply(
+def reply(
     replica: tables.Replica,
     outbox: ticks.Outbox,
     leader: consensus.ReplicaId,
@@ -271,7 +121,8 @@
     next_offset: int,
     installed: bool,
 ) -> None:
-    reply = consensus.SnapshotReply(
+    """Tell the leader which offset is wanted next, or that the snapshot is synced."""
+    message = consensus.SnapshotReply(
         group=replica.settings.group,
         term=replica.term,
         follower=replica.settings.identity,
@@ -279,4 +130,4 @@
         next_offset=next_offset,
         installed=installed,
     )
-    disk.send(replica, outbox, leader, reply)
+    disk.send(replica, outbox, leader, message)
