Count urgency across all kinds of work that share upstreams

Engines hold two models, each model has its own queue, and each queue in turn took all the room it found: priorities counted only within a queue. Ruled out: the marking of late stages (the queue of audits would have to yield to it), and the engines' own order (they get the priority with each call).

A run now takes the queue whose head is the most urgent, and goes on with it only while no other is more urgent.

Both new tests fail without the change.

--- a/bitternlever/admission/dispatch.py
+++ b/bitternlever/admission/dispatch.py
@@ -1,5 +1,6 @@
 """Dispatch: give ready stages to upstreams, in the order of their worth."""
 
+import heapq
 from collections.abc import Callable
 from typing import Any
 
@@ -37,33 +38,60 @@
 
 
 def run(tables, now: float, outbox: ticks.Outbox, launch: Launch) -> None:
-    """Launch what can be launched now, the most urgent first."""
-    for queue in tables.admission.queues.values():
-        _run_queue(tables, now, outbox, launch, queue)
-        if not queue.lanes:
-            queue.turns.clear()
-            queue.clock_s = 0.0
+    """Launch what can be launched now, the most urgent first.
+
+    Kinds of work share upstreams, so urgency counts across all queues: each goes on
+    only while no other has something more urgent at its head.
+    """
+    waiting = []
+    for number, queue in enumerate(tables.admission.queues.values()):
+        _wait_turn(tables, now, waiting, number, queue)
+    while waiting:
+        _, number, queue = heapq.heappop(waiting)
+        bound = waiting[0][0] if waiting else None
+        if _run_queue(tables, now, outbox, launch, queue, bound):
+            _wait_turn(tables, now, waiting, number, queue)
     if tables.admission.ready:
         outbox.wake(now + RETRY_INTERVAL_S)
 
 
+def _wait_turn(
+    tables,
+    now: float,
+    waiting: list,
+    number: int,
+    queue: admission_tables.WorkQueue,
+) -> None:
+    """Put a queue into the order of the heads' levels; an empty one starts afresh."""
+    level = queues.level(tables, now, queue)
+    if level is None:
+        queue.turns.clear()
+        queue.clock_s = 0.0
+        return
+    heapq.heappush(waiting, (level, number, queue))
+
+
 def _run_queue(
     tables,
     now: float,
     outbox: ticks.Outbox,
     launch: Launch,
     queue: admission_tables.WorkQueue,
-) -> None:
-    """Launch from the head until nothing has room.
+    bound: int | None,
+) -> bool:
+    """Launch from the head until nothing has room or another queue is more urgent.
 
-    A few stages may be passed over that cannot go where there is room.
+    A few stages may be passed over that cannot go where there is room. Return whether
+    the queue waits for its next turn, its head's level being above ``bound``.
     """
     passed = []
+    yielded = False
     while len(passed) < MAXIMUM_PASSED:
-        entry = queues.head(tables, now, queue)
-        if entry is None:
+        level = queues.level(tables, now, queue)
+        yielded = level is not None and bound is not None and level > bound
+        if level is None or yielded:
             break
-        ready = entry.ready
+        ready = queues.head(tables, now, queue).ready
         placement = choice.choose(tables, now, ready)
         if placement.is_ok():
             _remove(tables, ready)
@@ -76,6 +104,7 @@
         passed.append(ready)
     for ready in passed:
         push(tables, now, ready)
+    return yielded and not passed
 
 
 def _remove(tables, ready: pipeline_tables.ReadyStage) -> None:
--- a/bitternlever/admission/queues.py
+++ b/bitternlever/admission/queues.py
@@ -50,6 +50,15 @@
     return min(entry for entry in heads if _turn(queue, entry) <= earliest + SLACK_S)
 
 
+def level(
+    tables,
+    now: float,
+    queue: admission_tables.WorkQueue,
+) -> int | None:
+    """Return the most urgent level that waits in a queue; ``None`` if it is empty."""
+    return min((level for level, _ in _heads(tables, now, queue)), default=None)
+
+
 def charge(
     queue: admission_tables.WorkQueue,
     ready: pipeline_tables.ReadyStage,
--- a/tests/admission/test_dispatch.py
+++ b/tests/admission/test_dispatch.py
@@ -117,6 +117,54 @@
     assert [each.request_id for each in launched] == ["call"]
 
 
+def _generate(name, model, priority):
+    """Make a waiting stage of one of two models that share the engines."""
+    stage = manifest.Stage(
+        name=model,
+        task=manifest.Task.GENERATE,
+        pool="engines",
+        model=model,
+    )
+    return entries.ready(name, priority=priority, stage=stage)
+
+
+def test_urgency_counts_across_kinds_of_work_that_share_upstreams():
+    tables = entries.host()
+    for name, model, priority in (
+        ("audit-1", "long", 6),
+        ("audit-2", "long", 6),
+        ("claim", "short", 3),
+        ("helpline", "long", 2),
+        ("note", "short", 7),
+    ):
+        dispatch.push(tables, 0.0, _generate(name, model, priority))
+    order = []
+    for sequence in range(1, 6):
+        now = float(sequence)
+        models = ["short", "long"]
+        entries.announce(tables, now, sequence=sequence, concurrency=1, models=models)
+        [launched] = entries.run(tables, now)
+        order.append(launched.request_id)
+        entries.finish(tables, now + 0.5, launched)
+
+    assert order == ["helpline", "claim", "audit-1", "audit-2", "note"]
+
+
+def test_one_run_fills_the_room_in_the_order_of_urgency_across_kinds_of_work():
+    tables = entries.host()
+    for name, model, priority in (
+        ("audit", "long", 6),
+        ("helpline", "long", 2),
+        ("claim", "short", 3),
+    ):
+        dispatch.push(tables, 0.0, _generate(name, model, priority))
+    entries.announce(tables, 0.0, concurrency=8, models=["short", "long"])
+
+    launched = entries.run(tables, 0.0)
+
+    assert [each.request_id for each in launched] == ["helpline", "claim", "audit"]
+
+
 def test_a_stage_that_must_avoid_the_only_free_upstream_lets_others_pass():
     tables = entries.host()
     stuck = entries.ready("stuck", priority=0, excluded=frozenset(["e0"]))
