Bound the callers who wait on a host

The gate bounds requests, not those who join a run or follow one from another host. Twice the bound of requests may wait now; the next gets 503 with a time to come back, and of its request nothing is said.

Seen failing first: test_callers_of_one_key_are_bounded_on_every_host on both hosts without the checks.

--- a/bitternlever/pipelines/delivery.py
+++ b/bitternlever/pipelines/delivery.py
@@ -8,10 +8,38 @@
 
 FIRST_PROBLEM_STATUS = 400
 GONE_STATUS = 410
+CALLERS_PER_REQUEST = 2
 
 Callers = dict[int, pipeline_tables.Caller]
 
 
+def has_room(tables, caller: pipeline_tables.Caller) -> bool:
+    """Tell whether a caller may wait on this host; who waits already may go on."""
+    if caller.caller in tables.requests.callers:
+        return True
+    maximum = tables.settings.maximum_requests * CALLERS_PER_REQUEST
+    return len(tables.requests.callers) < maximum
+
+
+def refuse_caller(
+    tables,
+    outbox: ticks.Outbox,
+    request_id: str,
+    caller: pipeline_tables.Caller,
+) -> None:
+    """Tell a caller that too many wait here; of its request nothing is said."""
+    stated = refusals.problem(
+        tables,
+        status=503,
+        title="Too many callers",
+        detail=f"{len(tables.requests.callers)} callers wait on this host",
+        ran=problems.Ran.UNKNOWN,
+        request_id=request_id,
+        retry_after_s=refusals.RETRY_AFTER_S,
+    )
+    problem(tables, outbox, {caller.caller: caller}, stated)
+
+
 def pieces(
     outbox: ticks.Outbox,
     request_id: str,
--- a/bitternlever/pipelines/intake.py
+++ b/bitternlever/pipelines/intake.py
@@ -150,6 +150,9 @@
         stated = claims.other_body(tables, request_id)
         delivery.problem(tables, outbox, {caller.caller: caller}, stated)
         return
+    if not delivery.has_room(tables, caller):
+        delivery.refuse_caller(tables, outbox, request_id, caller)
+        return
     stages.attach(tables, outbox, request, caller)
 
 
--- a/bitternlever/pipelines/watch.py
+++ b/bitternlever/pipelines/watch.py
@@ -29,6 +29,9 @@
     caller: pipeline_tables.Caller,
 ) -> None:
     """Let a caller follow a request through the journal."""
+    if not delivery.has_room(tables, caller):
+        delivery.refuse_caller(tables, outbox, request_id, caller)
+        return
     watch = tables.requests.watches.get(request_id)
     if watch is None:
         watch = pipeline_tables.Watch(
--- a/tests/pipelines/system.py
+++ b/tests/pipelines/system.py
@@ -51,6 +51,7 @@
     hosts: int = 2,
     settings: journal_tables.JournalSettings | None = None,
     gossip: bool = False,
+    maximum_requests: int = 5_000,
 ) -> System:
     """Start a control process, entry hosts and two upstreams for each pool.
 
@@ -74,13 +75,18 @@
     names = [f"entry-{number}" for number in range(1, hosts + 1)]
     for name in names:
         seeds = [network.link(each) for each in names] if gossip else []
-        start(made, name, seeds)
+        start(made, name, seeds, maximum_requests)
     _announce(made)
     world.pass_time(here, SETTLE_S)
     return made
 
 
-def start(system: System, name: str, seed_links: list[str]) -> None:
+def start(
+    system: System,
+    name: str,
+    seed_links: list[str],
+    maximum_requests: int,
+) -> None:
     """Start an entry host."""
     settings = entry_tables.EntrySettings(
         host=name.removeprefix("entry-"),
@@ -90,6 +96,7 @@
         incarnation="1",
         control_nodes={CONTROL: network.link(CONTROL)},
         seed_links=seed_links,
+        maximum_requests=maximum_requests,
     )
     process = world.Process(
         name=name,
--- a/tests/pipelines/test_keys.py
+++ b/tests/pipelines/test_keys.py
@@ -1,5 +1,7 @@
 """Idempotency keys: one run and one answer on all hosts."""
 
+import pytest
+
 from bitternlever.messages import journal, problems, requests
 from tests.pipelines import system
 
@@ -21,6 +23,22 @@
     assert len(system.calls_of(here, "engines")) == 1
 
 
+@pytest.mark.parametrize("host", ["entry-1", "entry-2"])
+def test_callers_of_one_key_are_bounded_on_every_host(host):
+    here = system.create(maximum_requests=2)
+    here.held.add("engines")
+    system.submit(here, "entry-1", "question", key="rot")
+    system.until(here, lambda: system.calls_of(here, "engines"))
+
+    callers = [system.submit(here, host, "question", key="rot") for _ in range(6)]
+    system.pass_time(here, 0.5)
+
+    refused = [each for each in callers if system.problem(here, each)]
+    assert refused
+    assert len(system.tables(here, host).requests.callers) == 4
+    assert system.problem(here, refused[0]).ran is problems.Ran.UNKNOWN
+
+
 def test_the_same_key_later_gets_the_stored_bytes_on_another_host():
     here = system.create()
     first = system.submit(here, "entry-1", "question", key="rot")
