Join the pieces that wait for a slow caller

Cause: a caller that does not read its stream fills a queue of 100,000 messages; the next one raised QueueFull, which ends the process as a broken invariant.

Change: pieces that continue each other wait as one, so what waits is bounded by the size of the answer. The test of a stream hands out its pieces one by one, so that each still arrives as its own event.

--- a/bitternlever/http/callers.py
+++ b/bitternlever/http/callers.py
@@ -185,7 +185,7 @@
 
 async def _final(exchange: exchanges.Exchange) -> Any:
     while True:
-        message = await exchange.queue.get()
+        message = await exchanges.receive(exchange)
         if not isinstance(message, requests.StreamPiece):
             return message
 
@@ -217,7 +217,7 @@
     ):
         shared.on_event(make_message(exchange.caller, hop.traceparent))
         try:
-            first = await exchange.queue.get()
+            first = await exchanges.receive(exchange)
             if isinstance(first, requests.ProblemAnswer | requests.RequestState):
                 return respond(first)
             return await _send_events(request, exchange, first)
@@ -256,7 +256,10 @@
     """Wait for the core's next message; a comment now and then shows life."""
     while True:
         try:
-            return await asyncio.wait_for(exchange.queue.get(), KEEP_ALIVE_INTERVAL_S)
+            return await asyncio.wait_for(
+                exchanges.receive(exchange),
+                KEEP_ALIVE_INTERVAL_S,
+            )
         except TimeoutError:
             await response.write(COMMENT)
 
--- a/bitternlever/http/operators.py
+++ b/bitternlever/http/operators.py
@@ -184,7 +184,7 @@
             ),
         )
         try:
-            answer = await exchange.queue.get()
+            answer = await exchanges.receive(exchange)
         except asyncio.CancelledError:
             shared.on_event(requests.CallerGone(caller=exchange.caller))
             raise
