Count a caller that reads nothing for 30 s as gone

Cause: a write to a caller that reads nothing waits for ever and keeps its exchange and its request open. Not shown by a test: it would take 30 s of real time.

--- a/bitternlever/http/callers.py
+++ b/bitternlever/http/callers.py
@@ -16,6 +16,7 @@
 MAXIMUM_KEY_LENGTH = 200
 MAXIMUM_OFFSET_DIGITS = 12
 KEEP_ALIVE_INTERVAL_S = 1.0
+CALLER_SILENCE_S = 30.0
 COMMENT = b": waiting\n\n"
 
 MakeMessage = Callable[[int, str | None], Any]
@@ -241,17 +242,25 @@
     await response.prepare(request)
     message = first
     while isinstance(message, requests.StreamPiece):
-        await response.write(responses.piece_event(message))
+        await _write(response, responses.piece_event(message))
         message = await _next(exchange, response)
     if isinstance(message, requests.WholeAnswer):
-        await response.write(responses.end_event(message))
+        await _write(response, responses.end_event(message))
     elif isinstance(message, requests.ProblemAnswer):
         data = responses.encode_problem(message.problem)
-        await response.write(responses.event("problem", data))
+        await _write(response, responses.event("problem", data))
     await response.write_eof()
     return response
 
 
+async def _write(response: web.StreamResponse, data: bytes) -> None:
+    """Write to a caller; one that reads nothing for too long counts as gone."""
+    try:
+        await asyncio.wait_for(response.write(data), CALLER_SILENCE_S)
+    except TimeoutError:
+        raise ConnectionResetError("the caller reads nothing") from None
+
+
 async def _next(exchange: exchanges.Exchange, response: web.StreamResponse) -> Any:
     """Wait for the core's next message; a comment now and then shows life."""
     while True:
@@ -261,7 +270,7 @@
                 KEEP_ALIVE_INTERVAL_S,
             )
         except TimeoutError:
-            await response.write(COMMENT)
+            await _write(response, COMMENT)
 
 
 def _hop(request: web.Request, shared: state.State) -> Any:
