--- a/bitternlever/conf/settings.py
+++ b/bitternlever/conf/settings.py
@@ -210,7 +210,7 @@
     "maximum_journal_bytes",
     parsers.whole(minimum=100_000, maximum=1_000_000_000, unit="bytes"),
     "Size of the journal's state; above it new claims are refused with 503.",
-    default="16000000",
+    default="9000000",
 )
 
 COMMON = (
--- a/bitternlever/control/tables.py
+++ b/bitternlever/control/tables.py
@@ -38,7 +38,7 @@
     election_timeout_s: float = 0.8
     heartbeat_s: float = 0.2
     answer_retention_s: float = 3_600.0
-    maximum_journal_bytes: int = 16_000_000
+    maximum_journal_bytes: int = 9_000_000
     snapshot_after_entries: int = consensus_tables.SNAPSHOT_AFTER_ENTRIES
 
 
--- a/bitternlever/journal/tables.py
+++ b/bitternlever/journal/tables.py
@@ -90,7 +90,7 @@
     least ``acknowledged_key_ms``: where there is room, for the whole retention.
     """
 
-    maximum_bytes: int = 16_000_000
+    maximum_bytes: int = 9_000_000
     maximum_requests: int = 50_000
     answer_retention_ms: int = 3_600_000
     acknowledged_body_ms: int = 15_000
