Hand over leadership when a control process is told to stop

A stopped leader cost its groups an election timeout without commits, also on a planned restart. Leadership transfer (Ongaro's thesis, section 3.10): the stopping leader takes no proposals, waits until its log is committed and sends TimeoutNow to a voter that holds all of it; from then on it has no leader lease. The voter's requests for votes are marked, so that voters that hear the old leader may grant them. The process ends once every group that it led is led elsewhere, or after 1 s; a second signal ends it at once.

--- a/bench/control_processes.py
+++ b/bench/control_processes.py
@@ -28,6 +28,7 @@
 PERCENT = 100
 BODY_BYTES = 2_000
 FILLING_CALLERS = 32
+STOP_WATCH_S = 3.0
 
 
 class Client:
@@ -92,12 +93,14 @@
     parser = argparse.ArgumentParser(prog="sh scripts/bench control-processes")
     parser.add_argument("--seconds", type=float, default=3.0)
     parser.add_argument("--voters", type=int, nargs="*", default=[3, 5])
+    parser.add_argument("--stops", type=int, default=5)
+    parser.add_argument("--only-stops", action="store_true")
     options = parser.parse_args(arguments)
     for voters in options.voters:
         with tempfile.TemporaryDirectory() as folder:
             processes = Processes(pathlib.Path(folder), voters)
             try:
-                asyncio.run(_measure(processes, options.seconds))
+                asyncio.run(_measure(processes, options))
             finally:
                 processes.stop()
     return 0
@@ -159,13 +162,19 @@
             process.wait(timeout=GIVE_UP_S)
 
 
-async def _measure(processes: Processes, seconds: float) -> None:
+async def _measure(processes: Processes, options: argparse.Namespace) -> None:
+    seconds = options.seconds
     nodes = {f"control-{name}": link for name, link in processes.link.items()}
     client = Client(nodes, processes.own_link)
     started_s = time.monotonic()
     await client.ask(directory.GROUP, directory.GetManifest())
     voters = len(processes.names)
     _print("start", voters, seconds_to_first_read=_since(started_s))
+    for _ in range(options.stops):
+        await _stopped(processes, client)
+    if options.only_stops:
+        links.close(client.links)
+        return
     await _idle(processes, client, seconds)
     for outstanding in (1, 8, 32, 128):
         await _commits(processes, client, outstanding, seconds)
@@ -276,6 +285,31 @@
     await asyncio.sleep(2.0)
 
 
+async def _stopped(processes: Processes, client: Client) -> None:
+    """Stop the journal's leader as systemd does; measure the pause of commits."""
+    group = journal.FIRST_GROUP
+    await client.ask(group, _withdrawal("r-before"))
+    name = client.leaders[group].removeprefix("control-")
+    process = processes.running[name]
+    process.terminate()
+    last_s = time.monotonic()
+    longest_s = 0.0
+    end_s = last_s + STOP_WATCH_S
+    while time.monotonic() < end_s:
+        await client.ask(group, _withdrawal("r-after"))
+        longest_s = max(longest_s, time.monotonic() - last_s)
+        last_s = time.monotonic()
+    exit_code = process.wait(timeout=GIVE_UP_S)
+    _print(
+        "leader-stopped",
+        len(processes.names),
+        longest_pause_s=round(longest_s, 3),
+        exit_code=exit_code,
+    )
+    processes.start(name)
+    await asyncio.sleep(2.0)
+
+
 async def _frozen(processes: Processes, client: Client) -> None:
     """Freeze the leader past its lease; no read of it may be older than the others'."""
     first = directory.AcquireHostLease("bench", "run-1", "a", processes.own_link, "")
--- a/bitternlever/consensus/elections.py
+++ b/bitternlever/consensus/elections.py
@@ -23,7 +23,7 @@
             return
         outbox.wake(lost_at_s)
         return
-    if not tables.is_voter(replica):
+    if replica.stopping or not tables.is_voter(replica):
         return
     if now >= replica.election_at_s:
         _start_pre_vote(replica, now, outbox)
@@ -81,11 +81,14 @@
     outbox: ticks.Outbox,
     request: consensus.VoteRequest,
 ) -> None:
-    """Give or refuse a vote; a candidate is ignored while a leader is heard."""
+    """Give or refuse a vote; a candidate is ignored while a leader is heard.
+
+    Not so where that leader itself has asked for the election: it gave up its lease.
+    """
     if replica.membership is None:
         replica.count("vote_without_membership")
         return
-    if _hears_leader(replica, now):
+    if _hears_leader(replica, now) and not request.handover:
         return
     if request.term < replica.term:
         _reply(replica, outbox, request, replica.term, granted=False)
@@ -144,12 +147,24 @@
     _count_votes(replica, now, outbox)
 
 
-def _start_election(replica: tables.Replica, outbox: ticks.Outbox) -> None:
+def start_handover(replica: tables.Replica, now: float, outbox: ticks.Outbox) -> None:
+    """Begin the election that the leader asked for, without a pre-vote."""
+    replica.leader = None
+    reset_timer(replica, now)
+    _start_election(replica, outbox, handover=True)
+
+
+def _start_election(
+    replica: tables.Replica,
+    outbox: ticks.Outbox,
+    *,
+    handover: bool = False,
+) -> None:
     replica.role = tables.Role.CANDIDATE
     replica.votes = set()
     disk.set_hard_state(replica, replica.term + 1, replica.settings.identity)
     replica.matched_index = 0
-    _ask_for_votes(replica, outbox, replica.term, pre_vote=False)
+    _ask_for_votes(replica, outbox, replica.term, pre_vote=False, handover=handover)
 
 
 def _ask_for_votes(
@@ -158,6 +173,7 @@
     term: int,
     *,
     pre_vote: bool,
+    handover: bool = False,
 ) -> None:
     request = consensus.VoteRequest(
         group=replica.settings.group,
@@ -166,6 +182,7 @@
         last_index=consensus_log.last_index(replica.log),
         last_term=consensus_log.last_term(replica.log),
         pre_vote=pre_vote,
+        handover=handover,
     )
     for peer in tables.voters(replica.membership):
         if peer != replica.settings.identity:
--- a/bitternlever/consensus/reads.py
+++ b/bitternlever/consensus/reads.py
@@ -20,6 +20,8 @@
     """Tell whether no other leader can have been elected before ``now``."""
     if replica.role is not tables.Role.LEADER or replica.disk.failed is not None:
         return False
+    if replica.office.handover_sent_s is not None:
+        return False
     lease_s = replica.settings.election_timeout_s * (1.0 - tables.CLOCK_RATE_ERROR)
     return now < _quorum_contact_s(replica, now) + lease_s
 
--- a/bitternlever/consensus/replacement.py
+++ b/bitternlever/consensus/replacement.py
@@ -57,6 +57,8 @@
     """Take the next step of a replacement when it is safe."""
     if replica.role is not tables.Role.LEADER or not _settled(replica):
         return
+    if replica.stopping:
+        return
     membership = replica.membership
     if membership.replacing is None:
         return
--- a/bitternlever/consensus/replica.py
+++ b/bitternlever/consensus/replica.py
@@ -7,6 +7,7 @@
     disk,
     elections,
     founding,
+    handover,
     log as consensus_log,
     reads,
     replacement,
@@ -61,10 +62,8 @@
     if replica.disk.failed is not None:
         return
     match message:
-        case consensus.VoteRequest():
-            elections.vote_requested(replica, now, outbox, message)
-        case consensus.VoteReply():
-            elections.vote_received(replica, now, outbox, message)
+        case consensus.VoteRequest() | consensus.VoteReply() | consensus.TimeoutNow():
+            _receive_of_election(replica, now, outbox, message)
         case consensus.AppendRequest():
             replication.append_requested(replica, now, outbox, message)
         case consensus.AppendReply():
@@ -79,6 +78,21 @@
             founding.identity_received(replica, now, message)
 
 
+def _receive_of_election(
+    replica: tables.Replica,
+    now: float,
+    outbox: ticks.Outbox,
+    message: consensus.VoteRequest | consensus.VoteReply | consensus.TimeoutNow,
+) -> None:
+    match message:
+        case consensus.VoteRequest():
+            elections.vote_requested(replica, now, outbox, message)
+        case consensus.VoteReply():
+            elections.vote_received(replica, now, outbox, message)
+        case consensus.TimeoutNow():
+            handover.timeout_now(replica, now, outbox, message)
+
+
 def disk_event(
     replica: tables.Replica,
     now: float,
@@ -112,6 +126,7 @@
     commits.run(replica, now, outbox)
     replacement.run(replica, now)
     reads.run(replica, now, outbox)
+    handover.run(replica, now, outbox)
     snapshots.run(replica, outbox)
 
 
--- a/bitternlever/consensus/tables.py
+++ b/bitternlever/consensus/tables.py
@@ -178,7 +178,10 @@
 
 @dataclasses.dataclass(slots=True)
 class Office:
-    """What only a leader holds; emptied when it steps down."""
+    """What only a leader holds; emptied when it steps down.
+
+    Once ``handover_sent_s`` is set the leader has no lease for the rest of its term.
+    """
 
     progress: dict[consensus.ReplicaId, Progress] = dataclasses.field(
         default_factory=dict,
@@ -195,11 +198,13 @@
     reads: collections.deque[WaitingRead] = dataclasses.field(
         default_factory=collections.deque,
     )
+    handover_sent_s: float | None = None
+    handovers: int = 0
 
 
 @dataclasses.dataclass(slots=True)
 class Replica:
-    """One replica of one group."""
+    """One replica of one group; ``stopping`` once its process was told to stop."""
 
     settings: ReplicaSettings
     random: random.Random
@@ -229,6 +234,7 @@
     ask_at_s: float = 0.0
     applied_bytes: int = 0
     snapshot_index: int = 0
+    stopping: bool = False
     counters: dict[str, int] = dataclasses.field(default_factory=dict)
 
     def count(self, name: str) -> None:
--- a/bitternlever/control/answers.py
+++ b/bitternlever/control/answers.py
@@ -69,6 +69,9 @@
         on_answer(now, outbox, _busy(call, NOT_READY_S))
         return
     command = call.command
+    if replica.stopping and isinstance(command, directory.ReplaceReplica):
+        on_answer(now, outbox, _busy(call, NOT_READY_S))
+        return
     if isinstance(command, group.machine.reads):
         _read(group, now, outbox, call, on_answer)
     elif isinstance(command, directory.ReplaceReplica):
@@ -102,6 +105,9 @@
     command: calls.Command | None = None,
 ) -> None:
     command = command or call.command
+    if group.replica.stopping:
+        on_answer(now, outbox, _busy(call, NOT_READY_S))
+        return
     data = machines.encode_command(command)
     if not commits.has_room(group.replica, len(data)):
         on_answer(now, outbox, _busy(call, BUSY_S))
--- a/bitternlever/control/office.py
+++ b/bitternlever/control/office.py
@@ -20,7 +20,7 @@
 ) -> None:
     """Run the leader's duties of every group that this process leads."""
     for group in tables.groups.values():
-        if not reads.ready(group.replica):
+        if group.replica.stopping or not reads.ready(group.replica):
             continue
         propose = functools.partial(_propose, group)
         hint = functools.partial(_hint, tables, outbox)
--- a/bitternlever/control/shell.py
+++ b/bitternlever/control/shell.py
@@ -37,10 +37,16 @@
     links: links.Links
     writer: writer.Writer
     observer: observer.Observer
+    stopped: asyncio.Future
+    signals: int = 0
 
 
 async def run(settings: configuration.ControlConfiguration) -> int:
-    """Run a control process until a signal ends it; return its exit code."""
+    """Run a control process until a signal ends it; return its exit code.
+
+    The process first hands over the groups that it leads; a second signal ends it
+    at once.
+    """
     loaded = store.load(settings.data_folder)
     if loaded.is_err():
         events.STORE_REFUSED.log(logger, reason=str(loaded.err()))
@@ -72,25 +78,26 @@
             ),
         ),
         observer=observer.Observer(),
+        stopped=loop.create_future(),
     )
+    signal_events = reactivex.subject.Subject()
     running = runner.start(
         tick=functools.partial(tick.tick, tables),
         deliver=functools.partial(_deliver, shell),
         flush=functools.partial(links.flush, shell.links),
-        sources=[peer_events, disk_events],
+        sources=[peer_events, disk_events, signal_events],
     )
     stop_metrics = metrics.start(
         settings,
         "bitternlever-control",
         [metrics.links_source(shell.links)],
     )
-    stopped = loop.create_future()
     for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, _stop, stopped)
+        loop.add_signal_handler(number, _signalled, shell, signal_events.on_next)
     events.PROGRAM_STARTED.log(logger, program="control", host=settings.host)
     _observe(shell)
     await asyncio.wait(
-        [stopped, running.failed],
+        [shell.stopped, running.failed],
         return_when=asyncio.FIRST_COMPLETED,
     )
     exit_code = _exit_code(running)
@@ -118,9 +125,18 @@
     return EXIT_BROKEN_INVARIANT
 
 
-def _stop(stopped: asyncio.Future) -> None:
-    if not stopped.done():
-        stopped.set_result(None)
+def _signalled(shell: Shell, on_event: Any) -> None:
+    """Hand over at the first signal; end at once at the second."""
+    shell.signals += 1
+    if shell.signals > 1:
+        _end(shell)
+        return
+    on_event(consensus.StopRequested())
+
+
+def _end(shell: Shell) -> None:
+    if not shell.stopped.done():
+        shell.stopped.set_result(None)
 
 
 def _disk_event(on_event: Any, message: Any) -> None:
@@ -135,6 +151,8 @@
             links.send(shell.links, message)
         case consensus.WriteLog() | consensus.WriteSnapshot():
             writer.submit(shell.writer, message)
+        case consensus.Stopped():
+            _end(shell)
 
 
 def _core_settings(
--- a/bitternlever/control/tables.py
+++ b/bitternlever/control/tables.py
@@ -78,7 +78,8 @@
 
     ``links`` maps the nodes that were heard to their addresses. ``fences`` holds
     the epochs that journal groups still have to learn, by group and host;
-    ``replacements`` what they last said of a replacement.
+    ``replacements`` what they last said of a replacement. ``stop_at_s`` is set once
+    the process was told to stop, and ``handed_over`` names the groups it led then.
     """
 
     settings: ControlSettings
@@ -94,6 +95,8 @@
     )
     own_calls: dict[int, OwnCall] = dataclasses.field(default_factory=dict)
     next_call: int = 0
+    stop_at_s: float | None = None
+    handed_over: set[int] = dataclasses.field(default_factory=set)
     counters: dict[str, int] = dataclasses.field(default_factory=dict)
 
     def count(self, name: str) -> None:
--- a/bitternlever/control/tick.py
+++ b/bitternlever/control/tick.py
@@ -3,7 +3,13 @@
 from typing import Any
 
 from bitternlever.consensus import replica
-from bitternlever.control import answers, office, own_calls, tables as control_tables
+from bitternlever.control import (
+    answers,
+    office,
+    own_calls,
+    stopping,
+    tables as control_tables,
+)
 from bitternlever.core import ticks
 from bitternlever.messages import calls, consensus, directory, frames
 
@@ -28,6 +34,7 @@
     for group in tables.groups.values():
         replica.replicate(group.replica, now, outbox)
         replica.flush(group.replica, outbox)
+    stopping.run(tables, now, outbox)
     if not _leads_directory(tables):
         tables.directory.changed_hosts.clear()
         tables.own_calls.clear()
@@ -44,6 +51,9 @@
     if isinstance(message, DISK_EVENTS):
         _receive_disk(tables, now, outbox, message)
         return
+    if isinstance(message, consensus.StopRequested):
+        stopping.request(tables, now)
+        return
     if isinstance(message, frames.PeerReceived):
         _receive_peer(tables, now, outbox, message)
 
--- a/bitternlever/messages/consensus.py
+++ b/bitternlever/messages/consensus.py
@@ -52,7 +52,11 @@
 
 
 class VoteRequest(msgspec.Struct, tag=True, frozen=True):
-    """Ask for a vote, or with ``pre_vote`` whether one would be given."""
+    """Ask for a vote, or with ``pre_vote`` whether one would be given.
+
+    ``handover`` marks the election that a leader has asked for: voters may grant it
+    although they still hear that leader.
+    """
 
     group: int
     term: int
@@ -60,6 +64,19 @@
     last_index: int
     last_term: int
     pre_vote: bool
+    handover: bool = False
+
+
+class TimeoutNow(msgspec.Struct, tag=True, frozen=True):
+    """Ask a voter to begin an election at once; its leader gives up its lease.
+
+    It counts only for this follower's disk, in this term and under this leader.
+    """
+
+    group: int
+    term: int
+    leader: ReplicaId
+    follower: ReplicaId
 
 
 class VoteReply(msgspec.Struct, tag=True, frozen=True):
@@ -157,6 +174,7 @@
 Message = (
     VoteRequest
     | VoteReply
+    | TimeoutNow
     | AppendRequest
     | AppendReply
     | SnapshotRequest
@@ -217,3 +235,11 @@
 
     group: int
     reason: str
+
+
+class StopRequested(msgspec.Struct, tag=True, frozen=True):
+    """The process was told to stop: hand over every group that it leads."""
+
+
+class Stopped(msgspec.Struct, tag=True, frozen=True):
+    """The process leads no group any more, or its time has run out: end it."""
--- a/bitternlever/messages/frames.py
+++ b/bitternlever/messages/frames.py
@@ -23,6 +23,7 @@
     | gossip.Gossip
     | consensus.VoteRequest
     | consensus.VoteReply
+    | consensus.TimeoutNow
     | consensus.AppendRequest
     | consensus.AppendReply
     | consensus.SnapshotRequest
--- a/tests/consensus/disturbances.py
+++ b/tests/consensus/disturbances.py
@@ -6,6 +6,7 @@
 from tests.consensus import harness
 
 SETTLE_S = 8.0
+STOP_S = 1.5
 REPLACE_S = 30.0
 
 
@@ -50,6 +51,11 @@
         if self.cluster.nodes[name].tables is not None:
             self.cluster.kill(name)
 
+    def stop(self, position):
+        name = self._name(position)
+        if self.cluster.nodes[name].tables is not None:
+            self.cluster.stop(name)
+
     def restart(self):
         for name, node in self.cluster.nodes.items():
             if node.tables is None:
@@ -102,6 +108,7 @@
         """End all disturbances; then everything accepted must be there."""
         self.heal()
         self.thaw()
+        self.cluster.run(STOP_S)
         self.restart()
         self.cluster.run(SETTLE_S)
         end = self.cluster.now + REPLACE_S
@@ -135,6 +142,7 @@
         lambda: disturber.wait(chooser.uniform(0.001, 0.05)),
         lambda: disturber.wait(chooser.uniform(0.1, 3.0)),
         lambda: disturber.kill(chooser.randrange(nodes)),
+        lambda: disturber.stop(chooser.randrange(nodes)),
         disturber.restart,
         lambda: disturber.isolate(chooser.randrange(nodes)),
         lambda: disturber.cut_one_way(
--- a/tests/consensus/harness.py
+++ b/tests/consensus/harness.py
@@ -102,6 +102,10 @@
             persist(node.durable, message)
         node.writes = []
 
+    def stop(self, name):
+        """Tell a process to stop; it ends when its core says so."""
+        self.post(0.0, self.nodes[name], consensus.StopRequested())
+
     def lose_disk(self, name):
         """End a process together with its disk, and start it on an empty one."""
         self.kill(name)
@@ -166,13 +170,15 @@
         for message in outbox.messages:
             if isinstance(message, frames.SendPeer):
                 self.send(node, message)
-            else:
+            elif not isinstance(message, consensus.Stopped):
                 node.writes.append(message)
                 if not node.sync_held:
                     node.synced_s = max(self.now, node.synced_s)
                     node.synced_s += self.random.uniform(*SYNC_S)
                     self.post(node.synced_s - self.now, node, message)
         self.check(node)
+        if consensus.Stopped() in outbox.messages:
+            self.kill(node.name)
 
     def post(self, delay_s, node, message):
         entry = (self.now + delay_s, next(self.order), node.name, node.run, message)
--- a/tests/consensus/test_properties.py
+++ b/tests/consensus/test_properties.py
@@ -35,6 +35,10 @@
     def kill(self, position):
         self.disturber.kill(position)
 
+    @hypothesis.stateful.rule(position=positions)
+    def stop(self, position):
+        self.disturber.stop(position)
+
     @hypothesis.stateful.rule()
     def restart(self):
         self.disturber.restart()
