Let waiting stages rise after 30 s, with more slack for deadlines

Ageing takes 30 s a level, and workspaces may be 2 s of service ahead of each other before turns go before deadlines.

--- a/bitternlever/admission/queues.py
+++ b/bitternlever/admission/queues.py
@@ -14,9 +14,9 @@
 from bitternlever.pipelines import tables as pipeline_tables
 from bitternlever.routing import estimates, policies
 
-AGEING_S = 15.0
+AGEING_S = 30.0
 LATE_LEVELS = 4
-SLACK_S = 0.5
+SLACK_S = 2.0
 
 
 def add(tables, now: float, ready: pipeline_tables.ReadyStage) -> None:
