Tell the id of an accepted stream before its first piece

Cause: a caller of a journaled stream learnt nothing until the first piece: not the id to ask with when its host dies, and no sign of life. A client that waits on a dead host noticed it only after its own 30 s.

Change: the core says when a claim is committed, and the HTTP side begins the stream at once, with the id in its header and a comment every second. A problem after that comes as an event of the stream.

Before: the two new tests fail (no header, no message). After: they pass; demo and 236 tests of requests, client and scenarios pass.

--- a/bitternlever/http/callers.py
+++ b/bitternlever/http/callers.py
@@ -18,6 +18,7 @@
 KEEP_ALIVE_INTERVAL_S = 1.0
 CALLER_SILENCE_S = 30.0
 COMMENT = b": waiting\n\n"
+NOT_FINAL = (requests.RequestAccepted, requests.StreamPiece)
 
 MakeMessage = Callable[[int, str | None], Any]
 
@@ -187,7 +188,7 @@
 async def _final(exchange: exchanges.Exchange) -> Any:
     while True:
         message = await exchanges.receive(exchange)
-        if not isinstance(message, requests.StreamPiece):
+        if not isinstance(message, NOT_FINAL):
             return message
 
 
@@ -210,7 +211,7 @@
 ) -> web.StreamResponse:
     """Send a message to the core and stream its answer as server-sent events.
 
-    An answer without any piece before it keeps its own status and form.
+    An answer before the request is accepted keeps its own status and form.
     """
     with (
         _hop(request, shared) as hop,
@@ -241,8 +242,9 @@
     )
     await response.prepare(request)
     message = first
-    while isinstance(message, requests.StreamPiece):
-        await _write(response, responses.piece_event(message))
+    while isinstance(message, NOT_FINAL):
+        if isinstance(message, requests.StreamPiece):
+            await _write(response, responses.piece_event(message))
         message = await _next(exchange, response)
     if isinstance(message, requests.WholeAnswer):
         await _write(response, responses.end_event(message))
--- a/bitternlever/messages/requests.py
+++ b/bitternlever/messages/requests.py
@@ -60,6 +60,13 @@
     caller: int
 
 
+class RequestAccepted(msgspec.Struct, tag=True):
+    """A claim is committed: a streamed answer will come, under this id."""
+
+    caller: int
+    request_id: str
+
+
 class StreamPiece(msgspec.Struct, tag=True):
     """A piece of streamed output for a caller, beginning at ``offset``."""
 
--- a/bitternlever/pipelines/claims.py
+++ b/bitternlever/pipelines/claims.py
@@ -72,6 +72,8 @@
 
 
 def _claimed(tables, now: float, outbox: ticks.Outbox, request, reply) -> None:
+    if isinstance(reply, journal.Claimed | journal.TakenOver):
+        delivery.accepted(outbox, request.request_id, request.callers)
     match reply:
         case journal.Claimed():
             _begin(tables, now, outbox, request)
--- a/bitternlever/pipelines/delivery.py
+++ b/bitternlever/pipelines/delivery.py
@@ -40,6 +40,19 @@
     problem(tables, outbox, {caller.caller: caller}, stated)
 
 
+def accepted(
+    outbox: ticks.Outbox,
+    request_id: str,
+    callers: dict[int, pipeline_tables.Caller],
+) -> None:
+    """Tell the callers of a stream at once under which id their answer will come."""
+    for caller in callers.values():
+        if caller.stream:
+            outbox.send(
+                requests.RequestAccepted(caller=caller.caller, request_id=request_id),
+            )
+
+
 def pieces(
     outbox: ticks.Outbox,
     request_id: str,
--- a/tests/http/test_calls.py
+++ b/tests/http/test_calls.py
@@ -227,6 +227,16 @@
     ]
 
 
+async def test_the_id_of_an_accepted_stream_comes_before_its_first_piece(core):
+    core.answers = [requests.RequestAccepted(caller=0, request_id="r-1")]
+
+    body = BODY | {"stream": True}
+    response = await core.client.post(URL, json=body, headers=bearer())
+
+    assert response.headers["Bitternlever-Request-Id"] == "r-1"
+    assert await response.content.readuntil(b"\n\n") == b": waiting\n\n"
+
+
 async def test_a_caller_that_goes_is_reported(core):
     task = asyncio.ensure_future(
         core.client.post(URL, json=BODY, headers=bearer()),
--- a/tests/pipelines/system.py
+++ b/tests/pipelines/system.py
@@ -195,6 +195,11 @@
     return None if told is None else told.problem
 
 
+def accepted(system: System, caller: int) -> requests.RequestAccepted | None:
+    """Return what a caller was told when its request was accepted."""
+    return _last(system, caller, requests.RequestAccepted)
+
+
 def text(system: System, caller: int) -> str:
     """Return the text that a caller was streamed, in its order."""
     pieces = [
--- a/tests/pipelines/test_streams.py
+++ b/tests/pipelines/test_streams.py
@@ -49,6 +49,16 @@
     assert system.text(here, caller) == "rain "
 
 
+def test_a_journaled_stream_tells_its_id_before_any_text():
+    here = system.create()
+    here.held.add("encoders")
+    caller = system.submit(here, "entry-1", "question", stream=True, key="p")
+    system.pass_time(here, 0.5)
+
+    assert system.text(here, caller) == ""
+    assert system.accepted(here, caller).request_id.startswith("k-")
+
+
 def test_text_that_arrived_during_a_commit_waits_for_its_own():
     here = system.create()
     caller, call = streamed(here, key="p")
--- a/tests/scenarios/callers.py
+++ b/tests/scenarios/callers.py
@@ -181,7 +181,16 @@
     )
 
 
+def _take_accepted(
+    crowd: Crowd,
+    caller: Caller,
+    message: requests.RequestAccepted,
+) -> None:
+    _accepted(crowd, caller, message.request_id)
+
+
 RECEIVERS = {
+    requests.RequestAccepted: _take_accepted,
     requests.StreamPiece: _take_piece,
     requests.WholeAnswer: _take_answer,
     requests.ProblemAnswer: _take_problem,
