--- a/tests/consensus/test_handover.py
+++ b/tests/consensus/test_handover.py
@@ -2,8 +2,14 @@
 
 import pytest
 
-from bitternlever.consensus import reads, tables as consensus_tables
+from bitternlever.consensus import (
+    handover,
+    log,
+    reads,
+    tables as consensus_tables,
+)
 from bitternlever.control import answers, stopping
+from bitternlever.core import ticks
 from bitternlever.messages import calls, consensus, directory, frames
 from tests.consensus import harness
 
@@ -87,11 +93,15 @@
     assert isinstance(cluster.replies[call_id], directory.ManifestAccepted)
 
 
-def test_a_stopping_leader_takes_no_proposal():
+@pytest.mark.parametrize(
+    "command",
+    [harness.manifest(1), directory.ReplaceReplica("control-a", "disk-1", "control-a")],
+)
+def test_a_stopping_leader_takes_no_proposal(command):
     cluster = started()
     former = cluster.leader()
     cluster.stop(former)
-    call_id = cluster.call(harness.manifest(1), to=former)
+    call_id = cluster.call(command, to=former)
 
     run_until_ended(cluster, former)
 
@@ -213,3 +223,115 @@
     cluster.run(0.1)
 
     assert replica.term == request.term - 1
+
+
+def test_a_stopping_voter_takes_no_office():
+    cluster = started()
+    leader = cluster.leader()
+    name = next(name for name in cluster.names if name != leader)
+    replica = cluster.replica(name)
+    handover.request(replica)
+    term = replica.term
+    message = consensus.TimeoutNow(0, term, replica.leader, replica.settings.identity)
+    received = frames.PeerReceived(leader, f"tcp://{leader}", message)
+    cluster.post(0.0, cluster.nodes[name], received)
+    cluster.run(0.5)
+    assert replica.term == term
+
+    for other in set(cluster.names) - {name}:
+        cluster.kill(other)
+    cluster.run(3.0)
+
+    assert replica.role is consensus_tables.Role.FOLLOWER
+
+
+def test_only_an_election_that_the_leader_asked_for_is_marked(monkeypatch):
+    cluster = started()
+    seen = []
+    send = cluster.send
+
+    def note(node, peer):
+        seen.append(peer.message)
+        send(node, peer)
+
+    monkeypatch.setattr(cluster, "send", note)
+    cluster.kill(cluster.leader())
+    cluster.run(4.0)
+
+    asked = [m for m in seen if isinstance(m, consensus.VoteRequest)]
+    assert any(not message.pre_vote for message in asked)
+    assert not any(message.handover for message in asked)
+
+
+def targets(replica, now):
+    """Let the leader send again and again; return whom it asked."""
+    asked = set()
+    for attempt in range(8):
+        outbox = ticks.Outbox()
+        handover.run(replica, now + attempt * handover.RESEND_S / 100, outbox)
+        replica.office.handover_sent_s = None
+        asked |= {peer.node for peer in outbox.messages}
+    return asked
+
+
+@pytest.mark.parametrize("fault", ["behind", "silent"])
+def test_no_voter_is_asked_that_is_behind_or_silent(fault):
+    cluster = started(5)
+    replica = cluster.replica(cluster.leader())
+    handover.request(replica)
+    follower, progress = next(iter(replica.office.progress.items()))
+    if fault == "behind":
+        progress.match_index -= 1
+    else:
+        progress.contact_s = cluster.now - ELECTION_TIMEOUT_S - 0.1
+
+    expected = set(cluster.names) - {cluster.leader(), follower.node}
+    assert targets(replica, cluster.now) == expected
+
+
+def test_no_voter_is_asked_before_the_whole_log_is_committed():
+    cluster = started()
+    replica = cluster.replica(cluster.leader())
+    handover.request(replica)
+    replica.commit_index -= 1
+
+    assert targets(replica, cluster.now) == set()
+
+
+def test_a_stopping_leader_expires_no_lease(monkeypatch):
+    cluster = started()
+    grant = directory.AcquireHostLease("x", "run-1", "a", "tcp://entry-x", "")
+    cluster.ask(grant)
+    cluster.run(2.3)
+    former = cluster.leader()
+    lose(monkeypatch, cluster, consensus.TimeoutNow)
+    replica = cluster.replica(former)
+    before = log.last_index(replica.log)
+    cluster.stop(former)
+
+    run_until_ended(cluster, former)
+
+    assert log.last_index(replica.log) == before
+
+
+def test_a_stopping_leader_takes_no_step_of_a_replacement(monkeypatch):
+    cluster = started()
+    former = cluster.leader()
+    name = next(name for name in cluster.names if name != former)
+    replace = directory.ReplaceReplica(name, cluster.nodes[name].durable.disk, name)
+    cluster.lose_disk(name)
+    replica = cluster.replica(former)
+    while replica.membership.replacing is None:
+        cluster.call(replace, to=former)
+        cluster.run(0.01)
+    cluster.nodes[name].frozen = True
+    cluster.run(0.1)
+    lose(monkeypatch, cluster, consensus.TimeoutNow)
+    before = log.last_index(replica.log)
+    cluster.stop(former)
+    cluster.run(0.01)
+    cluster.nodes[name].frozen = False
+
+    run_until_ended(cluster, former)
+
+    assert log.last_index(replica.log) == before
