Choose ports that no outgoing connection can take first

One run of the stand-ins' tests failed once in a way that did not come back in three more runs on a busy machine; its output was not kept. The likeliest cause is a port taken between its choice and its use: they came from the range of outgoing connections, of which the demo makes many. They now lie below it.

--- a/standins/processes.py
+++ b/standins/processes.py
@@ -5,6 +5,7 @@
 import dataclasses
 import os
 import pathlib
+import random
 import signal
 import socket
 import sys
@@ -14,6 +15,9 @@
 TERMINATE_S = 6.0
 SECOND_TERMINATE_S = 2.0
 LOG_TAIL_LINES = 15
+LOWEST_PORT = 10_000
+HIGHEST_PORT = 30_000
+CHANCE = random.SystemRandom()
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -100,12 +104,17 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Return TCP ports that are free on the loopback interface now."""
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for each in sockets:
-            each.bind(("127.0.0.1", 0))
-        return [each.getsockname()[1] for each in sockets]
-    finally:
-        for each in sockets:
-            each.close()
+    """Return TCP ports that are free on the loopback interface now.
+
+    They lie below the range from which the system takes the ports of outgoing
+    connections, so that none of these takes one before it is listened on.
+    """
+    with contextlib.ExitStack() as stack:
+        found: list[int] = []
+        while len(found) < count:
+            port = CHANCE.randrange(LOWEST_PORT, HIGHEST_PORT)
+            candidate = stack.enter_context(socket.socket())
+            with contextlib.suppress(OSError):
+                candidate.bind(("127.0.0.1", port))
+                found.append(port)
+        return found
