Give a call the time that it usually takes

Cause: after an upstream was lost and the other slowed from 0.04 to 0.9 s, 89 of 120 callers had no answer 60 s after the burst. Requests that had waited got calls with a third of their little time left, less than the upstream takes; each timeout counted as a failure of the upstream, ejected it, and its probes were again calls without time. Its limit fell as well, for a slowness that its whole pool shared.

A first-byte timeout is never shorter than one and a half times the predicted time. A timeout before the usual time says nothing about the upstream. Work without the time for it is no probe. A limit falls for slowness against the pool's middle only.

Seen failing first, each by breaking one rule: such timeouts counted, probes without time, the pool's middle ignored.

--- a/bench/policy_world.py
+++ b/bench/policy_world.py
@@ -26,6 +26,7 @@
 RECONNECT_S = 0.2
 POLL_S = 0.5
 PLAIN_STEPS = 5
+JOURNAL_BYTES = 16_000_000
 TOKEN = "word"
 PLAIN_OUTPUT = "done"
 PLAIN_DIGEST = hashlib.sha256(msgspec.json.encode(PLAIN_OUTPUT)).hexdigest()
@@ -87,7 +88,9 @@
     report_lag_s: float = 0.1
     lost_events: float = 0.0
     journal: journal_tables.JournalTables = dataclasses.field(
-        default_factory=machine.create,
+        default_factory=lambda: machine.create(
+            journal_tables.JournalSettings(maximum_bytes=JOURNAL_BYTES),
+        ),
     )
     queue: list = dataclasses.field(default_factory=list)
     wakes: dict[str, float] = dataclasses.field(default_factory=dict)
--- a/bitternlever/pipelines/launch.py
+++ b/bitternlever/pipelines/launch.py
@@ -16,6 +16,7 @@
 MILLISECONDS = 1_000
 START_WINDOW_S = 2.0
 FIRST_BYTE_SHARE = 1 / 3
+PREDICTION_MARGIN = 1.5
 MINIMUM_FIRST_BYTE_TIMEOUT_S = 0.1
 
 
@@ -181,13 +182,15 @@
 ) -> float:
     """Return how long to wait for a sign of the upstream.
 
-    A stage that may be sent again leaves time for it within the deadline.
+    A stage that may be sent again leaves time for it within the deadline, but never
+    gets less than it usually takes.
     """
     timeout_s = attempt.stage.first_byte_timeout_ms / MILLISECONDS
     if not attempt.stage.idempotent or request.kind.durable:
         return timeout_s
     share_s = (attempt.deadline_s - now) * FIRST_BYTE_SHARE
-    return min(timeout_s, max(MINIMUM_FIRST_BYTE_TIMEOUT_S, share_s))
+    usual_s = attempt.predicted_s * PREDICTION_MARGIN
+    return min(timeout_s, max(MINIMUM_FIRST_BYTE_TIMEOUT_S, share_s, usual_s))
 
 
 def _stage_call(
--- a/bitternlever/routing/ejection.py
+++ b/bitternlever/routing/ejection.py
@@ -16,6 +16,7 @@
 STRAGGLING = 3.0
 MAXIMUM_SLOW_PART = 0.34
 PROBE_SPARE = 5.0
+LEAST_PEERS = 3
 PROBE_INTERVAL_S = 1.0
 
 
@@ -60,19 +61,22 @@
 ) -> bool:
     """Tell whether an upstream may get this stage: none, a probe, or any.
 
-    ``alone`` says that the whole pool is ejected: then any work may be the probe, and
-    one goes out at each interval whatever the pauses say.
+    ``alone`` says that the whole pool is ejected: then any work with the time for it
+    may be the probe, and one goes out at each interval whatever the pauses say.
     """
     if not load.probing:
         return True
     if load.in_flight:
         return False
+    spare_s = ready.deadline_s - now
+    service_s = estimates.busy_service_s(tables, ready)
+    if alone and not ready.durable and spare_s < service_s:
+        return False
     if alone:
         return now >= tables.routing.next_probe_s.get(ready.stage.pool, 0.0)
     if now < load.ejected_until_s:
         return False
-    spare_s = ready.deadline_s - now
-    return spare_s > PROBE_SPARE * estimates.busy_service_s(tables, ready)
+    return spare_s > PROBE_SPARE * service_s
 
 
 def probed(tables, now: float, pool: str) -> None:
@@ -85,16 +89,19 @@
     now: float,
     pool: list[gossip_tables.Upstream],
 ) -> None:
-    """Eject the upstream of a pool that lags furthest behind the middle one."""
+    """Learn a pool's middle pace; eject who lags furthest behind it, if too far."""
     loads = [
         load
         for each in pool
         if (load := tables.routing.loads.get(each.announcement.name)) is not None
     ]
-    if len(loads) < 3:
+    if not loads:
         return
     paces = sorted(max(load.pace, load.stall) for load in loads)
-    middle = paces[len(paces) // 2]
+    middle = paces[(len(paces) - 1) // 2]
+    tables.routing.middles[pool[0].announcement.pool] = middle
+    if len(loads) < LEAST_PEERS:
+        return
     out = sum(load.probing for load in loads)
     worst = max(
         (load for load in loads if not load.probing),
--- a/bitternlever/routing/estimates.py
+++ b/bitternlever/routing/estimates.py
@@ -20,6 +20,7 @@
 OUTPUT_WEIGHT = 0.05
 CACHED_WEIGHT = 0.05
 SLOWEST_PACE = 20.0
+HIGHEST_RATIO = 2.0
 FASTEST_PACE = 0.1
 DEFAULT_OUTPUT_TOKENS = 64
 CHARACTERS_PER_TOKEN = 4
@@ -88,7 +89,9 @@
     weight = max(MODEL_WEIGHT, 1.0 / model.samples)
     if model.samples > FIRST_SAMPLES:
         ratio = min(max(ratio, FASTEST_PACE), SLOWEST_PACE)
-        model.unit_s *= 1.0 + weight * (min(ratio, 2.0) - 1.0)
+        middle = tables.routing.middles.get(attempt.stage.pool, 1.0)
+        bound = max(HIGHEST_RATIO, middle * HIGHEST_RATIO)
+        model.unit_s *= 1.0 + weight * (min(ratio, bound) - 1.0)
     else:
         model.unit_s *= 1.0 + weight * (ratio - 1.0)
     return ratio
--- a/bitternlever/routing/feedback.py
+++ b/bitternlever/routing/feedback.py
@@ -13,6 +13,8 @@
     tables as routing_tables,
 )
 
+SHORTEST_TIMEOUT_S = 0.1
+
 
 def started(tables, now: float, attempt: pipeline_tables.Attempt) -> None:
     """Count an attempt as in flight on its upstream."""
@@ -50,7 +52,8 @@
     load.pace += estimates.PACE_WEIGHT * (ratio - load.pace)
     ejection.succeeded(load, now, ratio)
     if known is not None:
-        _adapt(load, now, ratio, known.announcement.concurrency)
+        middle = tables.routing.middles.get(attempt.stage.pool, 1.0)
+        _adapt(load, now, ratio / max(middle, 1.0), known.announcement.concurrency)
     if attempt.stage.task is manifest.Task.GENERATE and usage.output_tokens:
         _learn_output(tables, attempt, usage)
 
@@ -61,13 +64,17 @@
     attempt: pipeline_tables.Attempt,
     failure: requests.UpstreamFailed,
 ) -> None:
-    """End an attempt that failed on its upstream."""
+    """End an attempt that failed on its upstream.
+
+    One that was given less time than it takes says nothing about the upstream.
+    """
     load = occupancy.load_of(tables, attempt.upstream)
     _leave(load, now, attempt)
     if failure.sent is requests.Sent.NO and failure.status is not None:
         limits.decrease(load, now, limits.REFUSED_FACTOR)
         return
-    ejection.failed(tables, now, load)
+    if not _had_too_little_time(now, attempt, failure):
+        ejection.failed(tables, now, load)
 
 
 def cancelled(tables, now: float, attempt: pipeline_tables.Attempt) -> None:
@@ -75,6 +82,21 @@
     _leave(occupancy.load_of(tables, attempt.upstream), now, attempt)
 
 
+def _had_too_little_time(
+    now: float,
+    attempt: pipeline_tables.Attempt,
+    failure: requests.UpstreamFailed,
+) -> bool:
+    """Tell whether a timeout of this host ended an attempt before its usual time.
+
+    Faster failures are the upstream's own.
+    """
+    if failure.status is not None or failure.sent is requests.Sent.NO:
+        return False
+    elapsed_s = now - attempt.started_s
+    return SHORTEST_TIMEOUT_S < elapsed_s < attempt.predicted_s
+
+
 def _leave(
     load: routing_tables.UpstreamLoad,
     now: float,
--- a/bitternlever/routing/tables.py
+++ b/bitternlever/routing/tables.py
@@ -58,9 +58,9 @@
 class RoutingTables:
     """Loads by upstream name, models by kind of work, and budgets.
 
-    ``live_hosts`` counts this host and the others that are heard. ``outputs`` are the
-    tokens that a stage usually brings, by kind of request and
-    stage. ``turns`` serve the round robin.
+    ``middles`` are the middle paces of pools. ``live_hosts`` counts this host and the
+    others that are heard. ``outputs`` are the tokens that a stage usually brings, by
+    kind of request and stage. ``turns`` serve the round robin.
     """
 
     loads: dict[str, UpstreamLoad] = dataclasses.field(default_factory=dict)
@@ -72,6 +72,7 @@
     live_hosts: int = 1
     next_count_s: float = 0.0
     next_sweep_s: float = 0.0
+    middles: dict[str, float] = dataclasses.field(default_factory=dict)
     next_probe_s: dict[str, float] = dataclasses.field(default_factory=dict)
     retry_tokens: float = 3.0
     hedge_tokens: float = 1.0
--- a/tests/routing/test_faults.py
+++ b/tests/routing/test_faults.py
@@ -255,3 +255,38 @@
 
 def _load():
     return routing_tables.UpstreamLoad()
+
+
+def test_a_call_that_got_less_time_than_it_takes_ejects_nobody():
+    tables = entries.host()
+    _announce(tables, 0.0, names=("e0",))
+    for index in range(2 * ejection.FAILURES):
+        started = _launch(tables, 0.0, f"r{index}")
+        started.predicted_s = 1.0
+        _fail(tables, 0.5, started)
+
+    assert not tables.routing.loads["e0"].probing
+
+
+def test_work_without_the_time_for_it_is_no_probe():
+    tables = entries.host()
+    load = _load()
+    ejection.eject(tables, 0.0, load)
+    hopeless = entries.ready("u", priority=0, deadline_s=5.1)
+
+    assert not ejection.admits(tables, 5.0, hopeless, load, alone=True)
+
+
+def test_a_pool_that_slows_together_keeps_its_limits():
+    tables = entries.host()
+    _announce(tables, 0.0)
+    now = 0.0
+    for index in range(300):
+        now += 0.6
+        _announce(tables, now, sequence=index + 2)
+        started = _launch(tables, now, f"r{index}", stage=entries.STAGE)
+        sweep.run(tables, now)
+        took_s = 0.3 if index < 100 else 6.0
+        entries.finish(tables, now + took_s, started, output_tokens=32)
+
+    assert all(load.limit > 6.0 for load in tables.routing.loads.values())
