--- a/bitternlever/http/callers.py
+++ b/bitternlever/http/callers.py
@@ -258,7 +258,8 @@
 async def _write(response: web.StreamResponse, data: bytes) -> None:
     """Write to a caller; one that reads nothing for too long counts as gone."""
     try:
-        await asyncio.wait_for(response.write(data), CALLER_SILENCE_S)
+        async with asyncio.timeout(CALLER_SILENCE_S):
+            await response.write(data)
     except TimeoutError:
         raise ConnectionResetError("the caller reads nothing") from None
 
@@ -267,10 +268,8 @@
     """Wait for the core's next message; a comment now and then shows life."""
     while True:
         try:
-            return await asyncio.wait_for(
-                exchanges.receive(exchange),
-                KEEP_ALIVE_INTERVAL_S,
-            )
+            async with asyncio.timeout(KEEP_ALIVE_INTERVAL_S):
+                return await exchanges.receive(exchange)
         except TimeoutError:
             await _write(response, COMMENT)
 
--- a/bitternlever/transport/upstream_client.py
+++ b/bitternlever/transport/upstream_client.py
@@ -218,7 +218,7 @@
 async def _read_bounded(response: aiohttp.ClientResponse, timeout_s: float) -> bytes:
     data = bytearray()
     while True:
-        piece = await _timed(response.content.readany(), timeout_s)
+        piece = await _read_piece(response, timeout_s)
         if not piece:
             return bytes(data)
         data += piece
@@ -235,7 +235,7 @@
     decoder = msgspec.json.Decoder(upstream.StreamLine)
     buffer = bytearray()
     while True:
-        piece = await _timed(response.content.readany(), timeout_s)
+        piece = await _read_piece(response, timeout_s)
         timeout_s = message.between_bytes_timeout_s
         if not piece:
             raise ValueError("a stream without its end mark")
@@ -276,9 +276,11 @@
     return True
 
 
-async def _timed(awaitable: Any, timeout_s: float) -> Any:
+async def _read_piece(response: aiohttp.ClientResponse, timeout_s: float) -> bytes:
+    """Read what has arrived; no bytes at the end of the reply."""
     try:
-        return await asyncio.wait_for(awaitable, timeout_s)
+        async with asyncio.timeout(timeout_s):
+            return await response.content.readany()
     except TimeoutError:
         raise _SilentError from None
 
