--- a/bitternlever/admission/backlog.py
+++ b/bitternlever/admission/backlog.py
@@ -5,6 +5,7 @@
 """
 
 from bitternlever.admission import queues, tables as admission_tables
+from bitternlever.entry import tables as entry_tables
 from bitternlever.gossip import membership
 from bitternlever.messages import manifest
 from bitternlever.routing import estimates, occupancy
@@ -13,7 +14,7 @@
 
 
 def wait_s(
-    tables,
+    tables: entry_tables.EntryTables,
     now: float,
     stage: manifest.Stage,
     priority: int,
@@ -44,7 +45,7 @@
 
 
 def ahead_s(
-    tables,
+    tables: entry_tables.EntryTables,
     queue: admission_tables.WorkQueue,
     priority: int,
 ) -> float:
@@ -56,7 +57,12 @@
     )
 
 
-def service_s(tables, kind: str, stage: manifest.Stage, prompt_tokens: int) -> float:
+def service_s(
+    tables: entry_tables.EntryTables,
+    kind: str,
+    stage: manifest.Stage,
+    prompt_tokens: int,
+) -> float:
     """Return how long a stage of a new request usually takes on a busy upstream."""
     units = 1.0
     if stage.task is manifest.Task.GENERATE:
--- a/bitternlever/admission/dispatch.py
+++ b/bitternlever/admission/dispatch.py
@@ -6,6 +6,7 @@
 
 from bitternlever.admission import queues, tables as admission_tables
 from bitternlever.core import ticks
+from bitternlever.entry import tables as entry_tables
 from bitternlever.pipelines import tables as pipeline_tables
 from bitternlever.routing import choice, tables as routing_tables
 
@@ -18,7 +19,9 @@
 MAXIMUM_PASSED = 4
 
 
-def push(tables, now: float, ready: pipeline_tables.ReadyStage) -> None:
+def push(
+    tables: entry_tables.EntryTables, now: float, ready: pipeline_tables.ReadyStage
+) -> None:
     """Let a stage wait for an upstream."""
     admission = tables.admission
     key = (ready.request_id, ready.stage_index)
@@ -31,13 +34,15 @@
     queues.add(tables, now, ready)
 
 
-def withdraw(tables, request_id: str) -> None:
+def withdraw(tables: entry_tables.EntryTables, request_id: str) -> None:
     """Take back every waiting stage of a request."""
     for stage_index in sorted(tables.admission.stages.get(request_id, ())):
         _remove(tables, tables.admission.ready[(request_id, stage_index)])
 
 
-def run(tables, now: float, outbox: ticks.Outbox, launch: Launch) -> None:
+def run(
+    tables: entry_tables.EntryTables, now: float, outbox: ticks.Outbox, launch: Launch
+) -> None:
     """Launch what can be launched now, the most urgent first.
 
     Kinds of work share upstreams, so urgency counts across all queues: each goes on
@@ -56,7 +61,7 @@
 
 
 def _wait_turn(
-    tables,
+    tables: entry_tables.EntryTables,
     now: float,
     waiting: list,
     number: int,
@@ -72,7 +77,7 @@
 
 
 def _run_queue(
-    tables,
+    tables: entry_tables.EntryTables,
     now: float,
     outbox: ticks.Outbox,
     launch: Launch,
@@ -107,7 +112,9 @@
     return yielded and not passed
 
 
-def _remove(tables, ready: pipeline_tables.ReadyStage) -> None:
+def _remove(
+    tables: entry_tables.EntryTables, ready: pipeline_tables.ReadyStage
+) -> None:
     admission = tables.admission
     key = (ready.request_id, ready.stage_index)
     del admission.ready[key]
--- a/bitternlever/admission/gate.py
+++ b/bitternlever/admission/gate.py
@@ -3,6 +3,7 @@
 import result
 
 from bitternlever.admission import backlog, tables as admission_tables
+from bitternlever.entry import tables as entry_tables
 from bitternlever.messages import manifest
 from bitternlever.routing import policies
 
@@ -13,7 +14,7 @@
 
 
 def admit(
-    tables,
+    tables: entry_tables.EntryTables,
     now: float,
     workspace: str,
     pipeline: manifest.Pipeline,
@@ -45,7 +46,7 @@
 
 
 def _in_time(
-    tables,
+    tables: entry_tables.EntryTables,
     now: float,
     pipeline: manifest.Pipeline,
     kind: manifest.Kind,
@@ -68,7 +69,7 @@
 
 
 def _wait(
-    tables,
+    tables: entry_tables.EntryTables,
     now: float,
     pipeline: manifest.Pipeline,
     kind: manifest.Kind,
--- a/bitternlever/admission/preemption.py
+++ b/bitternlever/admission/preemption.py
@@ -5,6 +5,7 @@
 """
 
 from bitternlever.admission import queues, tables as admission_tables
+from bitternlever.entry import tables as entry_tables
 from bitternlever.gossip import membership
 from bitternlever.messages import manifest
 from bitternlever.pipelines import tables as pipeline_tables
@@ -16,7 +17,7 @@
 NEARLY_DONE_S = 0.5
 
 
-def due(tables, now: float) -> list[str]:
+def due(tables: entry_tables.EntryTables, now: float) -> list[str]:
     """Return the attempts to cancel and resume later, at once."""
     if tables.settings.policy != policies.PREDICTED:
         return []
@@ -31,7 +32,7 @@
 
 
 def _critical(
-    tables,
+    tables: entry_tables.EntryTables,
     now: float,
     queue: admission_tables.WorkQueue,
 ) -> list[pipeline_tables.ReadyStage]:
@@ -51,14 +52,16 @@
     return found[len(room) :][:MAXIMUM_AT_ONCE]
 
 
-def _presses(tables, now: float, ready: pipeline_tables.ReadyStage) -> bool:
+def _presses(
+    tables: entry_tables.EntryTables, now: float, ready: pipeline_tables.ReadyStage
+) -> bool:
     service_s = estimates.busy_service_s(tables, ready)
     slack_s = ready.stage_deadline_s - now - service_s * SERVICE_MARGIN
     return slack_s < MARGIN_S and now + service_s < ready.deadline_s
 
 
 def _victims(
-    tables,
+    tables: entry_tables.EntryTables,
     now: float,
     critical: list[pipeline_tables.ReadyStage],
 ) -> list[str]:
@@ -75,7 +78,7 @@
 
 
 def _gives_way(
-    tables,
+    tables: entry_tables.EntryTables,
     attempt: pipeline_tables.Attempt,
     stage: manifest.Stage,
 ) -> bool:
@@ -90,7 +93,9 @@
     )
 
 
-def _remaining_s(tables, attempt: pipeline_tables.Attempt) -> float:
+def _remaining_s(
+    tables: entry_tables.EntryTables, attempt: pipeline_tables.Attempt
+) -> float:
     request = tables.requests.requests[attempt.request_id]
     expected = estimates.expected_output(tables, request.kind.name, attempt.stage)
     done = len(attempt.output) // estimates.CHARACTERS_PER_TOKEN
--- a/bitternlever/admission/queues.py
+++ b/bitternlever/admission/queues.py
@@ -10,6 +10,7 @@
 import heapq
 
 from bitternlever.admission import tables as admission_tables
+from bitternlever.entry import tables as entry_tables
 from bitternlever.messages import manifest
 from bitternlever.pipelines import tables as pipeline_tables
 from bitternlever.routing import estimates, policies
@@ -19,7 +20,9 @@
 SLACK_S = 2.0
 
 
-def add(tables, now: float, ready: pipeline_tables.ReadyStage) -> None:
+def add(
+    tables: entry_tables.EntryTables, now: float, ready: pipeline_tables.ReadyStage
+) -> None:
     """Put a stage into its lane."""
     queue = tables.admission.queues.setdefault(
         kind(ready.stage),
@@ -34,7 +37,7 @@
 
 
 def head(
-    tables,
+    tables: entry_tables.EntryTables,
     now: float,
     queue: admission_tables.WorkQueue,
 ) -> admission_tables.Entry | None:
@@ -51,7 +54,7 @@
 
 
 def level(
-    tables,
+    tables: entry_tables.EntryTables,
     now: float,
     queue: admission_tables.WorkQueue,
 ) -> int | None:
@@ -70,25 +73,25 @@
     queue.turns[ready.workspace] = turn_s + service_s / max(ready.weight, 0.01)
 
 
-def is_valid(tables, entry: admission_tables.Entry) -> bool:
+def is_valid(tables: entry_tables.EntryTables, entry: admission_tables.Entry) -> bool:
     """Tell whether an entry still stands for a waiting stage."""
     key = (entry.ready.request_id, entry.ready.stage_index)
     return tables.admission.entries.get(key) == entry.number
 
 
-def is_urgent(tables, priority: int) -> bool:
+def is_urgent(tables: entry_tables.EntryTables, priority: int) -> bool:
     """Tell whether a priority belongs to the urgent kinds."""
     return priority <= limits(tables).urgent_priority
 
 
-def limits(tables) -> manifest.Limits:
+def limits(tables: entry_tables.EntryTables) -> manifest.Limits:
     """Return the limits in force."""
     in_force = tables.manifest.manifest
     return manifest.Limits() if in_force is None else in_force.limits
 
 
 def _insert(
-    tables,
+    tables: entry_tables.EntryTables,
     now: float,
     queue: admission_tables.WorkQueue,
     ready: pipeline_tables.ReadyStage,
@@ -102,7 +105,7 @@
 
 
 def _place(
-    tables,
+    tables: entry_tables.EntryTables,
     now: float,
     ready: pipeline_tables.ReadyStage,
 ) -> tuple[tuple[int, str], tuple[float, ...]]:
@@ -117,13 +120,17 @@
     return (level, ready.workspace), (ready.stage_deadline_s,)
 
 
-def _is_late(tables, now: float, ready: pipeline_tables.ReadyStage) -> bool:
+def _is_late(
+    tables: entry_tables.EntryTables, now: float, ready: pipeline_tables.ReadyStage
+) -> bool:
     """Tell whether the answer would come after its deadline if it began now."""
     service_s = estimates.busy_service_s(tables, ready)
     return now + service_s > ready.deadline_s
 
 
-def _heads(tables, now: float, queue: admission_tables.WorkQueue):
+def _heads(
+    tables: entry_tables.EntryTables, now: float, queue: admission_tables.WorkQueue
+):
     """Yield the first waiting entry of each lane with its level by now."""
     fair = tables.settings.policy == policies.PREDICTED
     for lane, heap in list(queue.lanes.items()):
@@ -143,7 +150,7 @@
 
 
 def _level(
-    tables,
+    tables: entry_tables.EntryTables,
     now: float,
     level: int,
     ready: pipeline_tables.ReadyStage,
--- a/bitternlever/gossip/hosts.py
+++ b/bitternlever/gossip/hosts.py
@@ -2,6 +2,7 @@
 
 import statistics
 
+from bitternlever.entry import tables as entry_tables
 from bitternlever.gossip import peers, subsets, tables as gossip_tables
 
 OVERLOAD_FACTOR = 1.5
@@ -9,7 +10,7 @@
 
 
 def preferred(
-    tables,
+    tables: entry_tables.EntryTables,
     now: float,
     workspace: str,
     zone: str | None,
--- a/bitternlever/gossip/membership.py
+++ b/bitternlever/gossip/membership.py
@@ -8,6 +8,7 @@
 from collections.abc import Iterator
 
 from bitternlever.core import ticks
+from bitternlever.entry import tables as entry_tables
 from bitternlever.gossip import peers, subsets, tables as gossip_tables, upstreams
 from bitternlever.messages import frames, gossip, manifest, requests
 
@@ -19,7 +20,7 @@
 
 
 def announced(
-    tables,
+    tables: entry_tables.EntryTables,
     now: float,
     outbox: ticks.Outbox,
     message: requests.UpstreamAnnounced,
@@ -29,7 +30,7 @@
 
 
 def receive(
-    tables,
+    tables: entry_tables.EntryTables,
     now: float,
     outbox: ticks.Outbox,
     message: gossip.Gossip,
@@ -65,7 +66,7 @@
         peer.reply_due = True
 
 
-def run(tables, now: float, outbox: ticks.Outbox) -> None:
+def run(tables: entry_tables.EntryTables, now: float, outbox: ticks.Outbox) -> None:
     """Send a round of gossip when it is due."""
     membership = tables.membership
     if now >= membership.next_heartbeat_s:
@@ -86,7 +87,7 @@
 
 
 def serving(
-    tables,
+    tables: entry_tables.EntryTables,
     now: float,
     stage: manifest.Stage,
 ) -> Iterator[gossip_tables.Upstream]:
@@ -101,7 +102,9 @@
             yield upstream
 
 
-def _peer(tables, message: gossip.Gossip) -> gossip_tables.Peer | None:
+def _peer(
+    tables: entry_tables.EntryTables, message: gossip.Gossip
+) -> gossip_tables.Peer | None:
     known = tables.membership.peers
     if message.sender in ("", tables.settings.host):
         return None
@@ -127,7 +130,9 @@
         peer.stamp_heard_s = now
 
 
-def _delay(tables, now: float, message: gossip.Gossip) -> float | None:
+def _delay(
+    tables: entry_tables.EntryTables, now: float, message: gossip.Gossip
+) -> float | None:
     """Return a bound of the time that the message was on its way."""
     echo = message.echo
     if echo is None or echo.incarnation != tables.settings.incarnation:
@@ -142,7 +147,9 @@
         peer.known_upstreams[word.name] = shown
 
 
-def _send_replies(tables, now: float, outbox: ticks.Outbox) -> None:
+def _send_replies(
+    tables: entry_tables.EntryTables, now: float, outbox: ticks.Outbox
+) -> None:
     membership = tables.membership
     for host, peer in membership.peers.items():
         if peer.reply_due and host in membership.hosts:
@@ -151,7 +158,12 @@
             _send(tables, now, outbox, target)
 
 
-def _send(tables, now: float, outbox: ticks.Outbox, target: frames.SendPeer) -> None:
+def _send(
+    tables: entry_tables.EntryTables,
+    now: float,
+    outbox: ticks.Outbox,
+    target: frames.SendPeer,
+) -> None:
     membership = tables.membership
     host = target.node.removeprefix("entry-")
     peer = membership.peers.get(host, gossip_tables.Peer())
--- a/bitternlever/gossip/peers.py
+++ b/bitternlever/gossip/peers.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from bitternlever.entry import tables as entry_tables
 from bitternlever.gossip import tables as gossip_tables
 from bitternlever.messages import frames, gossip
 
@@ -20,7 +21,7 @@
     return f"entry-{host}"
 
 
-def own(tables, now: float) -> gossip_tables.Host:
+def own(tables: entry_tables.EntryTables, now: float) -> gossip_tables.Host:
     """Return this host as it stands now."""
     settings = tables.settings
     return gossip_tables.Host(
@@ -36,7 +37,9 @@
     )
 
 
-def take(tables, now: float, seen: gossip.HostSeen, delay_s: float) -> None:
+def take(
+    tables: entry_tables.EntryTables, now: float, seen: gossip.HostSeen, delay_s: float
+) -> None:
     """Take another host's news of a host, if it is newer than what is known."""
     if seen.host == tables.settings.host:
         return
@@ -68,7 +71,7 @@
     )
 
 
-def targets(tables, now: float) -> list[frames.SendPeer]:
+def targets(tables: entry_tables.EntryTables, now: float) -> list[frames.SendPeer]:
     """Return the peers of this round, without messages yet.
 
     Silent hosts and the seeds are tried now and then, so that a parted cluster joins
@@ -97,7 +100,7 @@
 
 
 def seen_for(
-    tables,
+    tables: entry_tables.EntryTables,
     peer: gossip_tables.Peer,
     now: float,
 ) -> list[gossip.HostSeen]:
@@ -118,7 +121,7 @@
     return news
 
 
-def forget(tables, now: float) -> None:
+def forget(tables: entry_tables.EntryTables, now: float) -> None:
     """Drop the hosts that have long been silent."""
     membership = tables.membership
     gone = [
@@ -131,7 +134,7 @@
         membership.peers.pop(name, None)
 
 
-def _partners(tables, now: float) -> list[str]:
+def _partners(tables: entry_tables.EntryTables, now: float) -> list[str]:
     """Return the live hosts to gossip with: all, or few at size.
 
     At size each host keeps the hosts at distances of powers of two on the ring of
@@ -151,7 +154,7 @@
     return sorted(partners - {tables.settings.host})
 
 
-def _reconnects(tables, now: float) -> list[frames.SendPeer]:
+def _reconnects(tables: entry_tables.EntryTables, now: float) -> list[frames.SendPeer]:
     hosts = tables.membership.hosts
     links = {host.link for host in hosts.values()} | {tables.settings.link}
     candidates = [
--- a/bitternlever/gossip/subsets.py
+++ b/bitternlever/gossip/subsets.py
@@ -6,6 +6,7 @@
 
 import binascii
 
+from bitternlever.entry import tables as entry_tables
 from bitternlever.gossip import tables as gossip_tables
 from bitternlever.messages import manifest
 
@@ -14,7 +15,9 @@
 VERSION_MARK = "@"
 
 
-def followed(tables, now: float, stage: manifest.Stage) -> list[str]:
+def followed(
+    tables: entry_tables.EntryTables, now: float, stage: manifest.Stage
+) -> list[str]:
     """Return the names of the upstreams that this host follows for a stage."""
     membership = tables.membership
     key = (stage.pool, stage.task.value, stage.model)
@@ -43,7 +46,9 @@
     return cached.version == membership.version and now < cached.expires_s
 
 
-def _choose(tables, now: float, stage: manifest.Stage) -> list[str]:
+def _choose(
+    tables: entry_tables.EntryTables, now: float, stage: manifest.Stage
+) -> list[str]:
     candidates = [
         upstream.announcement
         for upstream in tables.membership.upstreams.values()
@@ -60,7 +65,7 @@
 
 
 def _fits(
-    tables,
+    tables: entry_tables.EntryTables,
     now: float,
     upstream: gossip_tables.Upstream,
     stage: manifest.Stage,
--- a/bitternlever/orders/placement.py
+++ b/bitternlever/orders/placement.py
@@ -7,7 +7,7 @@
 
 from bitternlever.admission import backlog
 from bitternlever.core import ticks
-from bitternlever.entry import control_client, lease
+from bitternlever.entry import control_client, lease, tables as entry_tables
 from bitternlever.gossip import tables as gossip_tables
 from bitternlever.messages import directory, manifest, requests, upstream
 from bitternlever.orders import tables as order_tables, wanted
@@ -25,7 +25,7 @@
 MOVE_PAUSE_S = 60.0
 
 
-def run(tables, now: float, outbox: ticks.Outbox) -> None:
+def run(tables: entry_tables.EntryTables, now: float, outbox: ticks.Outbox) -> None:
     """Compare what engines hold with what is wanted; send orders that are due."""
     in_force = tables.manifest.manifest
     if in_force is None or not in_force.models or not lease.holds(tables, now):
@@ -44,7 +44,7 @@
 
 
 def answered(
-    tables,
+    tables: entry_tables.EntryTables,
     now: float,
     outbox: ticks.Outbox,
     message: requests.OrderAnswered,
@@ -60,7 +60,7 @@
     _record(tables, now, outbox, message.upstream, order, state, message.error)
 
 
-def _ask(tables, now: float, outbox: ticks.Outbox) -> None:
+def _ask(tables: entry_tables.EntryTables, now: float, outbox: ticks.Outbox) -> None:
     """Take or keep the order lease, which counts from the asking."""
     state = tables.orders
     state.asking = True
@@ -108,7 +108,7 @@
 
 
 def _look(
-    tables,
+    tables: entry_tables.EntryTables,
     now: float,
     outbox: ticks.Outbox,
     pool: str,
@@ -133,7 +133,9 @@
     _send(tables, now, outbox, change)
 
 
-def _engines(tables, now: float, pool: str) -> list[gossip_tables.Upstream]:
+def _engines(
+    tables: entry_tables.EntryTables, now: float, pool: str
+) -> list[gossip_tables.Upstream]:
     """Return the live engines of a pool that may get an order now."""
     oldest_s = now - tables.settings.upstream_silence_s
     return [
@@ -147,7 +149,7 @@
 
 
 def _target(
-    tables,
+    tables: entry_tables.EntryTables,
     now: float,
     in_force: manifest.Manifest,
     model: manifest.Model,
@@ -168,7 +170,7 @@
 
 
 def _is_pressed(
-    tables,
+    tables: entry_tables.EntryTables,
     now: float,
     in_force: manifest.Manifest,
     model: manifest.Model,
@@ -206,7 +208,7 @@
 
 
 def _send(
-    tables,
+    tables: entry_tables.EntryTables,
     now: float,
     outbox: ticks.Outbox,
     change: order_tables.Wanted,
@@ -240,7 +242,7 @@
 
 
 def _record(
-    tables,
+    tables: entry_tables.EntryTables,
     now: float,
     outbox: ticks.Outbox,
     name: str,
--- a/bitternlever/pipelines/answers.py
+++ b/bitternlever/pipelines/answers.py
@@ -14,7 +14,7 @@
 
 
 def query(
-    tables,
+    tables: entry_tables.EntryTables,
     now: float,
     outbox: ticks.Outbox,
     message: requests.RequestQueried,
@@ -43,7 +43,7 @@
 
 
 def acknowledge(
-    tables,
+    tables: entry_tables.EntryTables,
     now: float,
     outbox: ticks.Outbox,
     message: requests.AnswerAcknowledged,
@@ -74,7 +74,9 @@
     control_client.call(tables, now, outbox, group, command, on_outcome)
 
 
-def own(tables, request_id: str, workspace: str) -> pipeline_tables.Request | None:
+def own(
+    tables: entry_tables.EntryTables, request_id: str, workspace: str
+) -> pipeline_tables.Request | None:
     """Return this host's run of a workspace's request, if there is one."""
     request = tables.requests.requests.get(request_id)
     if request is None or request.workspace != workspace:
@@ -82,14 +84,19 @@
     return request
 
 
-def tell(tables, outbox: ticks.Outbox, caller: int, stated: problems.Problem) -> None:
+def tell(
+    tables: entry_tables.EntryTables,
+    outbox: ticks.Outbox,
+    caller: int,
+    stated: problems.Problem,
+) -> None:
     """End the exchange of one caller with a problem."""
     exchange = pipeline_tables.Caller(caller=caller)
     delivery.problem(tables, outbox, {caller: exchange}, stated)
 
 
 def tell_uncertain(
-    tables,
+    tables: entry_tables.EntryTables,
     outbox: ticks.Outbox,
     message: requests.RequestCancelled | requests.AnswerAcknowledged,
     failure: entry_tables.CallFailed,
--- a/bitternlever/pipelines/cancellations.py
+++ b/bitternlever/pipelines/cancellations.py
@@ -1,7 +1,7 @@
 """Requests that end early: cancelled by name, or left by their callers."""
 
 from bitternlever.core import ticks
-from bitternlever.entry import control_client
+from bitternlever.entry import control_client, tables as entry_tables
 from bitternlever.messages import calls, frames, journal, requests
 from bitternlever.pipelines import (
     answers,
@@ -20,7 +20,7 @@
 
 
 def cancel(
-    tables,
+    tables: entry_tables.EntryTables,
     now: float,
     outbox: ticks.Outbox,
     message: requests.RequestCancelled,
@@ -36,7 +36,7 @@
 
 
 def cancelled_elsewhere(
-    tables,
+    tables: entry_tables.EntryTables,
     now: float,
     outbox: ticks.Outbox,
     request_id: str,
@@ -48,7 +48,7 @@
 
 
 def caller_gone(
-    tables,
+    tables: entry_tables.EntryTables,
     now: float,
     outbox: ticks.Outbox,
     message: requests.CallerGone,
@@ -79,7 +79,9 @@
     end_run(tables, now, outbox, request)
 
 
-def watched_elsewhere(tables, now: float, request_id: str) -> None:
+def watched_elsewhere(
+    tables: entry_tables.EntryTables, now: float, request_id: str
+) -> None:
     """Take another host's word that callers follow a request of this host there."""
     request = tables.requests.requests.get(request_id)
     if request is not None:
@@ -87,7 +89,7 @@
 
 
 def end_run(
-    tables,
+    tables: entry_tables.EntryTables,
     now: float,
     outbox: ticks.Outbox,
     request: pipeline_tables.Request,
@@ -104,7 +106,9 @@
     finish.problem(tables, now, outbox, request, refusals.cancelled(tables, request))
 
 
-def _withdraw_later(tables, now: float, request: pipeline_tables.Request) -> None:
+def _withdraw_later(
+    tables: entry_tables.EntryTables, now: float, request: pipeline_tables.Request
+) -> None:
     """Forget a keyed request whose callers have left and do not come back.
 
     Once a stage was started that may not be repeated, the run goes on to its answer.
@@ -126,13 +130,15 @@
     timers.at(tables, now + RETURN_LIMIT_S, check)
 
 
-def _runs_once_only(tables, request: pipeline_tables.Request) -> bool:
+def _runs_once_only(
+    tables: entry_tables.EntryTables, request: pipeline_tables.Request
+) -> bool:
     attempts = [tables.requests.attempts[each] for each in request.attempts]
     return any(not attempt.stage.idempotent for attempt in attempts)
 
 
 def _cancel_in_journal(
-    tables,
+    tables: entry_tables.EntryTables,
     now: float,
     outbox: ticks.Outbox,
     message: requests.RequestCancelled,
@@ -162,7 +168,9 @@
     control_client.call(tables, now, outbox, group, command, on_outcome)
 
 
-def _hint_owner(tables, outbox: ticks.Outbox, reply: journal.Cancelled) -> None:
+def _hint_owner(
+    tables: entry_tables.EntryTables, outbox: ticks.Outbox, reply: journal.Cancelled
+) -> None:
     """Let the owner stop at once; without the hint its next write tells it."""
     host = tables.membership.hosts.get(reply.host)
     if host is None:
--- a/bitternlever/pipelines/claims.py
+++ b/bitternlever/pipelines/claims.py
@@ -23,7 +23,7 @@
 
 
 def claim(
-    tables,
+    tables: entry_tables.EntryTables,
     now: float,
     outbox: ticks.Outbox,
     request: pipeline_tables.Request,
@@ -59,7 +59,7 @@
     control_client.call(tables, now, outbox, group, command, on_outcome)
 
 
-def other_body(tables, request_id: str) -> problems.Problem:
+def other_body(tables: entry_tables.EntryTables, request_id: str) -> problems.Problem:
     """Return the problem of a key that belongs to another body."""
     return refusals.problem(
         tables,
@@ -71,7 +71,13 @@
     )
 
 
-def _claimed(tables, now: float, outbox: ticks.Outbox, request, reply) -> None:
+def _claimed(
+    tables: entry_tables.EntryTables,
+    now: float,
+    outbox: ticks.Outbox,
+    request: pipeline_tables.Request,
+    reply: journal.Reply,
+) -> None:
     if isinstance(reply, journal.Claimed | journal.TakenOver):
         delivery.accepted(outbox, request.request_id, request.callers)
     match reply:
@@ -92,7 +98,12 @@
             _fenced(tables, now, outbox, request)
 
 
-def _begin(tables, now: float, outbox: ticks.Outbox, request) -> None:
+def _begin(
+    tables: entry_tables.EntryTables,
+    now: float,
+    outbox: ticks.Outbox,
+    request: pipeline_tables.Request,
+) -> None:
     """Run a claimed request, unless its callers were told that nothing is known.
 
     Without a caller only a durable request is worth running. Text that a caller holds
@@ -107,7 +118,13 @@
     stages.advance(tables, now, outbox, request)
 
 
-def _full(tables, now: float, outbox: ticks.Outbox, request, reply) -> None:
+def _full(
+    tables: entry_tables.EntryTables,
+    now: float,
+    outbox: ticks.Outbox,
+    request: pipeline_tables.Request,
+    reply: journal.Reply,
+) -> None:
     failure = entry_tables.CallFailed(
         sent=requests.Sent.NO,
         reason="the journal is full",
@@ -116,7 +133,12 @@
     _failed(tables, now, outbox, request, failure)
 
 
-def _fenced(tables, now: float, outbox: ticks.Outbox, request) -> None:
+def _fenced(
+    tables: entry_tables.EntryTables,
+    now: float,
+    outbox: ticks.Outbox,
+    request: pipeline_tables.Request,
+) -> None:
     """After a doubtful claim the request may stand there, for another owner."""
     doubtful = request.claim_in_doubt
     ran = problems.Ran.UNKNOWN if doubtful else problems.Ran.NO
@@ -124,7 +146,13 @@
     _drop(tables, now, outbox, request, stated)
 
 
-def _failed(tables, now: float, outbox: ticks.Outbox, request, failure) -> None:
+def _failed(
+    tables: entry_tables.EntryTables,
+    now: float,
+    outbox: ticks.Outbox,
+    request: pipeline_tables.Request,
+    failure: entry_tables.CallFailed,
+) -> None:
     """Refuse with ``no`` only where no claim can still be committed.
 
     A doubtful claim goes on without its callers, so that a request which turns out
@@ -147,7 +175,12 @@
     timers.at(tables, now + CLAIM_PAUSE_S, again)
 
 
-def _follow(tables, now: float, outbox: ticks.Outbox, request) -> None:
+def _follow(
+    tables: entry_tables.EntryTables,
+    now: float,
+    outbox: ticks.Outbox,
+    request: pipeline_tables.Request,
+) -> None:
     del tables.requests.requests[request.request_id]
     for caller in request.callers.values():
         watch.add(
@@ -162,14 +195,25 @@
         delivery.state(tables, outbox, caller, request.request_id, "open")
 
 
-def _drop(tables, now: float, outbox: ticks.Outbox, request, stated) -> None:
+def _drop(
+    tables: entry_tables.EntryTables,
+    now: float,
+    outbox: ticks.Outbox,
+    request: pipeline_tables.Request,
+    stated: problems.Problem,
+) -> None:
     del tables.requests.requests[request.request_id]
     delivery.problem(tables, outbox, request.callers, stated)
     for caller in request.cancellers:
         delivery.state(tables, outbox, caller, request.request_id, "cancelled")
 
 
-def _refusal(tables, request, detail: str, ran: problems.Ran) -> problems.Problem:
+def _refusal(
+    tables: entry_tables.EntryTables,
+    request: pipeline_tables.Request,
+    detail: str,
+    ran: problems.Ran,
+) -> problems.Problem:
     return refusals.problem(
         tables,
         status=503,
--- a/bitternlever/pipelines/creation.py
+++ b/bitternlever/pipelines/creation.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from bitternlever.entry import tables as entry_tables
 from bitternlever.messages import manifest, requests
 from bitternlever.pipelines import stages, tables as pipeline_tables, timers
 
@@ -19,7 +20,9 @@
     input: Any = None
 
 
-def identify(tables, message: requests.RequestSubmitted) -> str:
+def identify(
+    tables: entry_tables.EntryTables, message: requests.RequestSubmitted
+) -> str:
     """Return the request's id: from its key, or made by this host."""
     if message.key is not None:
         text = f"{message.workspace}\0{message.key}"
@@ -31,7 +34,7 @@
 
 
 def make_request(
-    tables,
+    tables: entry_tables.EntryTables,
     now: float,
     request_id: str,
     workspace: str,
@@ -61,7 +64,9 @@
     )
 
 
-def watch_deadline(tables, now: float, request: pipeline_tables.Request) -> None:
+def watch_deadline(
+    tables: entry_tables.EntryTables, now: float, request: pipeline_tables.Request
+) -> None:
     """Let a request that is not durable end at its deadline."""
     if request.kind.durable:
         return
--- a/bitternlever/pipelines/delivery.py
+++ b/bitternlever/pipelines/delivery.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from bitternlever.core import ticks
+from bitternlever.entry import tables as entry_tables
 from bitternlever.messages import journal, problems, requests
 from bitternlever.pipelines import refusals, tables as pipeline_tables
 
@@ -13,7 +14,7 @@
 Callers = dict[int, pipeline_tables.Caller]
 
 
-def has_room(tables, caller: pipeline_tables.Caller) -> bool:
+def has_room(tables: entry_tables.EntryTables, caller: pipeline_tables.Caller) -> bool:
     """Tell whether a caller may wait on this host; who waits already may go on."""
     if caller.caller in tables.requests.callers:
         return True
@@ -22,7 +23,7 @@
 
 
 def refuse_caller(
-    tables,
+    tables: entry_tables.EntryTables,
     outbox: ticks.Outbox,
     request_id: str,
     caller: pipeline_tables.Caller,
@@ -76,7 +77,7 @@
 
 
 def answer(
-    tables,
+    tables: entry_tables.EntryTables,
     outbox: ticks.Outbox,
     callers: Callers,
     answered: journal.Answered,
@@ -105,7 +106,7 @@
 
 
 def problem(
-    tables,
+    tables: entry_tables.EntryTables,
     outbox: ticks.Outbox,
     callers: Callers,
     stated: problems.Problem,
@@ -118,7 +119,7 @@
 
 
 def drop_text(
-    tables,
+    tables: entry_tables.EntryTables,
     outbox: ticks.Outbox,
     request_id: str,
     callers: Callers,
@@ -135,7 +136,7 @@
 
 
 def state(
-    tables,
+    tables: entry_tables.EntryTables,
     outbox: ticks.Outbox,
     caller: int,
     request_id: str,
@@ -158,7 +159,9 @@
     return output if isinstance(output, str) else ""
 
 
-def _acknowledged(tables, answered: journal.Answered) -> problems.Problem:
+def _acknowledged(
+    tables: entry_tables.EntryTables, answered: journal.Answered
+) -> problems.Problem:
     return refusals.problem(
         tables,
         status=GONE_STATUS,
--- a/bitternlever/pipelines/drain.py
+++ b/bitternlever/pipelines/drain.py
@@ -5,7 +5,7 @@
 """
 
 from bitternlever.core import ticks
-from bitternlever.entry import control_client, lease
+from bitternlever.entry import control_client, lease, tables as entry_tables
 from bitternlever.messages import directory, journal, problems, requests
 from bitternlever.pipelines import (
     delivery,
@@ -21,7 +21,7 @@
 
 
 def request(
-    tables,
+    tables: entry_tables.EntryTables,
     now: float,
     outbox: ticks.Outbox,
     message: requests.DrainRequested,
@@ -36,7 +36,7 @@
     outbox.wake(state.drain_answer_expires_s)
 
 
-def run(tables, now: float, outbox: ticks.Outbox) -> None:
+def run(tables: entry_tables.EntryTables, now: float, outbox: ticks.Outbox) -> None:
     """Go on with the drain: wait, hand over, end the lease, end the process."""
     state = tables.requests
     if state.drain_ended:
@@ -68,7 +68,9 @@
     return request.journaled and ready and not request.callers and not request.attempts
 
 
-def _release(tables, now: float, outbox: ticks.Outbox, waiting) -> None:
+def _release(
+    tables: entry_tables.EntryTables, now: float, outbox: ticks.Outbox, waiting
+) -> None:
     state = tables.requests
     group = groups.group_of(tables, waiting[0].request_id)
     released = [
@@ -99,7 +101,9 @@
     control_client.call(tables, now, outbox, group, command, on_outcome)
 
 
-def _end_without_lease(tables, now: float, outbox: ticks.Outbox) -> None:
+def _end_without_lease(
+    tables: entry_tables.EntryTables, now: float, outbox: ticks.Outbox
+) -> None:
     """Leave journaled requests to the hosts that take them over."""
     state = tables.requests
     state.takeover_in_flight = False
@@ -108,7 +112,9 @@
             ownership.disown(tables, now, outbox, each)
 
 
-def _end_lease(tables, now: float, outbox: ticks.Outbox) -> None:
+def _end_lease(
+    tables: entry_tables.EntryTables, now: float, outbox: ticks.Outbox
+) -> None:
     """End the lease; without control it ends by itself."""
     state = tables.requests
     state.drain_releasing = True
@@ -132,7 +138,7 @@
     )
 
 
-def _end_forced(tables, outbox: ticks.Outbox) -> None:
+def _end_forced(tables: entry_tables.EntryTables, outbox: ticks.Outbox) -> None:
     """End at once and say what is cut off."""
     state = tables.requests
     state.drain_ended = True
--- a/bitternlever/pipelines/failures.py
+++ b/bitternlever/pipelines/failures.py
@@ -2,6 +2,7 @@
 
 from bitternlever.admission import dispatch
 from bitternlever.core import ticks
+from bitternlever.entry import tables as entry_tables
 from bitternlever.messages import problems, requests
 from bitternlever.pipelines import (
     finish,
@@ -22,7 +23,7 @@
 
 
 def failed(
-    tables,
+    tables: entry_tables.EntryTables,
     now: float,
     outbox: ticks.Outbox,
     message: requests.UpstreamFailed,
@@ -52,7 +53,7 @@
 
 
 def fail(
-    tables,
+    tables: entry_tables.EntryTables,
     now: float,
     outbox: ticks.Outbox,
     attempt: pipeline_tables.Attempt,
@@ -74,7 +75,7 @@
 
 
 def _retry(
-    tables,
+    tables: entry_tables.EntryTables,
     now: float,
     outbox: ticks.Outbox,
     request: pipeline_tables.Request,
@@ -102,7 +103,7 @@
 
 
 def _push_later(
-    tables,
+    tables: entry_tables.EntryTables,
     now: float,
     request: pipeline_tables.Request,
     attempt: pipeline_tables.Attempt,
@@ -122,7 +123,12 @@
     timers.at(tables, now + min(pause_s, MAXIMUM_DURABLE_PAUSE_S), again)
 
 
-def _promote_hedge(tables, now: float, outbox: ticks.Outbox, request) -> None:
+def _promote_hedge(
+    tables: entry_tables.EntryTables,
+    now: float,
+    outbox: ticks.Outbox,
+    request: pipeline_tables.Request,
+) -> None:
     """Let a hedge stand in for its failed primary, if it fits what was shown."""
     attempt = tables.requests.attempts[min(request.attempts)]
     name = attempt.stage.name
@@ -144,7 +150,12 @@
     return FIRST_CLIENT_ERROR <= status < FIRST_SERVER_ERROR
 
 
-def _upstream_refused(tables, request, attempt, message) -> problems.Problem:
+def _upstream_refused(
+    tables: entry_tables.EntryTables,
+    request: pipeline_tables.Request,
+    attempt: pipeline_tables.Attempt,
+    message: requests.UpstreamFailed,
+) -> problems.Problem:
     return refusals.problem(
         tables,
         status=502,
@@ -155,7 +166,12 @@
     )
 
 
-def _given_up(tables, request, attempt, message) -> problems.Problem:
+def _given_up(
+    tables: entry_tables.EntryTables,
+    request: pipeline_tables.Request,
+    attempt: pipeline_tables.Attempt,
+    message: requests.UpstreamFailed,
+) -> problems.Problem:
     return refusals.problem(
         tables,
         status=503,
--- a/bitternlever/pipelines/finish.py
+++ b/bitternlever/pipelines/finish.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from bitternlever.core import ticks
+from bitternlever.entry import tables as entry_tables
 from bitternlever.messages import journal, problems
 from bitternlever.pipelines import (
     delivery,
@@ -20,7 +21,7 @@
 
 
 def whole(
-    tables,
+    tables: entry_tables.EntryTables,
     now: float,
     outbox: ticks.Outbox,
     request: pipeline_tables.Request,
@@ -44,7 +45,7 @@
 
 
 def problem(
-    tables,
+    tables: entry_tables.EntryTables,
     now: float,
     outbox: ticks.Outbox,
     request: pipeline_tables.Request,
@@ -68,7 +69,7 @@
 
 
 def withdraw(
-    tables,
+    tables: entry_tables.EntryTables,
     now: float,
     outbox: ticks.Outbox,
     request: pipeline_tables.Request,
@@ -98,7 +99,7 @@
 
 
 def _end(
-    tables,
+    tables: entry_tables.EntryTables,
     now: float,
     outbox: ticks.Outbox,
     request: pipeline_tables.Request,
@@ -117,7 +118,7 @@
 
 
 def _record(
-    tables,
+    tables: entry_tables.EntryTables,
     now: float,
     outbox: ticks.Outbox,
     request: pipeline_tables.Request,
@@ -156,7 +157,7 @@
 
 
 def _tell_after_limit(
-    tables,
+    tables: entry_tables.EntryTables,
     now: float,
     request: pipeline_tables.Request,
     answer: pipeline_tables.FinalAnswer,
@@ -181,7 +182,9 @@
     timers.at(tables, now + limit_s, tell)
 
 
-def _unrecorded(tables, request: pipeline_tables.Request) -> problems.Problem:
+def _unrecorded(
+    tables: entry_tables.EntryTables, request: pipeline_tables.Request
+) -> problems.Problem:
     return refusals.problem(
         tables,
         status=503,
--- a/bitternlever/pipelines/intake.py
+++ b/bitternlever/pipelines/intake.py
@@ -5,7 +5,7 @@
 
 from bitternlever.admission import gate
 from bitternlever.core import ticks
-from bitternlever.entry import lease
+from bitternlever.entry import lease, tables as entry_tables
 from bitternlever.messages import manifest, problems, requests
 from bitternlever.pipelines import (
     claims,
@@ -21,7 +21,7 @@
 
 
 def submit(
-    tables,
+    tables: entry_tables.EntryTables,
     now: float,
     outbox: ticks.Outbox,
     message: requests.RequestSubmitted,
@@ -44,7 +44,7 @@
 
 
 def _check(
-    tables,
+    tables: entry_tables.EntryTables,
     now: float,
     message: requests.RequestSubmitted,
     request_id: str,
@@ -103,7 +103,7 @@
 
 
 def _refusal(
-    tables,
+    tables: entry_tables.EntryTables,
     status: int,
     title: str,
     detail: str,
@@ -121,7 +121,7 @@
     )
 
 
-def _unready(tables, now: float) -> str | None:
+def _unready(tables: entry_tables.EntryTables, now: float) -> str | None:
     expires_s = tables.requests.drain_answer_expires_s
     if tables.requests.drain_forced or (expires_s is not None and now >= expires_s):
         return "this host is draining"
@@ -138,7 +138,7 @@
 
 
 def _join(
-    tables,
+    tables: entry_tables.EntryTables,
     outbox: ticks.Outbox,
     message: requests.RequestSubmitted,
     request_id: str,
@@ -157,7 +157,7 @@
 
 
 def _refuse(
-    tables,
+    tables: entry_tables.EntryTables,
     now: float,
     outbox: ticks.Outbox,
     message: requests.RequestSubmitted,
@@ -187,7 +187,7 @@
 
 
 def _accept(
-    tables,
+    tables: entry_tables.EntryTables,
     now: float,
     outbox: ticks.Outbox,
     message: requests.RequestSubmitted,
--- a/bitternlever/pipelines/lapses.py
+++ b/bitternlever/pipelines/lapses.py
@@ -2,14 +2,14 @@
 
 from bitternlever.admission import dispatch
 from bitternlever.core import ticks
-from bitternlever.entry import lease
+from bitternlever.entry import lease, tables as entry_tables
 from bitternlever.messages import problems
 from bitternlever.pipelines import delivery, ownership, refusals
 
 LAPSE_LIMIT_S = 5.0
 
 
-def run(tables, now: float, outbox: ticks.Outbox) -> None:
+def run(tables: entry_tables.EntryTables, now: float, outbox: ticks.Outbox) -> None:
     """End runs of a former epoch, launch what waited for a lease, tell callers."""
     state = tables.requests
     if tables.lease.epoch != state.epoch_seen:
@@ -27,26 +27,28 @@
     outbox.wake(state.lapsed_since_s + LAPSE_LIMIT_S)
 
 
-def is_long(tables, now: float) -> bool:
+def is_long(tables: entry_tables.EntryTables, now: float) -> bool:
     """Tell whether this host has had no lease for so long that others took over."""
     since_s = tables.requests.lapsed_since_s
     return since_s is not None and now - since_s >= LAPSE_LIMIT_S
 
 
-def disown_former(tables, now: float, outbox: ticks.Outbox) -> None:
+def disown_former(
+    tables: entry_tables.EntryTables, now: float, outbox: ticks.Outbox
+) -> None:
     """End the runs that this host owned under another epoch."""
     for request in list(tables.requests.requests.values()):
         if request.journaled and request.epoch != tables.lease.epoch:
             ownership.disown(tables, now, outbox, request)
 
 
-def _unpark(tables, now: float) -> None:
+def _unpark(tables: entry_tables.EntryTables, now: float) -> None:
     parked, tables.requests.parked = tables.requests.parked, []
     for ready in parked:
         dispatch.push(tables, now, ready)
 
 
-def _tell_callers(tables, outbox: ticks.Outbox) -> None:
+def _tell_callers(tables: entry_tables.EntryTables, outbox: ticks.Outbox) -> None:
     """Send the callers of journaled requests to hosts that can reach the journal."""
     for request in tables.requests.requests.values():
         if not request.journaled or not request.callers:
--- a/bitternlever/pipelines/launch.py
+++ b/bitternlever/pipelines/launch.py
@@ -2,6 +2,7 @@
 
 from bitternlever.admission import dispatch
 from bitternlever.core import ticks
+from bitternlever.entry import tables as entry_tables
 from bitternlever.messages import journal, manifest, requests, upstream
 from bitternlever.pipelines import (
     finish,
@@ -21,7 +22,7 @@
 
 
 def launch(
-    tables,
+    tables: entry_tables.EntryTables,
     now: float,
     outbox: ticks.Outbox,
     ready: pipeline_tables.ReadyStage,
@@ -60,7 +61,9 @@
     _commit_start(tables, now, outbox, request, attempt)
 
 
-def preempt(tables, now: float, outbox: ticks.Outbox, attempt_id: str) -> None:
+def preempt(
+    tables: entry_tables.EntryTables, now: float, outbox: ticks.Outbox, attempt_id: str
+) -> None:
     """Cancel an attempt and let its stage wait, to go on from its output later."""
     attempt = tables.requests.attempts.get(attempt_id)
     if attempt is None or not attempt.stage.idempotent:
@@ -81,7 +84,7 @@
 
 
 def hedge(
-    tables,
+    tables: entry_tables.EntryTables,
     now: float,
     outbox: ticks.Outbox,
     ready: pipeline_tables.ReadyStage,
@@ -101,7 +104,7 @@
 
 
 def _commit_start(
-    tables,
+    tables: entry_tables.EntryTables,
     now: float,
     outbox: ticks.Outbox,
     request: pipeline_tables.Request,
@@ -130,7 +133,7 @@
 
 
 def _started(
-    tables,
+    tables: entry_tables.EntryTables,
     now: float,
     outbox: ticks.Outbox,
     request: pipeline_tables.Request,
@@ -147,7 +150,7 @@
 
 
 def _send(
-    tables,
+    tables: entry_tables.EntryTables,
     now: float,
     outbox: ticks.Outbox,
     request: pipeline_tables.Request,
@@ -218,7 +221,7 @@
 
 
 def _make_attempt(
-    tables,
+    tables: entry_tables.EntryTables,
     now: float,
     ready: pipeline_tables.ReadyStage,
     placement: routing_tables.Placement,
--- a/bitternlever/pipelines/outcomes.py
+++ b/bitternlever/pipelines/outcomes.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from bitternlever.core import ticks
+from bitternlever.entry import tables as entry_tables
 from bitternlever.messages import manifest, requests, upstream
 from bitternlever.pipelines import (
     delivery,
@@ -19,7 +20,7 @@
 
 
 def part(
-    tables,
+    tables: entry_tables.EntryTables,
     now: float,
     outbox: ticks.Outbox,
     message: requests.UpstreamPart,
@@ -49,7 +50,7 @@
 
 
 def finished(
-    tables,
+    tables: entry_tables.EntryTables,
     now: float,
     outbox: ticks.Outbox,
     message: requests.UpstreamFinished,
@@ -73,7 +74,7 @@
 
 
 def _complete(
-    tables,
+    tables: entry_tables.EntryTables,
     now: float,
     outbox: ticks.Outbox,
     attempt: pipeline_tables.Attempt,
@@ -109,7 +110,7 @@
 
 
 def _begin_anew(
-    tables,
+    tables: entry_tables.EntryTables,
     now: float,
     outbox: ticks.Outbox,
     attempt: pipeline_tables.Attempt,
--- a/bitternlever/pipelines/ownership.py
+++ b/bitternlever/pipelines/ownership.py
@@ -5,7 +5,7 @@
 
 from bitternlever.admission import dispatch
 from bitternlever.core import ticks
-from bitternlever.entry import control_client, lease
+from bitternlever.entry import control_client, lease, tables as entry_tables
 from bitternlever.messages import journal, requests
 from bitternlever.pipelines import (
     delivery,
@@ -22,12 +22,14 @@
 OnReply = Callable[[Any, float, ticks.Outbox, journal.Reply], None]
 
 
-def is_live(tables, request: pipeline_tables.Request) -> bool:
+def is_live(tables: entry_tables.EntryTables, request: pipeline_tables.Request) -> bool:
     """Tell whether this host still owns this run of the request."""
     return tables.requests.requests.get(request.request_id) is request
 
 
-def may_send(tables, now: float, request: pipeline_tables.Request) -> bool:
+def may_send(
+    tables: entry_tables.EntryTables, now: float, request: pipeline_tables.Request
+) -> bool:
     """Tell whether this host may send a stage: under the lease of its ownership."""
     if not request.journaled:
         return True
@@ -35,7 +37,7 @@
 
 
 def write(
-    tables,
+    tables: entry_tables.EntryTables,
     now: float,
     outbox: ticks.Outbox,
     request: pipeline_tables.Request,
@@ -78,7 +80,7 @@
 
 
 def settle(
-    tables,
+    tables: entry_tables.EntryTables,
     now: float,
     outbox: ticks.Outbox,
     request: pipeline_tables.Request,
@@ -94,7 +96,7 @@
 
 
 def disown(
-    tables,
+    tables: entry_tables.EntryTables,
     now: float,
     outbox: ticks.Outbox,
     request: pipeline_tables.Request,
@@ -117,7 +119,7 @@
 
 
 def stop(
-    tables,
+    tables: entry_tables.EntryTables,
     now: float,
     outbox: ticks.Outbox,
     request: pipeline_tables.Request,
@@ -131,7 +133,7 @@
 
 
 def cancel_attempt(
-    tables,
+    tables: entry_tables.EntryTables,
     now: float,
     outbox: ticks.Outbox,
     attempt: pipeline_tables.Attempt,
@@ -150,7 +152,7 @@
 
 
 def end_attempt(
-    tables,
+    tables: entry_tables.EntryTables,
     now: float,
     outbox: ticks.Outbox,
     attempt: pipeline_tables.Attempt,
--- a/bitternlever/pipelines/progress.py
+++ b/bitternlever/pipelines/progress.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from bitternlever.core import ticks
+from bitternlever.entry import tables as entry_tables
 from bitternlever.messages import journal, manifest, upstream
 from bitternlever.pipelines import (
     delivery,
@@ -23,7 +24,7 @@
 
 
 def extend(
-    tables,
+    tables: entry_tables.EntryTables,
     now: float,
     outbox: ticks.Outbox,
     request: pipeline_tables.Request,
@@ -69,7 +70,7 @@
 
 
 def replace(
-    tables,
+    tables: entry_tables.EntryTables,
     now: float,
     outbox: ticks.Outbox,
     request: pipeline_tables.Request,
@@ -94,7 +95,7 @@
 
 
 def record(
-    tables,
+    tables: entry_tables.EntryTables,
     now: float,
     outbox: ticks.Outbox,
     request: pipeline_tables.Request,
@@ -124,7 +125,7 @@
 
 
 def record_rest(
-    tables,
+    tables: entry_tables.EntryTables,
     now: float,
     outbox: ticks.Outbox,
     request: pipeline_tables.Request,
@@ -144,7 +145,7 @@
 
 
 def record_result(
-    tables,
+    tables: entry_tables.EntryTables,
     now: float,
     outbox: ticks.Outbox,
     request: pipeline_tables.Request,
@@ -191,7 +192,9 @@
     return STREAM_INTERVAL_S if _has_stream(request) else SAVE_INTERVAL_S
 
 
-def _record_later(tables, request: pipeline_tables.Request, stage: str) -> None:
+def _record_later(
+    tables: entry_tables.EntryTables, request: pipeline_tables.Request, stage: str
+) -> None:
     request.recording = True
 
     def again(tables, now, outbox) -> None:
@@ -205,7 +208,7 @@
 
 
 def _command(
-    tables,
+    tables: entry_tables.EntryTables,
     request: pipeline_tables.Request,
     stage: str,
     offset: int,
--- a/bitternlever/pipelines/refusals.py
+++ b/bitternlever/pipelines/refusals.py
@@ -1,5 +1,6 @@
 """Problem answers: what went wrong, whether the request ran, when to come back."""
 
+from bitternlever.entry import tables as entry_tables
 from bitternlever.messages import problems
 from bitternlever.pipelines import tables as pipeline_tables
 
@@ -9,7 +10,7 @@
 
 
 def problem(
-    tables,
+    tables: entry_tables.EntryTables,
     status: int,
     title: str,
     detail: str,
@@ -30,7 +31,7 @@
     )
 
 
-def other_hosts(tables) -> list[str]:
+def other_hosts(tables: entry_tables.EntryTables) -> list[str]:
     """Return addresses of other hosts that take new work."""
     hosts = [
         host.address
@@ -52,7 +53,9 @@
     return problems.Ran.NO
 
 
-def late(tables, request: pipeline_tables.Request) -> problems.Problem:
+def late(
+    tables: entry_tables.EntryTables, request: pipeline_tables.Request
+) -> problems.Problem:
     """Return the problem of a request whose deadline has passed."""
     return problem(
         tables,
@@ -65,7 +68,9 @@
     )
 
 
-def cancelled(tables, request: pipeline_tables.Request) -> problems.Problem:
+def cancelled(
+    tables: entry_tables.EntryTables, request: pipeline_tables.Request
+) -> problems.Problem:
     """Return the problem of a request that its caller cancelled."""
     return problem(
         tables,
@@ -77,7 +82,7 @@
     )
 
 
-def garbled(tables, request_id: str) -> problems.Problem:
+def garbled(tables: entry_tables.EntryTables, request_id: str) -> problems.Problem:
     """Return the problem of a streamed text that must be fetched from its beginning."""
     return problem(
         tables,
@@ -91,7 +96,7 @@
 
 
 def outcome_unknown(
-    tables,
+    tables: entry_tables.EntryTables,
     request: pipeline_tables.Request,
     stage: str,
 ) -> problems.Problem:
--- a/bitternlever/pipelines/stages.py
+++ b/bitternlever/pipelines/stages.py
@@ -4,6 +4,7 @@
 
 from bitternlever.admission import dispatch
 from bitternlever.core import ticks
+from bitternlever.entry import tables as entry_tables
 from bitternlever.messages import problems, upstream
 from bitternlever.pipelines import (
     delivery,
@@ -19,7 +20,7 @@
 
 
 def attach(
-    tables,
+    tables: entry_tables.EntryTables,
     outbox: ticks.Outbox,
     request: pipeline_tables.Request,
     caller: pipeline_tables.Caller,
@@ -31,7 +32,7 @@
 
 
 def advance(
-    tables,
+    tables: entry_tables.EntryTables,
     now: float,
     outbox: ticks.Outbox,
     request: pipeline_tables.Request,
@@ -54,7 +55,7 @@
 
 
 def ready_stage(
-    tables,
+    tables: entry_tables.EntryTables,
     now: float,
     request: pipeline_tables.Request,
     excluded: frozenset[str] = frozenset(),
@@ -87,14 +88,14 @@
     )
 
 
-def run(tables, now: float, outbox: ticks.Outbox) -> None:
+def run(tables: entry_tables.EntryTables, now: float, outbox: ticks.Outbox) -> None:
     """Run what is due, and what follows from the state of this host's lease."""
     lapses.run(tables, now, outbox)
     timers.run(tables, now, outbox)
 
 
 def expire(
-    tables,
+    tables: entry_tables.EntryTables,
     now: float,
     outbox: ticks.Outbox,
     request: pipeline_tables.Request,
--- a/bitternlever/pipelines/takeover.py
+++ b/bitternlever/pipelines/takeover.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from bitternlever.core import ticks
-from bitternlever.entry import control_client, lease
+from bitternlever.entry import control_client, lease, tables as entry_tables
 from bitternlever.messages import journal, manifest, problems
 from bitternlever.pipelines import (
     creation,
@@ -21,7 +21,7 @@
 MILLISECONDS = 1_000
 
 
-def run(tables, now: float, outbox: ticks.Outbox) -> None:
+def run(tables: entry_tables.EntryTables, now: float, outbox: ticks.Outbox) -> None:
     """Take over waiting requests after a hint, one call at a time."""
     state = tables.requests
     if lease.holds(tables, now) and now >= state.next_reconcile_s:
@@ -41,7 +41,7 @@
 
 
 def adopt_state(
-    tables,
+    tables: entry_tables.EntryTables,
     now: float,
     outbox: ticks.Outbox,
     request: pipeline_tables.Request,
@@ -77,7 +77,9 @@
     stages.advance(tables, now, outbox, request)
 
 
-def _reconcile(tables, now: float, outbox: ticks.Outbox, group: int) -> None:
+def _reconcile(
+    tables: entry_tables.EntryTables, now: float, outbox: ticks.Outbox, group: int
+) -> None:
     """Release requests that this host owns without knowing them, twice in a row.
 
     Such a request was claimed or taken over by a call whose reply never came.
@@ -103,7 +105,13 @@
     control_client.call(tables, now, outbox, group, command, on_outcome)
 
 
-def _release(tables, now: float, outbox: ticks.Outbox, group: int, lost) -> None:
+def _release(
+    tables: entry_tables.EntryTables,
+    now: float,
+    outbox: ticks.Outbox,
+    group: int,
+    lost: list[str],
+) -> None:
     command = journal.ReleaseRequests(
         request_ids=lost,
         host=tables.settings.host,
@@ -116,7 +124,9 @@
     control_client.call(tables, now, outbox, group, command, on_outcome)
 
 
-def _take(tables, now: float, outbox: ticks.Outbox, group: int) -> None:
+def _take(
+    tables: entry_tables.EntryTables, now: float, outbox: ticks.Outbox, group: int
+) -> None:
     tables.requests.takeover_sequence += 1
     command = journal.TakeOver(
         host=tables.settings.host,
@@ -127,7 +137,13 @@
     _call(tables, now, outbox, group, command)
 
 
-def _call(tables, now: float, outbox: ticks.Outbox, group: int, command) -> None:
+def _call(
+    tables: entry_tables.EntryTables,
+    now: float,
+    outbox: ticks.Outbox,
+    group: int,
+    command: journal.Command,
+) -> None:
     """Send one takeover until it is answered: its requests may be this host's."""
 
     def again(tables, now, outbox) -> None:
@@ -156,7 +172,10 @@
 
 
 def _adopt(
-    tables, now: float, outbox: ticks.Outbox, taken: journal.OpenRequest
+    tables: entry_tables.EntryTables,
+    now: float,
+    outbox: ticks.Outbox,
+    taken: journal.OpenRequest,
 ) -> None:
     if taken.request_id in tables.requests.requests:
         tables.count("takeover_of_own_request")
@@ -188,7 +207,7 @@
 
 
 def _bring_callers(
-    tables,
+    tables: entry_tables.EntryTables,
     outbox: ticks.Outbox,
     request: pipeline_tables.Request,
 ) -> None:
@@ -215,7 +234,9 @@
     )
 
 
-def _pipeline_gone(tables, request: pipeline_tables.Request) -> problems.Problem:
+def _pipeline_gone(
+    tables: entry_tables.EntryTables, request: pipeline_tables.Request
+) -> problems.Problem:
     return refusals.problem(
         tables,
         status=410,
--- a/bitternlever/pipelines/timers.py
+++ b/bitternlever/pipelines/timers.py
@@ -5,12 +5,13 @@
 from typing import Any
 
 from bitternlever.core import ticks
+from bitternlever.entry import tables as entry_tables
 from bitternlever.pipelines import tables as pipeline_tables
 
 Action = Callable[[Any, float, ticks.Outbox], None]
 
 
-def at(tables, due_s: float, action: Action) -> None:
+def at(tables: entry_tables.EntryTables, due_s: float, action: Action) -> None:
     """Run ``action`` in the first tick at or after ``due_s``."""
     state = tables.requests
     state.next_timer += 1
@@ -22,7 +23,7 @@
     heapq.heappush(state.timers, timer)
 
 
-def run(tables, now: float, outbox: ticks.Outbox) -> None:
+def run(tables: entry_tables.EntryTables, now: float, outbox: ticks.Outbox) -> None:
     """Run what is due and ask for a tick when the next is."""
     heap = tables.requests.timers
     while heap and heap[0].due_s <= now:
--- a/bitternlever/pipelines/watch.py
+++ b/bitternlever/pipelines/watch.py
@@ -1,7 +1,7 @@
 """Callers of requests that another host owns: follow the journal until the answer."""
 
 from bitternlever.core import ticks
-from bitternlever.entry import control_client
+from bitternlever.entry import control_client, tables as entry_tables
 from bitternlever.messages import calls, frames, journal, problems
 from bitternlever.pipelines import (
     delivery,
@@ -21,7 +21,7 @@
 
 
 def add(
-    tables,
+    tables: entry_tables.EntryTables,
     now: float,
     outbox: ticks.Outbox,
     request_id: str,
@@ -45,14 +45,21 @@
     _poll(tables, now, outbox, watch)
 
 
-def leave(tables, watch: pipeline_tables.Watch, caller: int) -> None:
+def leave(
+    tables: entry_tables.EntryTables, watch: pipeline_tables.Watch, caller: int
+) -> None:
     """Take a caller out of a watch."""
     watch.callers.pop(caller, None)
     if not watch.callers:
         tables.requests.watches.pop(watch.request_id, None)
 
 
-def _poll(tables, now: float, outbox: ticks.Outbox, watch) -> None:
+def _poll(
+    tables: entry_tables.EntryTables,
+    now: float,
+    outbox: ticks.Outbox,
+    watch: pipeline_tables.Watch,
+) -> None:
     if watch.polling or tables.requests.watches.get(watch.request_id) is not watch:
         return
     watch.polling = True
@@ -77,7 +84,13 @@
     control_client.call(tables, now, outbox, group, command, on_outcome)
 
 
-def _heard(tables, now: float, outbox: ticks.Outbox, watch, reply) -> None:
+def _heard(
+    tables: entry_tables.EntryTables,
+    now: float,
+    outbox: ticks.Outbox,
+    watch: pipeline_tables.Watch,
+    reply: journal.Reply,
+) -> None:
     match reply:
         case journal.Answered():
             del tables.requests.watches[watch.request_id]
@@ -89,7 +102,13 @@
             _missing(tables, now, outbox, watch)
 
 
-def _open(tables, now: float, outbox: ticks.Outbox, watch, reply) -> None:
+def _open(
+    tables: entry_tables.EntryTables,
+    now: float,
+    outbox: ticks.Outbox,
+    watch: pipeline_tables.Watch,
+    reply: journal.Reply,
+) -> None:
     if watch.generation not in (None, reply.generation):
         delivery.drop_text(tables, outbox, watch.request_id, watch.callers)
     watch.generation = reply.generation
@@ -119,7 +138,13 @@
     _poll_later(tables, now, watch)
 
 
-def _hint_owner(tables, now: float, outbox: ticks.Outbox, watch, owner: str) -> None:
+def _hint_owner(
+    tables: entry_tables.EntryTables,
+    now: float,
+    outbox: ticks.Outbox,
+    watch: pipeline_tables.Watch,
+    owner: str,
+) -> None:
     """Let the owner know that somebody still waits for the request."""
     host = tables.membership.hosts.get(owner)
     if host is None or now < watch.next_hint_s:
@@ -131,7 +156,9 @@
     )
 
 
-def _poll_later(tables, now: float, watch) -> None:
+def _poll_later(
+    tables: entry_tables.EntryTables, now: float, watch: pipeline_tables.Watch
+) -> None:
     def again(tables, now, outbox) -> None:
         _poll(tables, now, outbox, watch)
 
@@ -139,7 +166,12 @@
     watch.interval_s = min(MAXIMUM_INTERVAL_S, watch.interval_s * INTERVAL_GROWTH)
 
 
-def _unheard(tables, now: float, outbox: ticks.Outbox, watch) -> None:
+def _unheard(
+    tables: entry_tables.EntryTables,
+    now: float,
+    outbox: ticks.Outbox,
+    watch: pipeline_tables.Watch,
+) -> None:
     """Go on asking for a while; then say that the outcome is not known here."""
     if watch.unheard_since_s is None:
         watch.unheard_since_s = now
@@ -160,7 +192,12 @@
     delivery.problem(tables, outbox, watch.callers, stated)
 
 
-def _missing(tables, now: float, outbox: ticks.Outbox, watch) -> None:
+def _missing(
+    tables: entry_tables.EntryTables,
+    now: float,
+    outbox: ticks.Outbox,
+    watch: pipeline_tables.Watch,
+) -> None:
     """The journal holds no such request: callers that brought one have it handled."""
     callers = list(watch.callers.values())
     watch.callers.clear()
@@ -176,7 +213,7 @@
         )
 
 
-def unknown(tables, request_id: str) -> problems.Problem:
+def unknown(tables: entry_tables.EntryTables, request_id: str) -> problems.Problem:
     """Return the problem of a request that no table and no journal holds."""
     return refusals.problem(
         tables,
--- a/bitternlever/routing/budgets.py
+++ b/bitternlever/routing/budgets.py
@@ -5,13 +5,14 @@
 """
 
 from bitternlever.admission import queues
+from bitternlever.entry import tables as entry_tables
 from bitternlever.pipelines import tables as pipeline_tables
 
 MAXIMUM_ATTEMPTS = 4
 MAXIMUM_TOKENS = 20.0
 
 
-def earn(tables) -> None:
+def earn(tables: entry_tables.EntryTables) -> None:
     """Earn from a first attempt."""
     limits = queues.limits(tables)
     routing = tables.routing
@@ -26,7 +27,7 @@
 
 
 def may_retry(
-    tables,
+    tables: entry_tables.EntryTables,
     now: float,
     request: pipeline_tables.Request,
     attempts: int,
@@ -38,7 +39,7 @@
     return True
 
 
-def may_hedge(tables) -> bool:
+def may_hedge(tables: entry_tables.EntryTables) -> bool:
     """Spend a hedge, if one is left; a ratio of 0 allows none at all."""
     none_wanted = queues.limits(tables).hedge_ratio <= 0.0
     if none_wanted or tables.routing.hedge_tokens < 1.0:
--- a/bitternlever/routing/choice.py
+++ b/bitternlever/routing/choice.py
@@ -2,6 +2,7 @@
 
 import result
 
+from bitternlever.entry import tables as entry_tables
 from bitternlever.gossip import membership
 from bitternlever.pipelines import tables as pipeline_tables
 from bitternlever.routing import policies, predicted, tables as routing_tables
@@ -17,7 +18,7 @@
 
 
 def choose(
-    tables,
+    tables: entry_tables.EntryTables,
     now: float,
     ready: pipeline_tables.ReadyStage,
 ) -> result.Result[routing_tables.Placement, routing_tables.NoPlacement]:
@@ -41,7 +42,7 @@
 
 
 def _allowed(
-    tables,
+    tables: entry_tables.EntryTables,
     now: float,
     ready: pipeline_tables.ReadyStage,
 ) -> policies.Upstreams:
@@ -60,7 +61,7 @@
 
 
 def _choose(
-    tables,
+    tables: entry_tables.EntryTables,
     now: float,
     ready: pipeline_tables.ReadyStage,
     serving: policies.Upstreams,
--- a/bitternlever/routing/ejection.py
+++ b/bitternlever/routing/ejection.py
@@ -6,6 +6,7 @@
 is back; its limit then grows from one.
 """
 
+from bitternlever.entry import tables as entry_tables
 from bitternlever.gossip import tables as gossip_tables
 from bitternlever.pipelines import tables as pipeline_tables
 from bitternlever.routing import estimates, limits, tables as routing_tables
@@ -20,7 +21,9 @@
 PROBE_INTERVAL_S = 1.0
 
 
-def eject(tables, now: float, load: routing_tables.UpstreamLoad) -> None:
+def eject(
+    tables: entry_tables.EntryTables, now: float, load: routing_tables.UpstreamLoad
+) -> None:
     """Eject an upstream for a pause that doubles with each ejection in a row."""
     pause_s = min(LONGEST_PAUSE_S, FIRST_PAUSE_S * 2**load.ejections)
     load.ejected_until_s = now + pause_s * tables.random.uniform(0.8, 1.2)
@@ -30,7 +33,9 @@
     tables.count("upstream_ejected")
 
 
-def failed(tables, now: float, load: routing_tables.UpstreamLoad) -> None:
+def failed(
+    tables: entry_tables.EntryTables, now: float, load: routing_tables.UpstreamLoad
+) -> None:
     """Take a failed attempt: a probe ejects again, failures in a row eject."""
     load.failures += 1
     if load.probing and now < load.ejected_until_s:
@@ -53,7 +58,7 @@
 
 
 def admits(
-    tables,
+    tables: entry_tables.EntryTables,
     now: float,
     ready: pipeline_tables.ReadyStage,
     load: routing_tables.UpstreamLoad,
@@ -79,13 +84,13 @@
     return spare_s > PROBE_SPARE * service_s
 
 
-def probed(tables, now: float, pool: str) -> None:
+def probed(tables: entry_tables.EntryTables, now: float, pool: str) -> None:
     """Note that a probe goes out to a pool."""
     tables.routing.next_probe_s[pool] = now + PROBE_INTERVAL_S
 
 
 def judge(
-    tables,
+    tables: entry_tables.EntryTables,
     now: float,
     pool: list[gossip_tables.Upstream],
 ) -> None:
--- a/bitternlever/routing/estimates.py
+++ b/bitternlever/routing/estimates.py
@@ -4,6 +4,7 @@
 A unit's time is learnt by kind of work, an upstream's pace against it by upstream.
 """
 
+from bitternlever.entry import tables as entry_tables
 from bitternlever.messages import manifest, upstream as upstream_messages
 from bitternlever.pipelines import tables as pipeline_tables
 from bitternlever.routing import tables as routing_tables
@@ -27,7 +28,7 @@
 
 
 def units(
-    tables,
+    tables: entry_tables.EntryTables,
     ready: pipeline_tables.ReadyStage,
     cached: bool = False,
 ) -> float:
@@ -43,7 +44,9 @@
     return (prompt + resumed) * PROMPT_TOKEN_UNITS + remaining
 
 
-def expected_output(tables, kind: str, stage: manifest.Stage) -> float:
+def expected_output(
+    tables: entry_tables.EntryTables, kind: str, stage: manifest.Stage
+) -> float:
     """Return the tokens that a generating stage of this kind usually brings."""
     known = tables.routing.outputs.get((kind, stage.name))
     if known is not None:
@@ -51,17 +54,21 @@
     return (stage.maximum_output_tokens or DEFAULT_OUTPUT_TOKENS) / 2
 
 
-def unit_s(tables, stage: manifest.Stage) -> float:
+def unit_s(tables: entry_tables.EntryTables, stage: manifest.Stage) -> float:
     """Return the seconds of one unit on an idle upstream of usual pace."""
     return _model(tables, stage).unit_s
 
 
-def busy_service_s(tables, ready: pipeline_tables.ReadyStage) -> float:
+def busy_service_s(
+    tables: entry_tables.EntryTables, ready: pipeline_tables.ReadyStage
+) -> float:
     """Return how long a stage usually takes on a busy upstream."""
     return units(tables, ready) * unit_s(tables, ready.stage) * sharing(BUSY_CALLS)
 
 
-def first_byte_s(tables, attempt: pipeline_tables.Attempt) -> float:
+def first_byte_s(
+    tables: entry_tables.EntryTables, attempt: pipeline_tables.Attempt
+) -> float:
     """Return when a streamed attempt's output usually begins on a busy upstream."""
     prompt = attempt.prompt_tokens + attempt.resume_length // CHARACTERS_PER_TOKEN
     units_before = FIRST_BYTE_UNITS + prompt * PROMPT_TOKEN_UNITS
@@ -74,7 +81,7 @@
 
 
 def learn(
-    tables,
+    tables: entry_tables.EntryTables,
     now: float,
     attempt: pipeline_tables.Attempt,
     usage: upstream_messages.Usage,
@@ -97,14 +104,18 @@
     return ratio
 
 
-def learn_output(tables, kind: str, stage: manifest.Stage, tokens: int) -> None:
+def learn_output(
+    tables: entry_tables.EntryTables, kind: str, stage: manifest.Stage, tokens: int
+) -> None:
     """Learn how many tokens a stage of this kind brings."""
     known = expected_output(tables, kind, stage)
     key = (kind, stage.name)
     tables.routing.outputs[key] = known + OUTPUT_WEIGHT * (tokens - known)
 
 
-def _model(tables, stage: manifest.Stage) -> routing_tables.PoolModel:
+def _model(
+    tables: entry_tables.EntryTables, stage: manifest.Stage
+) -> routing_tables.PoolModel:
     key = (stage.pool, stage.task.value, stage.model)
     model = tables.routing.models.get(key)
     if model is None:
--- a/bitternlever/routing/feedback.py
+++ b/bitternlever/routing/feedback.py
@@ -1,6 +1,7 @@
 """What attempts teach routing: each has one start and one end."""
 
 from bitternlever.admission import queues
+from bitternlever.entry import tables as entry_tables
 from bitternlever.messages import manifest, requests, upstream
 from bitternlever.pipelines import tables as pipeline_tables
 from bitternlever.routing import (
@@ -16,7 +17,9 @@
 SHORTEST_TIMEOUT_S = 0.1
 
 
-def started(tables, now: float, attempt: pipeline_tables.Attempt) -> None:
+def started(
+    tables: entry_tables.EntryTables, now: float, attempt: pipeline_tables.Attempt
+) -> None:
     """Count an attempt as in flight on its upstream."""
     load = occupancy.load_of(tables, attempt.upstream)
     if not attempt.hedge:
@@ -29,14 +32,16 @@
     occupancy.sample(load, now)
 
 
-def first_byte(tables, now: float, attempt: pipeline_tables.Attempt) -> None:
+def first_byte(
+    tables: entry_tables.EntryTables, now: float, attempt: pipeline_tables.Attempt
+) -> None:
     """Learn that an upstream now holds the prefix of a prompt."""
     load = occupancy.load_of(tables, attempt.upstream)
     prefixes.used(load, attempt.prefix)
 
 
 def finished(
-    tables,
+    tables: entry_tables.EntryTables,
     now: float,
     attempt: pipeline_tables.Attempt,
     usage: upstream.Usage,
@@ -59,7 +64,7 @@
 
 
 def failed(
-    tables,
+    tables: entry_tables.EntryTables,
     now: float,
     attempt: pipeline_tables.Attempt,
     failure: requests.UpstreamFailed,
@@ -77,7 +82,9 @@
         ejection.failed(tables, now, load)
 
 
-def cancelled(tables, now: float, attempt: pipeline_tables.Attempt) -> None:
+def cancelled(
+    tables: entry_tables.EntryTables, now: float, attempt: pipeline_tables.Attempt
+) -> None:
     """End an attempt that this host cancelled; it teaches nothing."""
     _leave(occupancy.load_of(tables, attempt.upstream), now, attempt)
 
@@ -120,7 +127,7 @@
 
 
 def _learn_output(
-    tables,
+    tables: entry_tables.EntryTables,
     attempt: pipeline_tables.Attempt,
     usage: upstream.Usage,
 ) -> None:
--- a/bitternlever/routing/hedges.py
+++ b/bitternlever/routing/hedges.py
@@ -1,6 +1,7 @@
 """Hedges: a second attempt of an idempotent stage that straggles."""
 
 from bitternlever.admission import queues
+from bitternlever.entry import tables as entry_tables
 from bitternlever.pipelines import stages, tables as pipeline_tables
 from bitternlever.routing import budgets, estimates, policies, sweep
 
@@ -10,7 +11,9 @@
 FIRST_BYTE_FACTOR = 3.0
 
 
-def due(tables, now: float) -> list[pipeline_tables.ReadyStage]:
+def due(
+    tables: entry_tables.EntryTables, now: float
+) -> list[pipeline_tables.ReadyStage]:
     """Return the hedges to launch now, each with ``hedge`` set.
 
     Only urgent stages are hedged: they have no time for another way.
@@ -35,7 +38,9 @@
     return found
 
 
-def _straggles(tables, now: float, attempt: pipeline_tables.Attempt) -> bool:
+def _straggles(
+    tables: entry_tables.EntryTables, now: float, attempt: pipeline_tables.Attempt
+) -> bool:
     if attempt.hedge or not attempt.stage.idempotent:
         return False
     if not queues.is_urgent(tables, attempt.priority):
@@ -49,7 +54,7 @@
 
 
 def _would_help(
-    tables,
+    tables: entry_tables.EntryTables,
     now: float,
     attempt: pipeline_tables.Attempt,
     ready: pipeline_tables.ReadyStage,
--- a/bitternlever/routing/occupancy.py
+++ b/bitternlever/routing/occupancy.py
@@ -6,6 +6,7 @@
 
 import math
 
+from bitternlever.entry import tables as entry_tables
 from bitternlever.gossip import peers, tables as gossip_tables
 from bitternlever.routing import tables as routing_tables
 
@@ -13,7 +14,7 @@
 COUNT_INTERVAL_S = 0.25
 
 
-def load_of(tables, name: str) -> routing_tables.UpstreamLoad:
+def load_of(tables: entry_tables.EntryTables, name: str) -> routing_tables.UpstreamLoad:
     """Return this host's view of an upstream."""
     loads = tables.routing.loads
     load = loads.get(name)
@@ -22,7 +23,7 @@
     return load
 
 
-def host_count(tables, now: float) -> int:
+def host_count(tables: entry_tables.EntryTables, now: float) -> int:
     """Return how many entry hosts live, this one included; counted now and then."""
     routing = tables.routing
     if now >= routing.next_count_s:
--- a/bitternlever/routing/policies.py
+++ b/bitternlever/routing/policies.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from bitternlever.entry import tables as entry_tables
 from bitternlever.gossip import tables as gossip_tables
 from bitternlever.pipelines import tables as pipeline_tables
 
@@ -20,7 +21,7 @@
 
 
 def round_robin(
-    tables,
+    tables: entry_tables.EntryTables,
     now: float,
     ready: pipeline_tables.ReadyStage,
     serving: Upstreams,
@@ -36,7 +37,7 @@
 
 
 def least_in_flight(
-    tables,
+    tables: entry_tables.EntryTables,
     now: float,
     ready: pipeline_tables.ReadyStage,
     serving: Upstreams,
@@ -46,13 +47,13 @@
     return min(free, key=lambda each: _held(tables, each), default=None)
 
 
-def _with_room(tables, serving: Upstreams) -> Upstreams:
+def _with_room(tables: entry_tables.EntryTables, serving: Upstreams) -> Upstreams:
     """Return the upstreams with fewer calls of this host than they allow."""
     return [
         each for each in serving if _held(tables, each) < each.announcement.concurrency
     ]
 
 
-def _held(tables, upstream: gossip_tables.Upstream) -> int:
+def _held(tables: entry_tables.EntryTables, upstream: gossip_tables.Upstream) -> int:
     load = tables.routing.loads.get(upstream.announcement.name)
     return 0 if load is None else len(load.in_flight)
--- a/bitternlever/routing/predicted.py
+++ b/bitternlever/routing/predicted.py
@@ -9,6 +9,7 @@
 from typing import NamedTuple
 
 from bitternlever.admission import queues
+from bitternlever.entry import tables as entry_tables
 from bitternlever.gossip import tables as gossip_tables
 from bitternlever.pipelines import tables as pipeline_tables
 from bitternlever.routing import (
@@ -61,7 +62,7 @@
 
 
 def choose(
-    tables,
+    tables: entry_tables.EntryTables,
     now: float,
     ready: pipeline_tables.ReadyStage,
     serving: list[gossip_tables.Upstream],
@@ -90,7 +91,7 @@
 
 
 def _admitting(
-    tables,
+    tables: entry_tables.EntryTables,
     now: float,
     ready: pipeline_tables.ReadyStage,
     serving: list[gossip_tables.Upstream],
@@ -110,7 +111,7 @@
 
 
 def with_room(
-    tables,
+    tables: entry_tables.EntryTables,
     now: float,
     ready: pipeline_tables.ReadyStage,
     serving: list[gossip_tables.Upstream],
@@ -147,7 +148,7 @@
     return mine < own_share and kin < own_bound
 
 
-def _row(tables, upstream: gossip_tables.Upstream) -> Row:
+def _row(tables: entry_tables.EntryTables, upstream: gossip_tables.Upstream) -> Row:
     announcement = upstream.announcement
     load = occupancy.load_of(tables, announcement.name)
     limit = load.limit
@@ -156,7 +157,7 @@
     return Row(upstream, load, limit)
 
 
-def _pool(tables, now: float, rows: list[Row]) -> Pool:
+def _pool(tables: entry_tables.EntryTables, now: float, rows: list[Row]) -> Pool:
     hosts = occupancy.host_count(tables, now)
     own = 0
     urgent = 0
@@ -175,7 +176,7 @@
 
 
 def _drawn(
-    tables,
+    tables: entry_tables.EntryTables,
     ready: pipeline_tables.ReadyStage,
     candidates: list[Candidate],
 ) -> list[Candidate]:
@@ -195,7 +196,7 @@
 
 
 def _predict(
-    tables,
+    tables: entry_tables.EntryTables,
     ready: pipeline_tables.ReadyStage,
     candidate: Candidate,
     units: float,
--- a/bitternlever/routing/sweep.py
+++ b/bitternlever/routing/sweep.py
@@ -1,5 +1,6 @@
 """The sweep over attempts under way: who stalls, and which pools have stragglers."""
 
+from bitternlever.entry import tables as entry_tables
 from bitternlever.messages import manifest
 from bitternlever.pipelines import tables as pipeline_tables
 from bitternlever.routing import ejection, estimates, occupancy
@@ -10,7 +11,7 @@
 STALL_WEIGHT = 0.3
 
 
-def run(tables, now: float) -> None:
+def run(tables: entry_tables.EntryTables, now: float) -> None:
     """Look at all attempts, once an interval."""
     routing = tables.routing
     if now < routing.next_sweep_s:
@@ -33,7 +34,9 @@
     return attempt.stage.task is manifest.Task.GENERATE
 
 
-def of_attempt(tables, now: float, attempt: pipeline_tables.Attempt) -> float:
+def of_attempt(
+    tables: entry_tables.EntryTables, now: float, attempt: pipeline_tables.Attempt
+) -> float:
     """Return how much slower than usual an attempt goes; 1.0 where unknown yet."""
     if streams(attempt) and attempt.first_byte_s is not None:
         shown = len(attempt.output) - attempt.resume_length
@@ -47,7 +50,7 @@
     return overdue if overdue > OVERDUE else 1.0
 
 
-def _judge_pools(tables, now: float) -> None:
+def _judge_pools(tables: entry_tables.EntryTables, now: float) -> None:
     pools: dict[str, list] = {}
     for name in tables.routing.loads:
         known = tables.membership.upstreams.get(name)
