--- a/bench/control_processes.py
+++ b/bench/control_processes.py
@@ -17,7 +17,7 @@
 
 from bench import process_cost
 from bitternlever.messages import calls, directory, frames, journal
-from bitternlever.storage import files
+from bitternlever.storage import identity
 from bitternlever.transport import links
 
 CLUSTER_KEY = "bench-cluster-key-0123456789abcdef"
@@ -149,7 +149,7 @@
         """Kill a process, empty its folder, start it again; return the lost disk."""
         self.running[name].kill()
         self.running[name].wait()
-        disk = (self.folder / name / files.IDENTITY_NAME).read_text()
+        disk = identity.read(self.folder / name).disk
         shutil.rmtree(self.folder / name)
         self.start(name)
         return disk
--- a/bitternlever/storage/files.py
+++ b/bitternlever/storage/files.py
@@ -25,12 +25,20 @@
 class SegmentStarted(msgspec.Struct, tag=True, array_like=True):
     """The first record of a segment: what older segments need not tell any more.
 
-    Entries up to ``snapshot_index`` stand in the snapshot.
+    Entries up to ``snapshot_index`` stand in the snapshot; ``last_index`` is the
+    highest index that older segments held.
     """
 
     number: int
     snapshot_index: int
     hard_state: consensus.HardState | None
+    last_index: int
+
+
+class SegmentEnded(msgspec.Struct, tag=True, array_like=True):
+    """The last record of a segment, once the following one is synced."""
+
+    following: int
 
 
 class SnapshotHeader(msgspec.Struct, tag=True, array_like=True):
@@ -41,7 +49,7 @@
     membership: consensus.Membership
 
 
-Record = LogWritten | SegmentStarted | SnapshotHeader
+Record = LogWritten | SegmentStarted | SegmentEnded | SnapshotHeader
 
 encode = msgspec.msgpack.Encoder().encode
 decode = msgspec.msgpack.Decoder(Record).decode
@@ -74,7 +82,7 @@
     finally:
         os.close(descriptor)
     os.replace(temporary, path)
-    sync_folder(path.parent)
+    sync(path.parent)
 
 
 def write_all(descriptor: int, data: bytes) -> None:
@@ -85,9 +93,9 @@
         view = view[written:]
 
 
-def sync_folder(folder: pathlib.Path) -> None:
-    """Make names in a folder durable."""
-    descriptor = os.open(folder, os.O_RDONLY)
+def sync(path: pathlib.Path) -> None:
+    """Make the contents of a file, or the names in a folder, durable."""
+    descriptor = os.open(path, os.O_RDONLY)
     try:
         os.fsync(descriptor)
     finally:
--- /dev/null
+++ b/tests/storage/folders.py
@@ -0,0 +1,48 @@
+"""Data folders for the tests: what is written to them, and what they hold."""
+
+import queue
+
+from bitternlever.messages import consensus
+from bitternlever.storage import files, store, writer
+
+EVENT_TIMEOUT_S = 10.0
+MEMBERSHIP = consensus.Membership(voters=[consensus.ReplicaId("control-a", "1")])
+
+
+def entry(index, term=1):
+    """Return one entry of a log."""
+    return consensus.LogEntry(term, index, consensus.EntryKind.COMMAND, b"x" * 50)
+
+
+def log_write(write_id, entries, truncate_from=None, hard_state=None):
+    """Return one write of group 0."""
+    return consensus.WriteLog(0, write_id, truncate_from, entries, hard_state)
+
+
+def write(folder, *messages, on_event=lambda event: None):
+    """Write each message by itself and return the disk's events."""
+    events = queue.SimpleQueue()
+
+    def take(event):
+        on_event(event)
+        events.put(event)
+
+    writing = writer.start(folder, take)
+    received = []
+    for message in messages:
+        writer.submit(writing, message)
+        received.append(events.get(timeout=EVENT_TIMEOUT_S))
+    writer.stop(writing)
+    return received
+
+
+def load(folder):
+    """Return what a folder holds, which must be sound."""
+    loaded = store.load(folder)
+    assert loaded.is_ok(), loaded
+    return loaded.ok()
+
+
+def segments(folder):
+    """Return the segments of group 0, the oldest first."""
+    return [p for _, p in files.numbered(files.group_folder(folder, 0), ".segment")]
--- a/tests/storage/test_store.py
+++ b/tests/storage/test_store.py
@@ -2,45 +2,12 @@
 
 import errno
 import os
-import queue
 
 import pytest
 
 from bitternlever.messages import consensus
-from bitternlever.storage import files, store, writer
-
-EVENT_TIMEOUT_S = 10.0
-MEMBERSHIP = consensus.Membership(voters=[consensus.ReplicaId("control-a", "1")])
-
-
-def entry(index, term=1):
-    return consensus.LogEntry(term, index, consensus.EntryKind.COMMAND, b"x" * 50)
-
-
-def log_write(write_id, entries, truncate_from=None, hard_state=None):
-    return consensus.WriteLog(0, write_id, truncate_from, entries, hard_state)
-
-
-def write(folder, *messages):
-    """Write each message by itself and return the disk's events."""
-    events = queue.SimpleQueue()
-    writing = writer.start(folder, events.put)
-    received = []
-    for message in messages:
-        writer.submit(writing, message)
-        received.append(events.get(timeout=EVENT_TIMEOUT_S))
-    writer.stop(writing)
-    return received
-
-
-def load(folder):
-    loaded = store.load(folder)
-    assert loaded.is_ok(), loaded
-    return loaded.ok()
-
-
-def segments(folder):
-    return [p for _, p in files.numbered(files.group_folder(folder, 0), ".segment")]
+from bitternlever.storage import files, store
+from tests.storage.folders import MEMBERSHIP, entry, load, log_write, segments, write
 
 
 def test_an_empty_folder_gets_a_lasting_disk_id(tmp_path):
@@ -177,7 +144,8 @@
 def test_nothing_is_written_after_a_failed_sync(tmp_path, monkeypatch, code):
     load(tmp_path)
     real_fsync = os.fsync
-    failures = iter([None, None, None, None, None, OSError(code, "sync failed")])
+    founding_and_two_writes = [None] * 7
+    failures = iter([*founding_and_two_writes, OSError(code, "sync failed")])
 
     def fsync(descriptor):
         failure = next(failures, None)
@@ -191,7 +159,7 @@
     kinds = [type(event) for event in events]
     failed_from = kinds.index(consensus.DiskFailed)
     assert set(kinds[failed_from:]) == {consensus.DiskFailed}
-    assert 0 < failed_from < len(kinds)
+    assert failed_from == 2
 
 
 def test_writes_of_two_groups_stay_apart(tmp_path):
