Send orders only under their lease, and prove it

Three faults, each found by a new test that failed first:

- A holder frozen between its decision and the sending sent the order when it woke: an engine that ignores fencing numbers took it after the successor's ("no old order taken").
SendOrder now says until when it may be sent, and the client keeps to it.
- A holder whose end of lease was not answered went on ordering, while its successor may be granted the lease at once.
It sends none from then on.
- The client gave an order up after 5 s, the quiet time is 3 s.
It gives up after 2 s.

Ruled out: without the quiet time a cut-off holder stays green, since its host lease ends before its order lease.

The invariant "no old order taken" also finds one fencing number with two holders; records carry the holder for it.

--- a/bench/invariants/checks.py
+++ b/bench/invariants/checks.py
@@ -153,14 +153,21 @@
 
 
 def old_order_taken(view: views.View) -> Iterator[str]:
-    """Find engines that took an order after one with a higher fencing number."""
+    """Find engines that took an order of a former holder after its successor's.
+
+    The fencing numbers of taken orders never go down, and each number belongs to one
+    holder.
+    """
     newest: dict[str, int] = {}
+    holders: dict[int, str] = {}
     for record in view.run:
         if not isinstance(record, records.OrderReceived) or not record.taken:
             continue
         if record.fencing < newest.get(record.upstream, 0):
             yield f"{record.upstream} took the old order {record.fencing}"
         newest[record.upstream] = max(newest.get(record.upstream, 0), record.fencing)
+        if holders.setdefault(record.fencing, record.holder) != record.holder:
+            yield f"{record.upstream} took order {record.fencing} of {record.holder}"
 
 
 INVARIANTS: dict[str, Callable[[views.View], Iterator[str]]] = {
--- a/bench/invariants/records.py
+++ b/bench/invariants/records.py
@@ -57,13 +57,17 @@
 
 
 class OrderReceived(msgspec.Struct, tag=True, frozen=True):
-    """An engine took an order, or refused it for its fencing number."""
+    """An engine took an order, or refused it for its fencing number.
+
+    ``holder`` is the host that sent it, empty where the engine cannot tell.
+    """
 
     upstream: str
     fencing: int
     models: list[str]
     taken: bool
     time_s: float
+    holder: str = ""
 
 
 class LeavingAnnounced(msgspec.Struct, tag=True, frozen=True):
--- a/bitternlever/messages/requests.py
+++ b/bitternlever/messages/requests.py
@@ -185,12 +185,17 @@
 
 
 class SendOrder(msgspec.Struct, tag=True):
-    """Send an order to an engine."""
+    """Send an order to an engine, unless its lease has ended by then.
+
+    ``must_not_start_after`` is the monotonic time, in seconds, past which the shell
+    may not send it.
+    """
 
     order_id: str
     upstream: str
     address: str
     order: upstream.EngineOrder
+    must_not_start_after: float
 
 
 class OrderAnswered(msgspec.Struct, tag=True):
--- a/bitternlever/orders/placement.py
+++ b/bitternlever/orders/placement.py
@@ -30,6 +30,8 @@
     in_force = tables.manifest.manifest
     if in_force is None or not in_force.models or not lease.holds(tables, now):
         return
+    if tables.lease.released:
+        return
     state = tables.orders
     if not state.asking and now >= state.next_ask_s:
         _ask(tables, now, outbox)
@@ -234,6 +236,7 @@
                 adapters=change.adapters,
                 role=announcement.role,
             ),
+            must_not_start_after=min(state.valid_until_s, tables.lease.valid_until_s),
         ),
     )
     _record(tables, now, outbox, change.upstream, order, "sent", "")
--- a/bitternlever/transport/upstream_client.py
+++ b/bitternlever/transport/upstream_client.py
@@ -18,7 +18,7 @@
 from bitternlever.telemetry import events, traces
 
 CONNECT_TIMEOUT_S = 1.0
-ORDER_TIMEOUT_S = 5.0
+ORDER_TIMEOUT_S = 2.0
 CANCEL_TIMEOUT_S = 1.0
 KEEP_ALIVE_S = 15.0
 MAXIMUM_REPLY_BYTES = 4_000_000
@@ -192,7 +192,10 @@
             await _read_whole(client, message, response)
 
 
-def _check_lease(client: UpstreamClient, message: requests.CallUpstream) -> None:
+def _check_lease(
+    client: UpstreamClient,
+    message: requests.CallUpstream | requests.SendOrder,
+) -> None:
     if client.clock() >= message.must_not_start_after:
         raise _TooLateError
 
@@ -372,6 +375,7 @@
     timeout = aiohttp.ClientTimeout(total=ORDER_TIMEOUT_S)
     error = ""
     try:
+        _check_lease(client, message)
         async with (
             aiohttp.ClientSession(timeout=timeout) as session,
             session.put(
@@ -382,6 +386,8 @@
         ):
             if response.status >= 300:
                 error = f"status {response.status}"
+    except _TooLateError:
+        error = "the lease ended before the order"
     except (aiohttp.ClientError, TimeoutError, OSError) as failure:
         error = f"{type(failure).__name__}: {failure}"
     client.on_event(
--- a/tests/bench/test_invariants.py
+++ b/tests/bench/test_invariants.py
@@ -170,6 +170,14 @@
             records.OrderReceived("billing-1", 1, models=[], taken=True, time_s=7.0),
         ],
     ),
+    "two holders with one fencing number": (
+        "no old order taken",
+        [
+            *CLEAN,
+            records.OrderReceived("engine-1", 3, [], True, 7.0, holder="entry-a"),
+            records.OrderReceived("engine-1", 3, [], True, 8.0, holder="entry-b"),
+        ],
+    ),
 }
 
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -5,5 +5,6 @@
     "tests.known_red",
     "tests.scenarios.steps_hosts",
     "tests.scenarios.steps_requests",
+    "tests.scenarios.steps_orders",
     "tests.scenarios.steps_storm",
 ]
--- a/tests/scenarios/cluster.py
+++ b/tests/scenarios/cluster.py
@@ -23,6 +23,7 @@
     disks,
     manifests,
     network,
+    orders,
     shell,
     upstreams,
     world,
@@ -41,6 +42,7 @@
     fleet: upstreams.Fleet
     dialler: shell.Shell
     crowd: callers.Crowd
+    delivery: orders.Delivery = dataclasses.field(default_factory=orders.Delivery)
     storage: dict[str, disks.Disk] = dataclasses.field(default_factory=dict)
     control: list[str] = dataclasses.field(default_factory=list)
     entry: list[str] = dataclasses.field(default_factory=list)
@@ -189,7 +191,9 @@
         case requests.ProcessEnd():
             cluster.ended[process.name] = message.cut_off
             world.kill(cluster.here, process.name)
-        case telemetry.SpanFinished() | requests.SendOrder():
+        case requests.SendOrder():
+            orders.send(cluster.dialler, cluster.delivery, process, message)
+        case telemetry.SpanFinished():
             return
         case _:
             callers.receive(cluster.crowd, process, message)
--- a/tests/scenarios/manifests.py
+++ b/tests/scenarios/manifests.py
@@ -1,6 +1,7 @@
 """The manifest of the scenarios: pipelines with every sort of stage."""
 
 import hashlib
+from collections.abc import Sequence
 
 import msgspec
 
@@ -62,6 +63,7 @@
     number: int,
     variant: str = "",
     limits: manifest.Limits = DEFAULT_LIMITS,
+    models: Sequence[manifest.Model] = (),
 ) -> directory.PutManifest:
     """Make the command that applies a manifest; a variant changes its digest."""
     made = manifest.Manifest(
@@ -71,6 +73,7 @@
             manifest.Workspace(name=f"sheetal{variant}", token_sha256=[]),
         ],
         pipelines=PIPELINES,
+        models=list(models),
         limits=limits,
     )
     body = msgspec.json.encode(made)
--- /dev/null
+++ b/tests/scenarios/steps_orders.py
@@ -0,0 +1,144 @@
+"""Steps about orders to engines and who may send them."""
+
+from pytest_bdd import parsers, then, when
+
+from bench.invariants import records
+from bitternlever.messages import manifest
+from bitternlever.transport import upstream_client
+from tests.scenarios import (
+    cluster as clusters,
+    manifests,
+    network,
+    steps_hosts,
+    steps_requests,
+    world,
+)
+
+MODEL = manifest.Model(name="", version="1", pool="engines", weight_bytes=1)
+LOOK_S = 0.02
+MAXIMUM_LOOKS = 5_000
+
+
+def holder(cluster):
+    """Return the one entry host that may send orders by its own view."""
+    found = [
+        name
+        for name in cluster.entry
+        if cluster.here.processes[name].tables.orders.valid_until_s > cluster.here.now
+    ]
+    assert len(found) == 1, found
+    return found[0]
+
+
+@when(parsers.parse('manifest {number:d} wants model "{name}"'))
+def want_model(cluster, number, name):
+    wanted = [manifest.Model(name, MODEL.version, MODEL.pool, MODEL.weight_bytes)]
+    host = next(each for each in cluster.entry if _reaches_control(cluster, each))
+    put = manifests.put(number, models=wanted)
+    clusters.apply(cluster, "operator", host, put)
+
+
+def _reaches_control(cluster, name):
+    cut = any((name, each) in cluster.wires.cut for each in cluster.control)
+    return world.lives(cluster.here, name) and not cut
+
+
+@when(
+    parsers.re(
+        r'engine "(?P<name>[^"]+)" that (?P<checks>checks|ignores) fencing numbers '
+        r"joins",
+    ),
+)
+def join(cluster, name, checks):
+    clusters.add_upstream(cluster, name, "engines")
+    announcement = cluster.fleet.by_name[name].announcement
+    announcement.checks_fencing = checks == "checks"
+
+
+@when("orders of the holder take as long as they may")
+def orders_take_longest(cluster):
+    longest_s = upstream_client.ORDER_TIMEOUT_S
+    cluster.delivery.takes_s[holder(cluster)] = longest_s
+
+
+@when(parsers.parse("orders of the holder take {duration:g} seconds"))
+def orders_take(cluster, duration):
+    cluster.delivery.takes_s[holder(cluster)] = duration
+
+
+@when("the holder of the order lease is cut off from control")
+def cut_off_holder(cluster):
+    steps_hosts.cut_off(cluster, holder(cluster), " from control")
+
+
+@when("the holder of the order lease is cut off from control as it asks for it again")
+def cut_off_asking_holder(cluster):
+    name = holder(cluster)
+    pass_until_sent(cluster, name, "AcquireOrderLease")
+    steps_hosts.cut_off(cluster, name, " from control")
+
+
+@when("the holder of the order lease is drained and has just ended its lease")
+def drain_holder(cluster):
+    name = holder(cluster)
+    steps_requests.drain(cluster, name)
+    pass_until_sent(cluster, name, "ReleaseHostLease")
+
+
+@when(
+    parsers.parse(
+        "the holder of the order lease is drained and ends its lease in "
+        "{duration:g} seconds",
+    ),
+)
+def drain_holder_until(cluster, duration):
+    name = holder(cluster)
+    steps_requests.drain(cluster, name)
+    tables = cluster.here.processes[name].tables
+    world.pass_time(cluster.here, tables.settings.host_list_max_age_s - duration)
+
+
+def pass_until_sent(cluster, name, wanted):
+    """Let time pass until a host has just sent a message."""
+
+    def trigger(process, way, message):
+        sent = (process.name, way) == (name, "sends")
+        return sent and wanted in network.names(message)
+
+    cluster.here.triggers.append(trigger)
+    for _ in range(MAXIMUM_LOOKS):
+        world.pass_time(cluster.here, LOOK_S)
+        if trigger not in cluster.here.triggers:
+            return
+    raise AssertionError(f"{name} does not send {wanted}")
+
+
+@when("the holder of the order lease is frozen before it sends an order")
+def freeze_holder(cluster):
+    name = holder(cluster)
+    steps_hosts.end_at_message(cluster, name, "frozen", "before", "sends", "SendOrder")
+
+
+def received(cluster, name):
+    return [
+        record
+        for record in cluster.here.recorded
+        if isinstance(record, records.OrderReceived) and record.upstream == name
+    ]
+
+
+@then(parsers.parse('engine "{name}" holds "{model}"'))
+def engine_holds(cluster, name, model):
+    assert cluster.fleet.by_name[name].announcement.models == [model]
+
+
+@then(parsers.parse('engine "{name}" took orders of {count:d} hosts'))
+def took_orders(cluster, name, count):
+    taken = [record for record in received(cluster, name) if record.taken]
+    assert len({record.holder for record in taken}) == count, taken
+
+
+@then(parsers.parse('engine "{name}" refused {count:d} orders'))
+def refused_orders(cluster, name, count):
+    refused = [record for record in received(cluster, name) if not record.taken]
+    assert len(refused) == count, received(cluster, name)
