--- a/bitternlever/entry/lease.py
+++ b/bitternlever/entry/lease.py
@@ -24,16 +24,22 @@
 ) -> None:
     """Take or renew the lease when it is due."""
     lease = tables.lease
-    if lease.released:
+    if lease.released or lease.renewing:
         return
-    if lease.renewing or now < lease.next_renewal_s:
-        outbox.wake(lease.next_renewal_s if not lease.renewing else now + 1.0)
+    if now < lease.next_renewal_s:
+        outbox.wake(lease.next_renewal_s)
         return
     lease.renewing = True
-    if lease.epoch == 0:
-        _acquire(tables, now, outbox)
-        return
-    _renew(tables, now, outbox)
+    command = _acquisition(tables) if lease.epoch == 0 else _renewal(tables)
+    control_client.call(
+        tables,
+        now,
+        outbox,
+        directory.GROUP,
+        command,
+        _on_outcome(sent_s=now),
+        timeout_s=RENEWAL_TIMEOUT_S,
+    )
 
 
 def holds(tables: entry_tables.EntryTables, now: float) -> bool:
@@ -46,50 +52,24 @@
     return holds(tables, now) and now < tables.manifest.fresh_until_s
 
 
-def _acquire(
-    tables: entry_tables.EntryTables,
-    now: float,
-    outbox: ticks.Outbox,
-) -> None:
+def _acquisition(tables: entry_tables.EntryTables) -> directory.AcquireHostLease:
     settings = tables.settings
-    command = directory.AcquireHostLease(
+    return directory.AcquireHostLease(
         host=settings.host,
         incarnation=settings.incarnation,
         address=settings.address,
         link=settings.link,
         zone=settings.zone,
     )
-    control_client.call(
-        tables,
-        now,
-        outbox,
-        directory.GROUP,
-        command,
-        _on_outcome(sent_s=now),
-        timeout_s=RENEWAL_TIMEOUT_S,
-    )
 
 
-def _renew(
-    tables: entry_tables.EntryTables,
-    now: float,
-    outbox: ticks.Outbox,
-) -> None:
-    command = directory.RenewHostLease(
+def _renewal(tables: entry_tables.EntryTables) -> directory.RenewHostLease:
+    return directory.RenewHostLease(
         host=tables.settings.host,
         epoch=tables.lease.epoch,
         manifest_number=tables.manifest.number,
         draining=tables.requests.drain_requested_s is not None,
     )
-    control_client.call(
-        tables,
-        now,
-        outbox,
-        directory.GROUP,
-        command,
-        _on_outcome(sent_s=now),
-        timeout_s=RENEWAL_TIMEOUT_S,
-    )
 
 
 def _on_outcome(sent_s: float) -> entry_tables.OnOutcome:
--- a/bitternlever/pipelines/claims.py
+++ b/bitternlever/pipelines/claims.py
@@ -15,7 +15,6 @@
     tables as pipeline_tables,
     takeover,
     timers,
-    watch,
 )
 
 CLAIM_PAUSE_S = 0.5
@@ -88,7 +87,7 @@
         case journal.Answered():
             ownership.settle(tables, now, outbox, request, reply)
         case journal.OwnedElsewhere():
-            _follow(tables, now, outbox, request)
+            ownership.follow_elsewhere(tables, now, outbox, request)
         case journal.DigestConflict():
             stated = other_body(tables, request.request_id)
             _drop(tables, now, outbox, request, stated)
@@ -175,26 +174,6 @@
     timers.at(tables, now + CLAIM_PAUSE_S, again)
 
 
-def _follow(
-    tables: entry_tables.EntryTables,
-    now: float,
-    outbox: ticks.Outbox,
-    request: pipeline_tables.Request,
-) -> None:
-    del tables.requests.requests[request.request_id]
-    for caller in request.callers.values():
-        watch.add(
-            tables,
-            now,
-            outbox,
-            request.request_id,
-            request.workspace,
-            caller,
-        )
-    for caller in request.cancellers:
-        delivery.state(tables, outbox, caller, request.request_id, "open")
-
-
 def _drop(
     tables: entry_tables.EntryTables,
     now: float,
--- a/bitternlever/pipelines/ownership.py
+++ b/bitternlever/pipelines/ownership.py
@@ -104,6 +104,16 @@
     """Stop a run whose ownership has ended; its callers follow the new owner."""
     tables.count("request_disowned")
     stop(tables, now, outbox, request)
+    follow_elsewhere(tables, now, outbox, request)
+
+
+def follow_elsewhere(
+    tables: entry_tables.EntryTables,
+    now: float,
+    outbox: ticks.Outbox,
+    request: pipeline_tables.Request,
+) -> None:
+    """Forget a request that another host runs; its callers watch the journal."""
     del tables.requests.requests[request.request_id]
     for caller in request.callers.values():
         watch.add(
