Let every link of the host go silent in the test of a silent link

Ruled out: the detection; alone, with the process leading, it passed each time.

Change: every control process stands behind a relay of its own and all open connections go silent; one of them carries the host's renewals whoever leads.

--- a/tests/processes/test_failures.py
+++ b/tests/processes/test_failures.py
@@ -1,6 +1,7 @@
 """Real processes are killed, frozen, emptied, drained and cut off from each other."""
 
 import asyncio
+import contextlib
 import dataclasses
 import inspect
 import shutil
@@ -15,6 +16,7 @@
 TEST_LIMIT_S = 60.0
 LEASE_S = 3.0
 LONGER_THAN_THE_LEASE_S = 2 * LEASE_S
+CONTROL_PROCESSES = 3
 TAKEOVER_LIMIT_S = 30.0
 POLL_S = 0.1
 
@@ -23,10 +25,14 @@
 
 @dataclasses.dataclass(slots=True)
 class Shared:
-    """The system of all tests, and the relay before one of its links."""
+    """The system of all tests, and the relays before an entry host's links."""
 
     system: systems.System
-    relay: relay.Relay
+    relays: list[relay.Relay]
+
+    def accepted(self) -> int:
+        """Return how many connections the relays have taken."""
+        return sum(each.accepted for each in self.relays)
 
 
 @pytest.fixture(autouse=True)
@@ -52,14 +58,18 @@
 @pytest_asyncio.fixture(scope="module", loop_scope="module")
 async def shared(tmp_path_factory):
     """Run one system for all tests: starting it takes longer than most of them."""
-    async with (
-        relay.start("127.0.0.1", 1) as first,
-        systems.start(
-            tmp_path_factory.mktemp("system"),
-            change=lambda site, commands: _through_relay(first, site, commands),
-        ) as system,
-    ):
-        yield Shared(system=system, relay=first)
+    async with contextlib.AsyncExitStack() as stack:
+        relays = [
+            await stack.enter_async_context(relay.start("127.0.0.1", 1))
+            for _ in range(CONTROL_PROCESSES)
+        ]
+        system = await stack.enter_async_context(
+            systems.start(
+                tmp_path_factory.mktemp("system"),
+                change=lambda site, commands: _through_relays(relays, site, commands),
+            ),
+        )
+        yield Shared(system=system, relays=relays)
 
 
 @pytest_asyncio.fixture(loop_scope="module")
@@ -102,11 +112,12 @@
 
 async def test_a_link_to_control_that_goes_silent_for_good(shared, system):
     assert await answer_of(systems.audit(system, "spoken")) != ""
-    accepted = shared.relay.accepted
-    relay.silence(shared.relay)
+    accepted = shared.accepted()
+    for each in shared.relays:
+        relay.silence(each)
 
     assert await answer_of(systems.audit(system, "silenced")) != ""
-    await _until(lambda: shared.relay.accepted > accepted)
+    await _until(lambda: shared.accepted() > accepted)
 
 
 async def test_every_control_process_killed_and_started_again(system):
@@ -156,16 +167,21 @@
     raise AssertionError(f"still {found}, wanted {wanted}")
 
 
-def _through_relay(first, site, commands):
-    """Let the entry host reach the first control process through the relay."""
-    link = site.control_links[0]
-    first.target = ("127.0.0.1", int(link.rpartition(":")[2]))
-    relayed = f"tcp://127.0.0.1:{first.port}"
-    command = commands["entry-a"]
+def _through_relays(relays, site, commands):
+    """Let one entry host reach every control process through a relay of its own.
+
+    Whichever process leads, the host's renewals go through one of them.
+    """
+    for each, link in zip(relays, site.control_links, strict=True):
+        each.target = ("127.0.0.1", int(link.rpartition(":")[2]))
+        _redirect(commands["entry-a"], link, f"tcp://127.0.0.1:{each.port}")
+    return commands
+
+
+def _redirect(command, link, relayed):
     command.arguments[:] = [
         argument.replace(link, relayed)
         if argument.startswith("--control-nodes=")
         else argument
         for argument in command.arguments
     ]
-    return commands
