--- a/bitternlever/fleet/shell.py
+++ b/bitternlever/fleet/shell.py
@@ -88,7 +88,7 @@
         sources=[source],
         clock=clocks.boot_time,
     )
-    server = web.ServerRunner(web.Server(api(shell)))
+    server = web.ServerRunner(web.Server(api(shell), access_log=None))
     await server.setup()
     host, _, port = settings.control_address.rpartition(":")
     await web.TCPSite(server, host, int(port)).start()
--- a/bitternlever/gateway/dialect.py
+++ b/bitternlever/gateway/dialect.py
@@ -44,7 +44,10 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Onward:
-    """What the gateway adds to a request that it passes on."""
+    """What the gateway adds to a request that it passes on.
+
+    ``body_bytes`` is None where the caller sent no body.
+    """
 
     deadline_s: float
     upstream: str
@@ -52,6 +55,7 @@
     priority: int | None
     inputs: tuple[str, ...]
     resume_after: str | None
+    body_bytes: int | None
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/bitternlever/gateway/forward.py
+++ b/bitternlever/gateway/forward.py
@@ -247,6 +247,7 @@
         priority=context.priority if context.route.by_prefix else None,
         inputs=context.inputs,
         resume_after=relay.splitter.last_event,
+        body_bytes=len(context.body) if relay.request.body_exists else None,
     )
     try:
         connection = await exchange.send(
--- a/bitternlever/platform/headers.py
+++ b/bitternlever/platform/headers.py
@@ -80,6 +80,8 @@
     if onward.resume_after is not None:
         dropped = dropped | {LAST_EVENT}
     sent = [(name, value) for name, value in headers if name.lower() not in dropped]
+    if onward.body_bytes is not None:
+        sent.append((b"Content-Length", b"%d" % onward.body_bytes))
     left_ms = max(1, int(onward.deadline_s * MILLISECONDS))
     sent.append((b"X-Bitternlever-Deadline-Ms", b"%d" % left_ms))
     sent.append((b"X-Bitternlever-Expect-Instance", onward.upstream.encode()))
