Free results that nobody reads; give stages up at the callers' patience

Cancelled and refused works left their results at the makers, and requests were held past the time at which callers leave a stream without an event.

--- a/bitternlever/batching/batcher.py
+++ b/bitternlever/batching/batcher.py
@@ -67,7 +67,10 @@
 
 def cancel(batcher: tables.Batcher, name: str) -> tables.Work | None:
     """Drop a work that nobody waits for; return it where it was queued."""
-    return batcher.works.pop(name, None)
+    work = batcher.works.pop(name, None)
+    if work is not None:
+        _abandon(batcher, list(work.handles.values()))
+    return work
 
 
 def predicted_wait_s(
@@ -121,7 +124,7 @@
             continue
         if now + batcher.capacity.call_s <= work.deadline_s:
             continue
-        del batcher.works[work.message.work]
+        cancel(batcher, work.message.work)
         wait_s = predicted_wait_s(batcher, now, work)
         ended.append(_refused(work, "the deadline cannot be met any more", wait_s))
     return ended
@@ -175,7 +178,7 @@
         work.waiting.append(item.index)
         work.failures += 0 if full else 1
         if work.failures > MAXIMUM_FAILURES * len(work.message.pieces):
-            del batcher.works[item.work]
+            cancel(batcher, item.work)
             ended.append(_refused(work, "too many failed calls", FAILED_PAUSE_S))
     return ended
 
@@ -191,6 +194,15 @@
     return by_address
 
 
+def take_unread(batcher: tables.Batcher) -> dict[str, list[str]]:
+    """Return the results that nobody will read, by the address of their maker."""
+    by_address: dict[str, list[str]] = {}
+    for address, handle in batcher.unread:
+        by_address.setdefault(address, []).append(handle)
+    batcher.unread.clear()
+    return by_address
+
+
 def forget_expired(batcher: tables.Batcher, now: float) -> None:
     """Drop results that their makers have dropped by now."""
     for server in batcher.servers.values():
@@ -296,6 +308,8 @@
         expires_s = now + batcher.capacity.result_s
         server.results[outcome.handle] = tables.Result(size, expires_s)
     if work is None:
+        if outcome.handle is not None:
+            _abandon(batcher, [outcome.handle])
         return None
     if outcome.handle is not None:
         work.handles[item.index] = outcome.handle
@@ -315,19 +329,25 @@
     outcome: tables.ItemDone,
 ) -> tables.Finished | None:
     if outcome.lost_input or outcome.too_late:
-        del batcher.works[item.work]
+        cancel(batcher, item.work)
         return _refused(work, outcome.reason, 0.0, lost_input=outcome.lost_input)
     if outcome.no_room:
         server.resume_s = now + FULL_PAUSE_S
     else:
         work.failures += 1
     if work.failures > MAXIMUM_FAILURES:
-        del batcher.works[item.work]
+        cancel(batcher, item.work)
         return _refused(work, outcome.reason, FAILED_PAUSE_S)
     work.waiting.append(item.index)
     return None
 
 
+def _abandon(batcher: tables.Batcher, handles: list[str]) -> None:
+    """Note results that nobody will read."""
+    for address, freed in free(batcher, handles).items():
+        batcher.unread.extend((address, handle) for handle in freed)
+
+
 def _unreserve(
     batcher: tables.Batcher,
     server: tables.Server,
--- a/bitternlever/batching/tables.py
+++ b/bitternlever/batching/tables.py
@@ -69,7 +69,10 @@
 
 @dataclasses.dataclass(slots=True)
 class Batcher:
-    """The queue of one service."""
+    """The queue of one service.
+
+    ``unread`` lists results that nobody will read, by address and handle.
+    """
 
     service: str
     capacity: catalog_tables.StageCapacity
@@ -77,7 +80,7 @@
     servers: dict[str, Server] = dataclasses.field(default_factory=dict)
     calls: dict[int, Call] = dataclasses.field(default_factory=dict)
     next_call: int = 0
-    item_s: dict[int, float] = dataclasses.field(default_factory=dict)
+    unread: list[tuple[str, str]] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/bitternlever/catalog/routes.py
+++ b/bitternlever/catalog/routes.py
@@ -2,6 +2,11 @@
 
 from bitternlever.catalog import tables
 
+LEAST_PATIENCE_S = 2.0
+PATIENCE_OBJECTIVES = 4.0
+PATIENCE_GAPS = 8.0
+"""Callers abandon a stream that shows no event for the longest of these; PROTOCOL.md."""
+
 
 def match(catalog: tables.Catalog, host: str, path: str) -> tables.Route | None:
     """Return the route of ``host`` with the longest prefix that begins ``path``.
@@ -36,3 +41,17 @@
     if workspace is not None and workspace.priority is not None:
         return workspace.priority
     return route.priority
+
+
+def patience_s(route: tables.Route) -> float:
+    """Return how long a caller waits for an answer, or for a stream's first event."""
+    if route.repeatability is not tables.Repeatability.STREAM:
+        return route.timeout_s
+    return min(
+        route.timeout_s,
+        max(
+            LEAST_PATIENCE_S,
+            PATIENCE_OBJECTIVES * route.objective_s,
+            PATIENCE_GAPS * route.maximum_gap_s,
+        ),
+    )
--- a/bitternlever/gateway/batching.py
+++ b/bitternlever/gateway/batching.py
@@ -103,6 +103,7 @@
         case fleet.StageCancelled():
             for held in gateway.tables.batchers.values():
                 batcher.cancel(held, message.work)
+            pump_later(gateway)
             gateway.batching.answered.pop(message.work, None)
         case fleet.StageFreed():
             _free(gateway, message)
@@ -200,13 +201,15 @@
 def _pump_one(
     gateway: state.Gateway, now: float, held: batching_tables.Batcher
 ) -> None:
-    if not held.works and not held.calls:
+    if not held.works and not held.calls and not held.unread:
         batcher.forget_expired(held, now)
         return
     _follow_servers(gateway, now, held)
     batcher.forget_expired(held, now)
     for finished in batcher.expired(held, now):
         _finish(gateway, finished)
+    for address, handles in batcher.take_unread(held).items():
+        state.in_background(gateway, _send_free(gateway, address, handles))
     for call in batcher.dispatch(held, now):
         items = [_item(held, each, now) for each in call.items]
         state.in_background(gateway, _call(gateway, held, call, items))
--- a/bitternlever/gateway/context.py
+++ b/bitternlever/gateway/context.py
@@ -10,12 +10,14 @@
 class Context:
     """A request, what it was matched with, and what has become of it.
 
-    Times are of the boot clock. ``sent`` is set once any byte of the request itself
+    Times are of the boot clock. Past ``first_event_s`` the caller no longer waits for
+    the beginning of an answer. ``sent`` is set once any byte of the request itself
     has left for an upstream that did not say it was not run.
     """
 
     arrived_s: float
     deadline_s: float
+    first_event_s: float
     head: dialect.RequestHead
     raw_headers: dialect.RawHeaders
     method: bytes
@@ -43,3 +45,10 @@
     status: int
     reason: str
     retry_after_s: float | None = None
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class InputsLost:
+    """Results of earlier stages are gone; the request itself has not run."""
+
+    reason: str
--- a/bitternlever/gateway/dialect.py
+++ b/bitternlever/gateway/dialect.py
@@ -63,13 +63,15 @@
     """What the headers of an upstream's answer say.
 
     ``signed`` tells whether the upstream's signature is there, ``not_run`` whether
-    it says that it did not run the request.
+    it says that it did not run the request, ``inputs_lost`` whether because results
+    of earlier stages are gone.
     """
 
     request: str | None
     signed: bool
     not_run: bool
     wrong_instance: bool
+    inputs_lost: bool
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/bitternlever/gateway/forward.py
+++ b/bitternlever/gateway/forward.py
@@ -82,6 +82,7 @@
     ran: bool
     status: int = 502
     retry_after_s: float | None = None
+    inputs_lost: bool = False
 
 
 async def run(
@@ -89,7 +90,7 @@
     request: web.BaseRequest,
     context: gateway_context.Context,
     on_first_piece: Callable[[], None],
-) -> web.StreamResponse | gateway_context.Refusal:
+) -> web.StreamResponse | gateway_context.Refusal | gateway_context.InputsLost:
     """Send a request until one answer is passed on; return it or a refusal."""
     relay = Relay(request=request, on_first_piece=on_first_piece)
     failure = Failure("no upstream is there", False, 503, NOTHING_THERE_RETRY_S)
@@ -109,6 +110,8 @@
             return outcome
         failure = outcome
         _log_failure(context, word, failure)
+        if failure.inputs_lost and relay.response is None:
+            return gateway_context.InputsLost(failure.reason)
         if failure.ran and not _may_run_again(context):
             break
     return _give_up(relay, context, failure)
@@ -215,7 +218,8 @@
         async with asyncio.timeout(context.deadline_s - began_s):
             attempt = await _send(gateway, context, relay, word)
             if isinstance(attempt, Failure):
-                placement.failed(health, clocks.boot_time())
+                if not attempt.inputs_lost:
+                    placement.failed(health, clocks.boot_time())
                 return attempt
             outcome = await _take_answer(gateway, context, relay, attempt)
     except TimeoutError:
@@ -276,7 +280,12 @@
     if answer.not_run or answer.wrong_instance:
         context.sent = sent_before
         await _drop_body(gateway, attempt)
-        return Failure(f"not run: status {head.status}", False, 503)
+        return Failure(
+            f"not run: status {head.status}",
+            False,
+            503,
+            inputs_lost=answer.inputs_lost,
+        )
     context.runs += 1
     return attempt
 
--- a/bitternlever/gateway/requests.py
+++ b/bitternlever/gateway/requests.py
@@ -28,6 +28,11 @@
 STALE_RETRY_S = 0.3
 """A caller that comes back reaches another host."""
 
+STAGE_ROUNDS = 2
+"""A request runs its stages once more where results were lost with their maker."""
+
+LOST_RETRY_S = 0.3
+
 logger = logging.getLogger(__name__)
 
 
@@ -63,24 +68,8 @@
         version=context.catalog.version,
         left_s=round(context.deadline_s - arrived_s, 3),
     )
-    results = stages.Results()
     try:
-        if context.route.stages:
-            outcome = await stages.run(gateway, context, results)
-            if outcome.is_err():
-                refusal = gateway_context.Refusal(
-                    503,
-                    f"a stage was refused: {outcome.err().reason}",
-                    stages.retry_after_s(outcome.err()),
-                )
-                return _refuse(gateway, request, context, refusal)
-            context.inputs = outcome.ok()
-        answer = await forward.run(
-            gateway,
-            request,
-            context,
-            on_first_piece=lambda: stages.free(gateway, context, results),
-        )
+        answer = await _run(gateway, request, context)
     except asyncio.CancelledError:
         events.REQUEST_CANCELLED.log(
             logger,
@@ -89,8 +78,6 @@
             sent=context.sent,
         )
         raise
-    finally:
-        stages.free(gateway, context, results)
     if isinstance(answer, gateway_context.Refusal):
         return _refuse(gateway, request, context, answer)
     events.REQUEST_ANSWERED.log(
@@ -103,6 +90,54 @@
     return answer
 
 
+async def _run(
+    gateway: state.Gateway,
+    request: web.BaseRequest,
+    context: gateway_context.Context,
+) -> web.StreamResponse | gateway_context.Refusal:
+    """Run the stages, then pass the request on; again where results were lost."""
+    if not context.route.stages:
+        return await forward.run(gateway, request, context, lambda: None)
+    for _ in range(STAGE_ROUNDS):
+        answer = await _run_staged(gateway, request, context)
+        if not isinstance(answer, gateway_context.InputsLost):
+            return answer
+        events.INPUTS_LOST.log(
+            logger,
+            request=context.head.request,
+            reason=answer.reason,
+        )
+    return gateway_context.Refusal(503, answer.reason, LOST_RETRY_S)
+
+
+async def _run_staged(
+    gateway: state.Gateway,
+    request: web.BaseRequest,
+    context: gateway_context.Context,
+) -> web.StreamResponse | gateway_context.Refusal | gateway_context.InputsLost:
+    results = stages.Results()
+    try:
+        outcome = await stages.run(gateway, context, results)
+        if outcome.is_err():
+            refusal = outcome.err()
+            if refusal.lost_input:
+                return gateway_context.InputsLost(refusal.reason)
+            return gateway_context.Refusal(
+                503,
+                f"a stage was refused: {refusal.reason}",
+                stages.retry_after_s(refusal),
+            )
+        context.inputs = outcome.ok()
+        return await forward.run(
+            gateway,
+            request,
+            context,
+            on_first_piece=lambda: stages.free(gateway, context, results),
+        )
+    finally:
+        stages.free(gateway, context, results)
+
+
 def match(
     gateway: state.Gateway,
     request: web.BaseRequest,
@@ -137,6 +172,7 @@
         gateway_context.Context(
             arrived_s=now,
             deadline_s=now + wait_s,
+            first_event_s=now + min(wait_s, routes.patience_s(route)),
             head=head,
             raw_headers=request.raw_headers,
             method=request.method.encode(),
--- a/bitternlever/gateway/stages.py
+++ b/bitternlever/gateway/stages.py
@@ -123,7 +123,7 @@
     return msgspec.structs.replace(
         work,
         objective_left_s=context.arrived_s + context.route.objective_s - now - rest_s,
-        deadline_left_s=context.deadline_s - now - rest_s,
+        deadline_left_s=context.first_event_s - now - rest_s,
     )
 
 
--- a/bitternlever/platform/headers.py
+++ b/bitternlever/platform/headers.py
@@ -19,6 +19,7 @@
 LAST_EVENT = b"last-event-id"
 AUTHORIZATION = b"authorization"
 MISDIRECTED = 421
+INPUT_GONE = 409
 LEAST_URGENT = 9
 
 HOP_BY_HOP = frozenset(
@@ -106,6 +107,7 @@
         signed=SEAL in values,
         not_run=NOT_RUN in values,
         wrong_instance=status == MISDIRECTED,
+        inputs_lost=status == INPUT_GONE and NOT_RUN in values,
     )
 
 
--- a/bitternlever/telemetry/events.py
+++ b/bitternlever/telemetry/events.py
@@ -213,3 +213,9 @@
     logging.WARNING,
     "A stream that had begun was cut off.",
 )
+INPUTS_LOST = register(
+    609,
+    "inputs-lost",
+    logging.INFO,
+    "Results of earlier stages are gone: the stages run again.",
+)
