Begun stage works first, results just in time and in the zone of their reader

Cause: half-done works held the scarce room while others were begun; an early result of an independent stage held it until the whole chain was done; and 2.5 GB of results crossed zones.

--- a/bitternlever/batching/batcher.py
+++ b/bitternlever/batching/batcher.py
@@ -34,6 +34,12 @@
 
 MAXIMUM_RETRY_AFTER_S = 8.0
 
+HELD_WEIGHT = 0.05
+"""Weight of the newest result in the mean time for which results are held."""
+
+LARGE_RESULT_BYTES = 20_000
+"""Results above this are worth a wait for an upstream in the zone of their reader."""
+
 
 def create(service: catalog_tables.Service) -> tables.Batcher:
     """Make the empty queue of a stage service."""
@@ -65,11 +71,15 @@
     return None
 
 
-def cancel(batcher: tables.Batcher, name: str) -> tables.Work | None:
+def cancel(
+    batcher: tables.Batcher,
+    now: float,
+    name: str,
+) -> tables.Work | None:
     """Drop a work that nobody waits for; return it where it was queued."""
     work = batcher.works.pop(name, None)
     if work is not None:
-        _abandon(batcher, list(work.handles.values()))
+        _abandon(batcher, now, list(work.handles.values()))
     return work
 
 
@@ -83,17 +93,32 @@
     if not servers:
         return math.inf
     own_rank = order.rank(batcher, now, work)
-    ahead = sum(
-        len(other.waiting)
+    ahead = [
+        other
         for other in batcher.works.values()
         if other.waiting and order.rank(batcher, now, other) < own_rank
-    )
+    ]
+    free_s = min(max(server.busy_until_s, server.resume_s, now) for server in servers)
+    pieces = sum(len(other.waiting) for other in ahead)
+    size = sum(len(other.waiting) * other.message.result_bytes for other in ahead)
+    by_room_s = size / _room_rate(batcher) if work.message.result_bytes else 0.0
+    return free_s - now + max(pieces / _piece_rate(batcher), by_room_s)
+
+
+def _piece_rate(batcher: tables.Batcher) -> float:
+    """Return how many pieces a second full calls to all upstreams make."""
     capacity = batcher.capacity
-    rate = sum(
-        capacity.batch / (full_call_s(capacity) * server.slowness) for server in servers
+    full_s = full_call_s(capacity)
+    return sum(
+        capacity.batch / (full_s * server.slowness)
+        for server in batcher.servers.values()
     )
-    free_s = min(max(server.busy_until_s, server.resume_s, now) for server in servers)
-    return free_s - now + ahead / rate
+
+
+def _room_rate(batcher: tables.Batcher) -> float:
+    """Return how many bytes of results a second find room, with what each is held."""
+    room = batcher.capacity.room_bytes * len(batcher.servers)
+    return max(1.0, room) / max(batcher.held_s, batcher.capacity.call_s)
 
 
 def full_call_s(capacity: catalog_tables.StageCapacity) -> float:
@@ -117,16 +142,26 @@
 
 
 def expired(batcher: tables.Batcher, now: float) -> list[tables.Finished]:
-    """Give up works that no call can finish before their deadline."""
+    """Give up works that will not be done before their deadline.
+
+    Works past their objective share what is kept for them, oldest first; one that
+    this share does not reach in time is given up as soon as that is known.
+    """
     ended = []
-    for work in list(batcher.works.values()):
-        if not work.waiting:
+    late_rate = order.LATE_SHARE * _piece_rate(batcher)
+    ahead = 0
+    for work in sorted(batcher.works.values(), key=lambda work: work.arrived_s):
+        if not work.waiting or not order.is_late(batcher, now, work):
             continue
-        if now + batcher.capacity.call_s <= work.deadline_s:
+        wait_s = 0.0
+        if len(work.waiting) == len(work.message.pieces) and late_rate > 0:
+            wait_s = ahead / late_rate
+        if now + wait_s + batcher.capacity.call_s <= work.deadline_s:
+            ahead += len(work.waiting)
             continue
-        cancel(batcher, work.message.work)
-        wait_s = predicted_wait_s(batcher, now, work)
-        ended.append(_refused(work, "the deadline cannot be met any more", wait_s))
+        cancel(batcher, now, work.message.work)
+        reason = "the deadline cannot be met any more"
+        ended.append(_refused(work, reason, max(wait_s, FULL_PAUSE_S)))
     return ended
 
 
@@ -145,7 +180,7 @@
     _learn_speed(call, now)
     ended = []
     for item, outcome in zip(call.items, outcomes, strict=True):
-        finished = _item_done(batcher, now, server, item, outcome)
+        finished = _item_done(batcher, now, call, item, outcome)
         if finished is not None:
             ended.append(finished)
     return ended
@@ -178,18 +213,25 @@
         work.waiting.append(item.index)
         work.failures += 0 if full else 1
         if work.failures > MAXIMUM_FAILURES * len(work.message.pieces):
-            cancel(batcher, item.work)
+            cancel(batcher, now, item.work)
             ended.append(_refused(work, "too many failed calls", FAILED_PAUSE_S))
     return ended
 
 
-def free(batcher: tables.Batcher, handles: list[str]) -> dict[str, list[str]]:
+def free(
+    batcher: tables.Batcher,
+    now: float,
+    handles: list[str],
+) -> dict[str, list[str]]:
     """Forget results; return the handles by the address of their maker."""
     by_address: dict[str, list[str]] = {}
     for handle in handles:
         for server in batcher.servers.values():
-            if server.results.pop(handle, None) is not None:
+            held = server.results.pop(handle, None)
+            if held is not None:
                 by_address.setdefault(server.address, []).append(handle)
+                held_s = now - held.began_s
+                batcher.held_s += HELD_WEIGHT * (held_s - batcher.held_s)
                 break
     return by_address
 
@@ -235,19 +277,52 @@
     now: float,
     server: tables.Server,
 ) -> list[tables.Item]:
+    """Choose the pieces of a call: those at home here first, others in need next."""
     room = _room(batcher, server)
     works = order.waiting(batcher, now)
-    late = [work for work in works if order.is_late(batcher, now, work)]
+    here = [work for work in works if _at_home(work, server)]
+    here += [
+        work
+        for work in works
+        if not _at_home(work, server) and _must_leave_home(batcher, now, work)
+    ]
+    late = [work for work in here if order.is_late(batcher, now, work)]
     late.sort(key=lambda work: work.arrived_s)
     batch = batcher.capacity.batch
     kept = math.ceil(batch * order.LATE_SHARE) if late else 0
     items: list[tables.Item] = []
-    room = _take(items, works, batch - kept, room)
+    room = _take(items, here, batch - kept, room)
     room = _take(items, late, batch, room)
-    _take(items, works, batch, room)
+    _take(items, here, batch, room)
     return items
 
 
+def _at_home(work: tables.Work, server: tables.Server) -> bool:
+    home = work.message.home_zone
+    return not home or home == server.zone
+
+
+def _must_leave_home(
+    batcher: tables.Batcher,
+    now: float,
+    work: tables.Work,
+) -> bool:
+    """Tell whether upstreams in a work's own zone would make it miss its objective."""
+    message = work.message
+    read = sum(len(piece.inputs) for piece in message.pieces)
+    if message.result_bytes <= LARGE_RESULT_BYTES and not read:
+        return True
+    home = [
+        server
+        for server in batcher.servers.values()
+        if server.zone == message.home_zone
+    ]
+    if not home:
+        return True
+    free_s = min(max(server.busy_until_s, server.resume_s, now) for server in home)
+    return work.objective_s < free_s + full_call_s(batcher.capacity)
+
+
 def _take(
     items: list[tables.Item],
     works: list[tables.Work],
@@ -297,19 +372,20 @@
 def _item_done(
     batcher: tables.Batcher,
     now: float,
-    server: tables.Server,
+    call: tables.Call,
     item: tables.Item,
     outcome: tables.ItemDone,
 ) -> tables.Finished | None:
+    server = call.server
     work = batcher.works.get(item.work)
     _unreserve(batcher, server, work)
     if outcome.handle is not None:
         size = 0 if work is None else work.message.result_bytes
         expires_s = now + batcher.capacity.result_s
-        server.results[outcome.handle] = tables.Result(size, expires_s)
+        server.results[outcome.handle] = tables.Result(size, call.sent_s, expires_s)
     if work is None:
         if outcome.handle is not None:
-            _abandon(batcher, [outcome.handle])
+            _abandon(batcher, now, [outcome.handle])
         return None
     if outcome.handle is not None:
         work.handles[item.index] = outcome.handle
@@ -329,22 +405,22 @@
     outcome: tables.ItemDone,
 ) -> tables.Finished | None:
     if outcome.lost_input or outcome.too_late:
-        cancel(batcher, item.work)
+        cancel(batcher, now, item.work)
         return _refused(work, outcome.reason, 0.0, lost_input=outcome.lost_input)
     if outcome.no_room:
         server.resume_s = now + FULL_PAUSE_S
     else:
         work.failures += 1
     if work.failures > MAXIMUM_FAILURES:
-        cancel(batcher, item.work)
+        cancel(batcher, now, item.work)
         return _refused(work, outcome.reason, FAILED_PAUSE_S)
     work.waiting.append(item.index)
     return None
 
 
-def _abandon(batcher: tables.Batcher, handles: list[str]) -> None:
+def _abandon(batcher: tables.Batcher, now: float, handles: list[str]) -> None:
     """Note results that nobody will read."""
-    for address, freed in free(batcher, handles).items():
+    for address, freed in free(batcher, now, handles).items():
         batcher.unread.extend((address, handle) for handle in freed)
 
 
--- a/bitternlever/batching/order.py
+++ b/bitternlever/batching/order.py
@@ -1,9 +1,10 @@
 """Which stage work goes first when more waits than fits.
 
-Load: bursts of one kind of request fill a stage that all kinds share. Work that can
-still meet its objective goes before work that cannot, urgent priorities first, then
-requests whose earlier stages are done, then the earliest objective. Work that has
-missed its objective keeps a share of every call, so that nothing starves.
+Load: bursts of one kind of request fill a stage that all kinds share. Work that has
+been begun goes first: its results take up room until its last piece is made. Then
+work that can still meet its objective goes before work that cannot, urgent priorities
+first, then requests whose earlier stages are done, then the earliest objective. Work
+that has missed its objective keeps a share of every call, so that nothing starves.
 """
 
 from bitternlever.batching import tables
@@ -21,8 +22,16 @@
 def rank(batcher: tables.Batcher, now: float, work: tables.Work) -> tuple:
     """Return the sort key of a work; smaller goes first."""
     message = work.message
-    late = work.objective_s < now + shortest_call_s(batcher, work)
-    return (late, message.priority, -message.depth, work.objective_s, work.arrived_s)
+    fresh = len(work.waiting) == len(message.pieces)
+    late = is_late(batcher, now, work)
+    return (
+        fresh,
+        late,
+        message.priority,
+        -message.depth,
+        work.objective_s,
+        work.arrived_s,
+    )
 
 
 def is_late(batcher: tables.Batcher, now: float, work: tables.Work) -> bool:
--- a/bitternlever/batching/tables.py
+++ b/bitternlever/batching/tables.py
@@ -26,9 +26,13 @@
 
 @dataclasses.dataclass(slots=True)
 class Result:
-    """Room that a result takes up at its maker until it is freed or expires."""
+    """Room that a result takes up at its maker until it is freed or expires.
+
+    ``began_s`` is when its call was sent.
+    """
 
     size: int
+    began_s: float
     expires_s: float
 
 
@@ -72,6 +76,7 @@
     """The queue of one service.
 
     ``unread`` lists results that nobody will read, by address and handle.
+    ``held_s`` is the mean time from the begin of a call to the end of its results.
     """
 
     service: str
@@ -80,6 +85,7 @@
     servers: dict[str, Server] = dataclasses.field(default_factory=dict)
     calls: dict[int, Call] = dataclasses.field(default_factory=dict)
     next_call: int = 0
+    held_s: float = 0.5
     unread: list[tuple[str, str]] = dataclasses.field(default_factory=list)
 
 
--- a/bitternlever/catalog/routes.py
+++ b/bitternlever/catalog/routes.py
@@ -5,7 +5,7 @@
 LEAST_PATIENCE_S = 2.0
 PATIENCE_OBJECTIVES = 4.0
 PATIENCE_GAPS = 8.0
-"""Callers abandon a stream that shows no event for the longest of these; PROTOCOL.md."""
+"""Callers abandon a stream without an event after the longest of these."""
 
 
 def match(catalog: tables.Catalog, host: str, path: str) -> tables.Route | None:
--- a/bitternlever/gateway/batching.py
+++ b/bitternlever/gateway/batching.py
@@ -102,11 +102,11 @@
             _work_asked(gateway, now, link, message)
         case fleet.StageCancelled():
             for held in gateway.tables.batchers.values():
-                batcher.cancel(held, message.work)
+                batcher.cancel(held, now, message.work)
             pump_later(gateway)
             gateway.batching.answered.pop(message.work, None)
         case fleet.StageFreed():
-            _free(gateway, message)
+            _free(gateway, now, message)
         case fleet.StageAccepted() | fleet.StageDone() | fleet.StageRefused():
             mailbox = gateway.batching.waiting.get(message.work)
             if mailbox is not None:
@@ -261,6 +261,7 @@
             took_s=round(now - call.sent_s, 3),
             failed=[each.reason for each in outcomes if each.handle is None],
             waiting=sum(len(work.waiting) for work in held.works.values()),
+            held_s=round(held.held_s, 3),
         )
         ended = batcher.call_done(held, now, call.number, outcomes)
     for finished in ended:
@@ -325,11 +326,11 @@
     state.send(gateway, work.link, answer)
 
 
-def _free(gateway: state.Gateway, message: fleet.StageFreed) -> None:
+def _free(gateway: state.Gateway, now: float, message: fleet.StageFreed) -> None:
     held = gateway.tables.batchers.get(message.service)
     if held is None:
         return
-    for address, handles in batcher.free(held, message.handles).items():
+    for address, handles in batcher.free(held, now, message.handles).items():
         state.in_background(gateway, _send_free(gateway, address, handles))
     pump_later(gateway)
 
--- a/bitternlever/gateway/context.py
+++ b/bitternlever/gateway/context.py
@@ -11,7 +11,8 @@
     """A request, what it was matched with, and what has become of it.
 
     Times are of the boot clock. Past ``first_event_s`` the caller no longer waits for
-    the beginning of an answer. ``sent`` is set once any byte of the request itself
+    the beginning of an answer. ``engine_zone`` is the zone of the upstream that will
+    probably take it. ``sent`` is set once any byte of the request itself
     has left for an upstream that did not say it was not run.
     """
 
@@ -28,6 +29,7 @@
     workspace: catalog_tables.Workspace | None
     priority: int
     catalog: catalog_tables.Catalog
+    engine_zone: str = ""
     inputs: tuple[str, ...] = ()
     sent: bool = False
     attempts: int = 0
--- a/bitternlever/gateway/forward.py
+++ b/bitternlever/gateway/forward.py
@@ -100,7 +100,7 @@
             status = 504 if context.sent else 503
             failure = Failure("the time is over", context.sent, status)
             break
-        word = _choose(gateway, context, now)
+        word = choose(gateway, context, now)
         if word is None:
             break
         if number > 0 and not _may_send_again(gateway, context, now):
@@ -117,11 +117,12 @@
     return _give_up(relay, context, failure)
 
 
-def _choose(
+def choose(
     gateway: state.Gateway,
     context: gateway_context.Context,
     now: float,
 ) -> fleet.UpstreamWord | None:
+    """Return the upstream that would get the request now."""
     service = context.catalog.services.get(context.service)
     is_engine = service is not None and service.engine is not None
     key = placement.prompt_key(context.head) if is_engine else None
--- a/bitternlever/gateway/requests.py
+++ b/bitternlever/gateway/requests.py
@@ -98,6 +98,9 @@
     """Run the stages, then pass the request on; again where results were lost."""
     if not context.route.stages:
         return await forward.run(gateway, request, context, lambda: None)
+    likely = forward.choose(gateway, context, context.arrived_s)
+    if likely is not None:
+        context.engine_zone = likely.zone
     for _ in range(STAGE_ROUNDS):
         answer = await _run_staged(gateway, request, context)
         if not isinstance(answer, gateway_context.InputsLost):
--- a/bitternlever/gateway/stages.py
+++ b/bitternlever/gateway/stages.py
@@ -1,6 +1,7 @@
 """Run the stages of a request before its upstream gets it."""
 
 import asyncio
+import collections
 import dataclasses
 
 import msgspec
@@ -14,6 +15,9 @@
 READ_PROMPT_S = 0.15
 """From the last stage to an engine's first event, for a prompt mostly in its cache."""
 
+HOLD_BACK_FACTOR = 1.0
+"""A first stage waits for others that leave it this many times its own duration."""
+
 MINIMUM_RETRY_AFTER_S = 0.1
 
 
@@ -70,7 +74,7 @@
     results: Results,
 ) -> fleet.StageRefused | None:
     """Run one stage once those before it are done; return why it was refused."""
-    for number in stage.after:
+    for number in (*stage.after, *_held_back_by(context, stage)):
         if await asyncio.shield(tasks[number]) is not None:
             return None
     pieces = context.head.pieces
@@ -79,7 +83,7 @@
     if count > 0:
         answer = await batching.run(
             gateway,
-            _work(context, stage, count, results),
+            _work(gateway, context, stage, count, results),
             lambda work, now: _with_time_left(context, stage, work, now),
         )
         if isinstance(answer, fleet.StageRefused):
@@ -89,7 +93,35 @@
     return None
 
 
+def _held_back_by(
+    context: gateway_context.Context,
+    stage: catalog_tables.Stage,
+) -> list[int]:
+    """Return the stage whose end a first stage awaits, so that it ends with the others.
+
+    A result that is made early takes up room at its maker until the last one is made.
+    """
+    if stage.after or stage.number in _followed(context.route):
+        return []
+    own_s = HOLD_BACK_FACTOR * _cost_s(context, stage)
+    others = [
+        each
+        for each in context.route.stages
+        if each.number != stage.number
+        and remaining_s(context, each) - READ_PROMPT_S >= own_s
+    ]
+    if not others:
+        return []
+    last = min(others, key=lambda each: remaining_s(context, each))
+    return [last.number]
+
+
+def _followed(route: catalog_tables.Route) -> set[int]:
+    return {number for stage in route.stages for number in stage.after}
+
+
 def _work(
+    gateway: state.Gateway,
     context: gateway_context.Context,
     stage: catalog_tables.Stage,
     count: int,
@@ -105,14 +137,33 @@
         key=context.head.piece_key,
         pieces=[fleet.StagePiece(number, inputs) for number in range(count)],
         priority=context.priority,
-        depth=_depth(context.route, stage),
+        depth=_depth(context.route, stage) + len(_held_back_by(context, stage)),
         objective_left_s=0.0,
         deadline_left_s=0.0,
         result_bytes=stage.result_bytes,
         workspace="" if workspace is None else workspace.name,
+        home_zone=_home_zone(gateway, context, inputs),
     )
 
 
+def _home_zone(
+    gateway: state.Gateway,
+    context: gateway_context.Context,
+    inputs: list[str],
+) -> str:
+    """Return the zone where most inputs lie, else that of the likely engine."""
+    if not inputs:
+        return context.engine_zone
+    entries = gateway.tables.upstreams.entries
+    holders = gateway.tables.upstreams.holders
+    zones = collections.Counter()
+    for handle in inputs:
+        entry = entries.get(holders.get(handle.partition("/")[0], ""))
+        if entry is not None:
+            zones[entry.word.zone] += 1
+    return zones.most_common(1)[0][0] if zones else ""
+
+
 def _with_time_left(
     context: gateway_context.Context,
     stage: catalog_tables.Stage,
