--- a/bitternlever/batching/batcher.py
+++ b/bitternlever/batching/batcher.py
@@ -24,7 +24,7 @@
 FULL_PAUSE_S = 0.05
 """How long an upstream that is full, or out of room, is left alone."""
 
-FAILED_PAUSE_S = 0.5
+FAILED_PAUSE_S = 0.2
 """How long an upstream is left alone after a failed call, doubled by each more."""
 
 MAXIMUM_PAUSE_S = 4.0
@@ -37,8 +37,8 @@
 HELD_WEIGHT = 0.05
 """Weight of the newest result in the mean time for which results are held."""
 
-LARGE_RESULT_BYTES = 20_000
-"""Results above this are worth a wait for an upstream in the zone of their reader."""
+UNKNOWN_HALF_LIFE_S = 0.4
+"""How fast room that somebody else's results take up is expected to become free."""
 
 
 def create(service: catalog_tables.Service) -> tables.Batcher:
@@ -193,7 +193,10 @@
     *,
     full: bool,
 ) -> list[tables.Finished]:
-    """Queue the pieces of a failed call again and leave the upstream alone a while."""
+    """Queue the pieces of a failed call again and leave the upstream alone a while.
+
+    Unless the upstream was full, it may have made results that nobody can free.
+    """
     call = batcher.calls.pop(number)
     server = call.server
     server.calls -= 1
@@ -201,6 +204,8 @@
     if full:
         server.resume_s = now + FULL_PAUSE_S
     else:
+        _learn_speed(call, now)
+        _note_lost_results(batcher, now, call)
         pause_s = FAILED_PAUSE_S * 2**server.failures
         server.failures += 1
         server.resume_s = now + min(MAXIMUM_PAUSE_S, pause_s)
@@ -218,6 +223,23 @@
     return ended
 
 
+def _note_lost_results(
+    batcher: tables.Batcher,
+    now: float,
+    call: tables.Call,
+) -> None:
+    sizes = [
+        batcher.works[item.work].message.result_bytes
+        for item in call.items
+        if item.work in batcher.works
+    ]
+    call.server.results[f"lost {call.number}"] = tables.Result(
+        size=sum(sizes),
+        began_s=call.sent_s,
+        expires_s=now + batcher.capacity.result_s,
+    )
+
+
 def free(
     batcher: tables.Batcher,
     now: float,
@@ -278,7 +300,7 @@
     server: tables.Server,
 ) -> list[tables.Item]:
     """Choose the pieces of a call: those at home here first, others in need next."""
-    room = _room(batcher, server)
+    room = _room(batcher, now, server)
     works = order.waiting(batcher, now)
     here = [work for work in works if _at_home(work, server)]
     here += [
@@ -308,14 +330,10 @@
     work: tables.Work,
 ) -> bool:
     """Tell whether upstreams in a work's own zone would make it miss its objective."""
-    message = work.message
-    read = sum(len(piece.inputs) for piece in message.pieces)
-    if message.result_bytes <= LARGE_RESULT_BYTES and not read:
-        return True
     home = [
         server
         for server in batcher.servers.values()
-        if server.zone == message.home_zone
+        if server.zone == work.message.home_zone
     ]
     if not home:
         return True
@@ -340,9 +358,22 @@
     return room
 
 
-def _room(batcher: tables.Batcher, server: tables.Server) -> float:
+def _room(batcher: tables.Batcher, now: float, server: tables.Server) -> float:
     held = sum(each.size for each in server.results.values())
-    return batcher.capacity.room_bytes - held - server.reserved
+    age_s = now - server.unknown_since_s
+    unknown = server.unknown_bytes * 0.5 ** (age_s / UNKNOWN_HALF_LIFE_S)
+    return batcher.capacity.room_bytes - held - server.reserved - unknown
+
+
+def _note_no_room(batcher: tables.Batcher, now: float, server: tables.Server) -> None:
+    """Believe an upstream that its room is taken, whoever's results they are."""
+    free_bytes = _room(batcher, now, server)
+    if free_bytes <= 0:
+        return
+    age_s = now - server.unknown_since_s
+    server.unknown_bytes *= 0.5 ** (age_s / UNKNOWN_HALF_LIFE_S)
+    server.unknown_bytes += free_bytes
+    server.unknown_since_s = now
 
 
 def _begin(
@@ -408,7 +439,7 @@
         cancel(batcher, now, item.work)
         return _refused(work, outcome.reason, 0.0, lost_input=outcome.lost_input)
     if outcome.no_room:
-        server.resume_s = now + FULL_PAUSE_S
+        _note_no_room(batcher, now, server)
     else:
         work.failures += 1
     if work.failures > MAXIMUM_FAILURES:
--- a/bitternlever/batching/tables.py
+++ b/bitternlever/batching/tables.py
@@ -38,7 +38,11 @@
 
 @dataclasses.dataclass(slots=True)
 class Server:
-    """An upstream of the service as this host sees it."""
+    """An upstream of the service as this host sees it.
+
+    ``unknown_bytes`` is room taken by results that this host has not made, as it was
+    estimated at ``unknown_since_s``.
+    """
 
     upstream: str
     address: str
@@ -49,6 +53,8 @@
     slowness: float = 1.0
     failures: int = 0
     reserved: int = 0
+    unknown_bytes: float = 0.0
+    unknown_since_s: float = 0.0
     results: dict[str, Result] = dataclasses.field(default_factory=dict)
 
 
--- a/bitternlever/fleet/members.py
+++ b/bitternlever/fleet/members.py
@@ -86,7 +86,7 @@
         replica=tables.replica.settings.identity,
         zone=tables.settings.zone,
     )
-    known = {*tables.settings.seeds, *fleet_tables.controls(tables)}
+    known = {*tables.seeds, *fleet_tables.controls(tables)}
     for node in sorted(known - {tables.settings.link}):
         outbox.send(frames.SendPeer(node=node, message=request))
 
--- a/bitternlever/fleet/shell.py
+++ b/bitternlever/fleet/shell.py
@@ -14,7 +14,7 @@
 from aiohttp import web
 
 from bitternlever.conf import fleet as fleet_settings
-from bitternlever.core import clocks, runner
+from bitternlever.core import clocks, reloading, runner
 from bitternlever.fleet import tables as fleet_tables, tick
 from bitternlever.messages import consensus, fleet, frames
 from bitternlever.storage import store, writer as storage_writer
@@ -56,10 +56,14 @@
 Api = Callable[[Shell], Callable[[web.BaseRequest], Any]]
 
 
-async def run(settings: fleet_settings.FleetConfiguration, api: Api) -> int:
+async def run(
+    settings: fleet_settings.FleetConfiguration,
+    api: Api,
+    read_settings: reloading.Read,
+) -> int:
     """Run a control process until a signal ends it; return its exit code.
 
-    ``api`` makes the handler of HTTP requests.
+    ``api`` makes the handler of HTTP requests; ``read_settings`` reads them anew.
     """
     loop = asyncio.get_running_loop()
     tables = _open(settings)
@@ -93,6 +97,11 @@
     host, _, port = settings.control_address.rpartition(":")
     await web.TCPSite(server, host, int(port)).start()
     loop.add_signal_handler(signal.SIGTERM, _signalled, shell)
+    reloading.watch(
+        read_settings,
+        settings,
+        lambda changed: setattr(shell.tables, "seeds", changed.seeds),
+    )
     events.PROGRAM_STARTED.log(logger, program="control", host=settings.host)
     await asyncio.wait(
         [shell.stopped, shell.running.failed],
@@ -193,6 +202,7 @@
     tables.subscribers = former.subscribers
     tables.candidates = former.candidates
     tables.stop_at_s = former.stop_at_s
+    tables.seeds = former.seeds
     shell.tables = tables
     _start_writer(shell, on_event)
 
--- a/bitternlever/fleet/tables.py
+++ b/bitternlever/fleet/tables.py
@@ -92,9 +92,13 @@
 
 @dataclasses.dataclass(slots=True)
 class FleetTables:
-    """Everything that a control process knows; systems run over it each tick."""
+    """Everything that a control process knows; systems run over it each tick.
+
+    ``seeds`` are the newest that the settings name.
+    """
 
     settings: FleetSettings
+    seeds: tuple[str, ...]
     held: machine.Held
     replica: consensus_tables.Replica
     upstreams: fleet_upstreams.Upstreams = dataclasses.field(
@@ -132,7 +136,12 @@
         restored.groups.get(GROUP),
         seed=seed,
     )
-    return FleetTables(settings=settings, held=held, replica=own)
+    return FleetTables(
+        settings=settings,
+        seeds=settings.seeds,
+        held=held,
+        replica=own,
+    )
 
 
 def leads(tables: FleetTables) -> bool:
--- a/bitternlever/gateway/batching.py
+++ b/bitternlever/gateway/batching.py
@@ -32,10 +32,12 @@
 REMEMBERED_RESULTS = 512
 """Ended works whose answer is sent again when it is asked for again."""
 
-CALL_TIMEOUT_FACTOR = 3.0
+CALL_TIMEOUT_FACTOR = 2.0
 """A call that takes this much longer than expected is made elsewhere as well."""
 
-CALL_TIMEOUT_EXTRA_S = 1.0
+CALL_TIMEOUT_EXTRA_S = 0.25
+"""Allows for the fetching of inputs, which no expectation contains."""
+
 FREE_TIMEOUT_S = 1.0
 STAGE_IDLE_S = 30.0
 """Stage calls may be repeated, so kept connections are used up to their limit."""
@@ -327,12 +329,17 @@
 
 
 def _free(gateway: state.Gateway, now: float, message: fleet.StageFreed) -> None:
+    """Free results, also those that another host had made before."""
     held = gateway.tables.batchers.get(message.service)
-    if held is None:
-        return
-    for address, handles in batcher.free(held, now, message.handles).items():
+    if held is not None:
+        batcher.free(held, now, message.handles)
+        pump_later(gateway)
+    by_address: dict[str, list[str]] = {}
+    for handle in message.handles:
+        address = gateway.dialect.maker_address(handle)
+        by_address.setdefault(address, []).append(handle)
+    for address, handles in by_address.items():
         state.in_background(gateway, _send_free(gateway, address, handles))
-    pump_later(gateway)
 
 
 async def _send_free(gateway: state.Gateway, address: str, handles: list[str]) -> None:
--- a/bitternlever/gateway/context.py
+++ b/bitternlever/gateway/context.py
@@ -12,8 +12,9 @@
 
     Times are of the boot clock. Past ``first_event_s`` the caller no longer waits for
     the beginning of an answer. ``engine_zone`` is the zone of the upstream that will
-    probably take it. ``sent`` is set once any byte of the request itself
-    has left for an upstream that did not say it was not run.
+    probably take it. ``staged_s`` and ``first_piece_s`` are when the stages were done
+    and when the first piece of the answer came. ``sent`` is set once any
+    byte of the request itself has left for an upstream that did not say otherwise.
     """
 
     arrived_s: float
@@ -31,6 +32,8 @@
     catalog: catalog_tables.Catalog
     engine_zone: str = ""
     inputs: tuple[str, ...] = ()
+    staged_s: float | None = None
+    first_piece_s: float | None = None
     sent: bool = False
     attempts: int = 0
     runs: int = 0
--- a/bitternlever/gateway/dialect.py
+++ b/bitternlever/gateway/dialect.py
@@ -107,6 +107,7 @@
     stage_answer: Callable[
         [bytes, int], result.Result[list[batching_tables.ItemDone], str]
     ]
+    maker_address: Callable[[str], str]
     stage_free: Callable[[str, list[str]], StageRequest]
     read_catalog: Callable[
         [bytes], result.Result[catalog_tables.Catalog, catalog_tables.CatalogFault]
--- a/bitternlever/gateway/forward.py
+++ b/bitternlever/gateway/forward.py
@@ -368,6 +368,8 @@
         piece = await exchange.read_piece(attempt.connection)
         if piece is None:
             break
+        if context.first_piece_s is None:
+            context.first_piece_s = clocks.boot_time()
         relay.on_first_piece()
         whole = relay.splitter.take(piece) if context.route.resumable else piece
         if whole:
--- a/bitternlever/gateway/requests.py
+++ b/bitternlever/gateway/requests.py
@@ -85,6 +85,9 @@
         request=context.head.request,
         status=answer.status,
         attempts=context.attempts,
+        route=context.route.name,
+        staged_s=_since(context.staged_s, arrived_s),
+        first_s=_since(context.first_piece_s, arrived_s),
         took_s=round(clocks.boot_time() - arrived_s, 3),
     )
     return answer
@@ -131,6 +134,7 @@
                 stages.retry_after_s(refusal),
             )
         context.inputs = outcome.ok()
+        context.staged_s = clocks.boot_time()
         return await forward.run(
             gateway,
             request,
@@ -141,6 +145,10 @@
         stages.free(gateway, context, results)
 
 
+def _since(at_s: float | None, began_s: float) -> float | None:
+    return None if at_s is None else round(at_s - began_s, 3)
+
+
 def match(
     gateway: state.Gateway,
     request: web.BaseRequest,
--- a/bitternlever/gateway/shell.py
+++ b/bitternlever/gateway/shell.py
@@ -10,7 +10,7 @@
 from aiohttp import web
 
 from bitternlever.conf import fleet as fleet_settings
-from bitternlever.core import clocks
+from bitternlever.core import clocks, reloading
 from bitternlever.gateway import (
     batching,
     dialect as gateway_dialect,
@@ -57,6 +57,7 @@
     settings: fleet_settings.FleetConfiguration,
     dialect: gateway_dialect.Dialect,
     apis: Apis,
+    read_settings: reloading.Read,
 ) -> int:
     """Run an entry host until a signal ends it; return its exit code."""
     loop = asyncio.get_running_loop()
@@ -93,6 +94,11 @@
         await _serve(settings.callers_address, apis.callers(gateway)),
     ]
     loop.add_signal_handler(signal.SIGTERM, _drain, gateway)
+    reloading.watch(
+        read_settings,
+        settings,
+        lambda changed: setattr(gateway.tables, "seeds", changed.seeds),
+    )
     events.PROGRAM_STARTED.log(logger, program="entry", host=settings.host)
     _beat(gateway)
     _expire(gateway)
--- a/bitternlever/gateway/stages.py
+++ b/bitternlever/gateway/stages.py
@@ -18,6 +18,9 @@
 HOLD_BACK_FACTOR = 1.0
 """A first stage waits for others that leave it this many times its own duration."""
 
+LARGE_BYTES = 1_000_000
+"""Results of a stage below this may cross zones without weight."""
+
 MINIMUM_RETRY_AFTER_S = 0.1
 
 
@@ -142,23 +145,42 @@
         deadline_left_s=0.0,
         result_bytes=stage.result_bytes,
         workspace="" if workspace is None else workspace.name,
-        home_zone=_home_zone(gateway, context, inputs),
+        home_zone=_home_zone(gateway, context, stage, count, results),
     )
 
 
 def _home_zone(
     gateway: state.Gateway,
     context: gateway_context.Context,
-    inputs: list[str],
+    stage: catalog_tables.Stage,
+    count: int,
+    results: Results,
 ) -> str:
-    """Return the zone where most inputs lie, else that of the likely engine."""
-    if not inputs:
+    """Return the zone where much is read from, or much will be read; else nothing.
+
+    Every piece reads all inputs. Results between two stages need no zone: the later
+    stage follows them.
+    """
+    inputs = [each for number in stage.after for each in results.handles[number]]
+    read_bytes = count * sum(
+        context.route.stages[number].result_bytes * len(results.handles[number])
+        for number in stage.after
+    )
+    if inputs and read_bytes >= LARGE_BYTES:
+        return _zone_of_most(gateway, inputs)
+    is_final = stage.number not in _followed(context.route)
+    if is_final and count * stage.result_bytes >= LARGE_BYTES:
         return context.engine_zone
+    return ""
+
+
+def _zone_of_most(gateway: state.Gateway, handles: list[str]) -> str:
     entries = gateway.tables.upstreams.entries
     holders = gateway.tables.upstreams.holders
     zones = collections.Counter()
-    for handle in inputs:
-        entry = entries.get(holders.get(handle.partition("/")[0], ""))
+    for handle in handles:
+        address = gateway.dialect.maker_address(handle)
+        entry = entries.get(holders.get(address, ""))
         if entry is not None:
             zones[entry.word.zone] += 1
     return zones.most_common(1)[0][0] if zones else ""
--- a/bitternlever/platform/__main__.py
+++ b/bitternlever/platform/__main__.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import functools
 import logging
 import sys
 
@@ -39,11 +40,12 @@
 
 async def _run(program: str, loaded: settings.fleet.FleetConfiguration) -> int:
     """Import only the program that runs: the other's libraries cost memory."""
+    read_settings = functools.partial(settings.load, program)
     if program == "control":
         from bitternlever.fleet import shell as fleet_shell
         from bitternlever.platform import control_api
 
-        return await fleet_shell.run(loaded, control_api.handler)
+        return await fleet_shell.run(loaded, control_api.handler, read_settings)
     from bitternlever.gateway import shell as gateway_shell
     from bitternlever.platform import entry_api
 
@@ -52,7 +54,12 @@
         readiness=entry_api.readiness,
         directory=entry_api.directory,
     )
-    return await gateway_shell.run(loaded, entry_api.DIALECT, apis)
+    return await gateway_shell.run(
+        loaded,
+        entry_api.DIALECT,
+        apis,
+        read_settings,
+    )
 
 
 if __name__ == "__main__":
--- a/bitternlever/platform/entry_api.py
+++ b/bitternlever/platform/entry_api.py
@@ -29,6 +29,7 @@
     answer_headers=headers.answer_headers,
     stage_call=stages.call,
     stage_answer=stages.answer,
+    maker_address=stages.maker_address,
     stage_free=stages.free,
     read_catalog=catalog.decode,
 )
--- a/bitternlever/platform/stages.py
+++ b/bitternlever/platform/stages.py
@@ -76,6 +76,11 @@
     return dialect.StageRequest(b"POST", b"/api/stage-free", headers, body)
 
 
+def maker_address(handle: str) -> str:
+    """Return the address of the server that holds a result: it begins the handle."""
+    return handle.partition("/")[0]
+
+
 def _item(item: dialect.StageItem) -> _Item:
     inputs = item.piece.inputs
     return _Item(
--- a/bitternlever/telemetry/events.py
+++ b/bitternlever/telemetry/events.py
@@ -219,3 +219,15 @@
     logging.INFO,
     "Results of earlier stages are gone: the stages run again.",
 )
+SETTINGS_READ = register(
+    108,
+    "settings-read",
+    logging.INFO,
+    "The settings were read again.",
+)
+SETTINGS_REFUSED = register(
+    109,
+    "settings-refused",
+    logging.ERROR,
+    "Changed settings cannot be used: the former ones stay in force.",
+)
