--- a/bitternlever/gateway/stages.py
+++ b/bitternlever/gateway/stages.py
@@ -15,7 +15,7 @@
 READ_PROMPT_S = 0.15
 """From the last stage to an engine's first event, for a prompt mostly in its cache."""
 
-HOLD_BACK_FACTOR = 1.0
+HOLD_BACK_FACTOR = 2.0
 """A first stage waits for others that leave it this many times its own duration."""
 
 LARGE_BYTES = 1_000_000
