Learn the waits ahead; bound the room that late work takes up

Cause: with a stage at its limit all requests became late by the same second: late work of earlier stages held the room that work on time needed. Early stages now count the waits ahead, and late work may take what work on time does not want.

--- a/bitternlever/batching/batcher.py
+++ b/bitternlever/batching/batcher.py
@@ -6,6 +6,7 @@
 themselves as the load grows and a single piece never waits for others.
 """
 
+import dataclasses
 import math
 
 from bitternlever.batching import order, tables
@@ -37,6 +38,12 @@
 HELD_WEIGHT = 0.05
 """Weight of the newest result in the mean time for which results are held."""
 
+SHARE_WEIGHT = 0.1
+"""Weight of the newest call in the mean share of work on time."""
+
+LATE_ROOM_SHARE = 0.4
+"""Part of an upstream's room for results of late work while other work waits."""
+
 UNKNOWN_HALF_LIFE_S = 0.4
 """How fast room that somebody else's results take up is expected to become free."""
 
@@ -148,16 +155,22 @@
     this share does not reach in time is given up as soon as that is known.
     """
     ended = []
-    late_rate = order.LATE_SHARE * _piece_rate(batcher)
+    share = max(order.LATE_SHARE, 1.0 - batcher.on_time_share)
+    late_rate = share * _piece_rate(batcher)
+    late_room_rate = max(LATE_ROOM_SHARE, share) * _room_rate(batcher)
     ahead = 0
+    ahead_bytes = 0
     for work in sorted(batcher.works.values(), key=lambda work: work.arrived_s):
         if not work.waiting or not order.is_late(batcher, now, work):
             continue
         wait_s = 0.0
         if len(work.waiting) == len(work.message.pieces) and late_rate > 0:
             wait_s = ahead / late_rate
+            if work.message.result_bytes:
+                wait_s = max(wait_s, ahead_bytes / late_room_rate)
         if now + wait_s + batcher.capacity.call_s <= work.deadline_s:
             ahead += len(work.waiting)
+            ahead_bytes += len(work.waiting) * work.message.result_bytes
             continue
         cancel(batcher, now, work.message.work)
         reason = "the deadline cannot be met any more"
@@ -308,15 +321,23 @@
         for work in works
         if not _at_home(work, server) and _must_leave_home(batcher, now, work)
     ]
-    late = [work for work in here if order.is_late(batcher, now, work)]
-    late.sort(key=lambda work: work.arrived_s)
+    for work in here:
+        work.late = work.late or order.is_late(batcher, now, work)
+    late = sorted(
+        (work for work in here if work.late),
+        key=lambda work: work.arrived_s,
+    )
     batch = batcher.capacity.batch
     kept = math.ceil(batch * order.LATE_SHARE) if late else 0
-    items: list[tables.Item] = []
-    room = _take(items, here, batch - kept, room)
-    room = _take(items, late, batch, room)
-    _take(items, here, batch, room)
-    return items
+    wanted = sum(
+        len(work.waiting) * work.message.result_bytes for work in here if not work.late
+    )
+    late_room = max(_late_room(batcher, server), room - wanted)
+    filling = _Filling(room=room, late_room=late_room)
+    _take(filling, here, batch - kept)
+    _take(filling, late, batch)
+    _take(filling, here, batch)
+    return filling.items
 
 
 def _at_home(work: tables.Work, server: tables.Server) -> bool:
@@ -341,21 +362,32 @@
     return work.objective_s < free_s + full_call_s(batcher.capacity)
 
 
-def _take(
-    items: list[tables.Item],
-    works: list[tables.Work],
-    batch: int,
-    room: float,
-) -> float:
-    """Move pieces into the call until it is full; return the room that is left."""
+@dataclasses.dataclass(slots=True)
+class _Filling:
+    """A call that is being filled, and the room that is left for its results."""
+
+    room: float
+    late_room: float
+    items: list[tables.Item] = dataclasses.field(default_factory=list)
+
+
+def _take(filling: _Filling, works: list[tables.Work], batch: int) -> None:
+    """Move pieces into the call until it holds ``batch``, or no room is left."""
     for work in works:
         size = work.message.result_bytes
-        while work.waiting and len(items) < batch and size <= room:
-            items.append(tables.Item(work.message.work, work.waiting.pop(0)))
-            room -= size
-        if len(items) >= batch:
-            break
-    return room
+        while work.waiting and len(filling.items) < batch:
+            if size > (
+                min(filling.room, filling.late_room) if work.late else filling.room
+            ):
+                break
+            filling.items.append(tables.Item(work.message.work, work.waiting.pop(0)))
+            filling.room -= size
+            filling.late_room -= size if work.late else 0
+
+
+def _late_room(batcher: tables.Batcher, server: tables.Server) -> float:
+    held = sum(each.size for each in server.results.values() if each.late)
+    return LATE_ROOM_SHARE * batcher.capacity.room_bytes - held - server.reserved_late
 
 
 def _room(batcher: tables.Batcher, now: float, server: tables.Server) -> float:
@@ -395,8 +427,13 @@
     batcher.calls[call.number] = call
     server.calls += 1
     server.busy_until_s = now + expected_s
+    on_time = sum(not batcher.works[item.work].late for item in items)
+    share = on_time / capacity.batch
+    batcher.on_time_share += SHARE_WEIGHT * (share - batcher.on_time_share)
     for item in items:
-        server.reserved += batcher.works[item.work].message.result_bytes
+        work = batcher.works[item.work]
+        server.reserved += work.message.result_bytes
+        server.reserved_late += work.message.result_bytes if work.late else 0
     return call
 
 
@@ -413,7 +450,13 @@
     if outcome.handle is not None:
         size = 0 if work is None else work.message.result_bytes
         expires_s = now + batcher.capacity.result_s
-        server.results[outcome.handle] = tables.Result(size, call.sent_s, expires_s)
+        late = work is not None and work.late
+        server.results[outcome.handle] = tables.Result(
+            size=size,
+            began_s=call.sent_s,
+            expires_s=expires_s,
+            late=late,
+        )
     if work is None:
         if outcome.handle is not None:
             _abandon(batcher, now, [outcome.handle])
@@ -463,8 +506,12 @@
     """Give back the room of one piece; all of it once nothing runs there."""
     if server.calls == 0:
         server.reserved = 0
+        server.reserved_late = 0
     elif work is not None:
-        server.reserved = max(0, server.reserved - work.message.result_bytes)
+        size = work.message.result_bytes
+        server.reserved = max(0, server.reserved - size)
+        late_size = size if work.late else 0
+        server.reserved_late = max(0, server.reserved_late - late_size)
 
 
 def _learn_speed(call: tables.Call, now: float) -> None:
--- a/bitternlever/batching/order.py
+++ b/bitternlever/batching/order.py
@@ -9,7 +9,7 @@
 
 from bitternlever.batching import tables
 
-LATE_SHARE = 0.15
+LATE_SHARE = 0.1
 """Part of each call that is kept for work past its objective, oldest first."""
 
 
@@ -23,7 +23,7 @@
     """Return the sort key of a work; smaller goes first."""
     message = work.message
     fresh = len(work.waiting) == len(message.pieces)
-    late = is_late(batcher, now, work)
+    late = work.late or is_late(batcher, now, work)
     return (
         fresh,
         late,
--- a/bitternlever/batching/tables.py
+++ b/bitternlever/batching/tables.py
@@ -11,7 +11,7 @@
     """All pieces of one stage of one request, and what became of them.
 
     Times are of this host's clock. ``waiting`` numbers the pieces that no call
-    carries at present.
+    carries at present. ``late`` is set once it was begun past its objective.
     """
 
     message: fleet.StageWork
@@ -20,6 +20,7 @@
     objective_s: float
     deadline_s: float
     waiting: list[int]
+    late: bool = False
     handles: dict[int, str] = dataclasses.field(default_factory=dict)
     failures: int = 0
 
@@ -28,12 +29,14 @@
 class Result:
     """Room that a result takes up at its maker until it is freed or expires.
 
-    ``began_s`` is when its call was sent.
+    ``began_s`` is when its call was sent; ``late`` whether its work had missed its
+    objective by then.
     """
 
     size: int
     began_s: float
     expires_s: float
+    late: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -53,6 +56,7 @@
     slowness: float = 1.0
     failures: int = 0
     reserved: int = 0
+    reserved_late: int = 0
     unknown_bytes: float = 0.0
     unknown_since_s: float = 0.0
     results: dict[str, Result] = dataclasses.field(default_factory=dict)
@@ -82,7 +86,8 @@
     """The queue of one service.
 
     ``unread`` lists results that nobody will read, by address and handle.
-    ``held_s`` is the mean time from the begin of a call to the end of its results.
+    ``held_s`` is the mean time from the begin of a call to the end of its results,
+    ``on_time_share`` the mean part of a full call that work on time takes.
     """
 
     service: str
@@ -92,6 +97,7 @@
     calls: dict[int, Call] = dataclasses.field(default_factory=dict)
     next_call: int = 0
     held_s: float = 0.5
+    on_time_share: float = 0.0
     unread: list[tuple[str, str]] = dataclasses.field(default_factory=list)
 
 
--- a/bitternlever/gateway/requests.py
+++ b/bitternlever/gateway/requests.py
@@ -12,6 +12,7 @@
 from bitternlever.gateway import (
     budget,
     context as gateway_context,
+    estimates,
     forward,
     stages,
     state,
@@ -80,6 +81,9 @@
         raise
     if isinstance(answer, gateway_context.Refusal):
         return _refuse(gateway, request, context, answer)
+    if context.first_piece_s is not None and context.staged_s is not None:
+        first = stages.first_piece_of(gateway, context.service)
+        estimates.add(first, context.first_piece_s - context.staged_s)
     events.REQUEST_ANSWERED.log(
         logger,
         request=context.head.request,
--- a/bitternlever/gateway/stages.py
+++ b/bitternlever/gateway/stages.py
@@ -9,7 +9,12 @@
 
 from bitternlever.catalog import routes, tables as catalog_tables
 from bitternlever.core import clocks
-from bitternlever.gateway import batching, context as gateway_context, state
+from bitternlever.gateway import (
+    batching,
+    context as gateway_context,
+    estimates,
+    state,
+)
 from bitternlever.messages import fleet
 
 READ_PROMPT_S = 0.15
@@ -84,11 +89,14 @@
     count = pieces[stage.number] if stage.number < len(pieces) else 1
     results.handles[stage.number] = []
     if count > 0:
+        began_s = clocks.boot_time()
+        work = _work(gateway, context, stage, count, results)
         answer = await batching.run(
             gateway,
-            _work(gateway, context, stage, count, results),
-            lambda work, now: _with_time_left(context, stage, work, now),
+            work,
+            lambda work, now: _with_time_left(gateway, context, stage, work, now),
         )
+        _learn_wait(gateway, context, stage, began_s)
         if isinstance(answer, fleet.StageRefused):
             return answer
         results.handles[stage.number] = answer.handles
@@ -186,17 +194,64 @@
     return zones.most_common(1)[0][0] if zones else ""
 
 
+def _learn_wait(
+    gateway: state.Gateway,
+    context: gateway_context.Context,
+    stage: catalog_tables.Stage,
+    began_s: float,
+) -> None:
+    """Learn from work that was on time when it began: late work waits for others."""
+    least_s = _cost_s(context, stage)
+    rest_s = expected_rest_s(gateway, context, stage)
+    if context.arrived_s + context.route.objective_s < began_s + least_s + rest_s:
+        return
+    waited_s = max(0.0, clocks.boot_time() - began_s - least_s)
+    estimates.add(wait_at(gateway, stage.service), waited_s)
+
+
+def wait_at(gateway: state.Gateway, service: str) -> estimates.Estimate:
+    """Return the estimate of the wait at a stage service."""
+    return gateway.tables.waits.setdefault(service, estimates.Estimate(0.0))
+
+
+def first_piece_of(gateway: state.Gateway, service: str) -> estimates.Estimate:
+    """Return the estimate of the time to a service's first piece of an answer."""
+    held = gateway.tables.first_pieces
+    return held.setdefault(service, estimates.Estimate(READ_PROMPT_S))
+
+
 def _with_time_left(
+    gateway: state.Gateway,
     context: gateway_context.Context,
     stage: catalog_tables.Stage,
     work: fleet.StageWork,
     now: float,
 ) -> fleet.StageWork:
-    rest_s = remaining_s(context, stage)
+    rest_s = expected_rest_s(gateway, context, stage)
+    least_s = remaining_s(context, stage)
     return msgspec.structs.replace(
         work,
         objective_left_s=context.arrived_s + context.route.objective_s - now - rest_s,
-        deadline_left_s=context.first_event_s - now - rest_s,
+        deadline_left_s=context.first_event_s - now - least_s,
+    )
+
+
+def expected_rest_s(
+    gateway: state.Gateway,
+    context: gateway_context.Context,
+    stage: catalog_tables.Stage,
+) -> float:
+    """Return the time that probably passes from a stage's end to the first event."""
+    followers = [each for each in context.route.stages if stage.number in each.after]
+    first_s = estimates.expected_s(first_piece_of(gateway, context.service))
+    return max(
+        (
+            _cost_s(context, each)
+            + estimates.expected_s(wait_at(gateway, each.service))
+            + expected_rest_s(gateway, context, each)
+            for each in followers
+        ),
+        default=first_s,
     )
 
 
--- a/bitternlever/gateway/tables.py
+++ b/bitternlever/gateway/tables.py
@@ -5,6 +5,7 @@
 from bitternlever.batching import tables as batching_tables
 from bitternlever.catalog import tables as catalog_tables
 from bitternlever.fleet import hosts as fleet_hosts, upstreams as fleet_upstreams
+from bitternlever.gateway import estimates
 from bitternlever.messages import fleet
 
 
@@ -36,8 +37,8 @@
     """Everything that an entry host knows.
 
     ``current_s`` is the newest time at which the catalog in force was known to be
-    the newest one; None before the first. ``pending_version`` is newer than the one
-    in force and on its way.
+    the newest one; None before the first. ``waits`` estimates the wait at each stage
+    service, ``first_pieces`` the time to a service's first piece of an answer.
     """
 
     word: fleet.HostWord
@@ -54,3 +55,7 @@
         default_factory=dict,
     )
     suspects: dict[str, float] = dataclasses.field(default_factory=dict)
+    waits: dict[str, estimates.Estimate] = dataclasses.field(default_factory=dict)
+    first_pieces: dict[str, estimates.Estimate] = dataclasses.field(
+        default_factory=dict,
+    )
