--- a/bitternlever/batching/batcher.py
+++ b/bitternlever/batching/batcher.py
@@ -42,7 +42,10 @@
 """Weight of the newest call in the mean share of work on time."""
 
 LATE_ROOM_SHARE = 0.4
-"""Part of an upstream's room for results of late work while other work waits."""
+"""Part of an upstream's room for results that late work has for a further stage.
+
+Late work waits there behind all others and holds its room all the while.
+"""
 
 UNKNOWN_HALF_LIFE_S = 0.4
 """How fast room that somebody else's results take up is expected to become free."""
@@ -329,10 +332,7 @@
     )
     batch = batcher.capacity.batch
     kept = math.ceil(batch * order.LATE_SHARE) if late else 0
-    wanted = sum(
-        len(work.waiting) * work.message.result_bytes for work in here if not work.late
-    )
-    late_room = max(_late_room(batcher, server), room - wanted)
+    late_room = _late_room(batcher, server)
     filling = _Filling(room=room, late_room=late_room)
     _take(filling, here, batch - kept)
     _take(filling, late, batch)
@@ -382,7 +382,12 @@
                 break
             filling.items.append(tables.Item(work.message.work, work.waiting.pop(0)))
             filling.room -= size
-            filling.late_room -= size if work.late else 0
+            filling.late_room -= size if _fills_late_room(work) else 0
+
+
+def _fills_late_room(work: tables.Work) -> bool:
+    """Tell whether a work's results count against the room kept for late work."""
+    return work.late and work.message.feeds_stage
 
 
 def _late_room(batcher: tables.Batcher, server: tables.Server) -> float:
@@ -433,7 +438,9 @@
     for item in items:
         work = batcher.works[item.work]
         server.reserved += work.message.result_bytes
-        server.reserved_late += work.message.result_bytes if work.late else 0
+        server.reserved_late += (
+            work.message.result_bytes if _fills_late_room(work) else 0
+        )
     return call
 
 
@@ -450,7 +457,7 @@
     if outcome.handle is not None:
         size = 0 if work is None else work.message.result_bytes
         expires_s = now + batcher.capacity.result_s
-        late = work is not None and work.late
+        late = work is not None and _fills_late_room(work)
         server.results[outcome.handle] = tables.Result(
             size=size,
             began_s=call.sent_s,
@@ -510,7 +517,7 @@
     elif work is not None:
         size = work.message.result_bytes
         server.reserved = max(0, server.reserved - size)
-        late_size = size if work.late else 0
+        late_size = size if _fills_late_room(work) else 0
         server.reserved_late = max(0, server.reserved_late - late_size)
 
 
--- a/bitternlever/batching/order.py
+++ b/bitternlever/batching/order.py
@@ -3,8 +3,10 @@
 Load: bursts of one kind of request fill a stage that all kinds share. Work that has
 been begun goes first: its results take up room until its last piece is made. Then
 work that can still meet its objective goes before work that cannot, urgent priorities
-first, then requests whose earlier stages are done, then the earliest objective. Work
-that has missed its objective keeps a share of every call, so that nothing starves.
+first, then requests whose earlier stages are done, then the earliest objective. Of
+late work the
+newest goes first, since its callers have waited least and stay longest; the oldest
+keeps a share of every call, so that nothing starves.
 """
 
 from bitternlever.batching import tables
@@ -29,7 +31,7 @@
         late,
         message.priority,
         -message.depth,
-        work.objective_s,
+        -work.objective_s if late else work.objective_s,
         work.arrived_s,
     )
 
--- a/bitternlever/gateway/estimates.py
+++ b/bitternlever/gateway/estimates.py
@@ -15,16 +15,22 @@
 """Mean deviations added to the mean."""
 
 
+HALF_LIFE_S = 1.0
+"""Without a sample an estimate of a wait halves in this time, so that it is tried."""
+
+
 @dataclasses.dataclass(slots=True)
 class Estimate:
-    """A running mean and mean deviation, in seconds."""
+    """A running mean and mean deviation, in seconds, and when it was last fed."""
 
     mean_s: float
     deviation_s: float = 0.0
+    fed_s: float = 0.0
 
 
-def add(estimate: Estimate, sample_s: float) -> None:
+def add(estimate: Estimate, now: float, sample_s: float) -> None:
     """Take one sample."""
+    estimate.fed_s = now
     error_s = sample_s - estimate.mean_s
     estimate.mean_s += MEAN_WEIGHT * error_s
     estimate.deviation_s += DEVIATION_WEIGHT * (abs(error_s) - estimate.deviation_s)
@@ -33,3 +39,9 @@
 def expected_s(estimate: Estimate) -> float:
     """Return what most samples stay below."""
     return estimate.mean_s + MARGIN_DEVIATIONS * estimate.deviation_s
+
+
+def decayed_s(estimate: Estimate, now: float) -> float:
+    """Return what most samples stay below, less the older the newest sample is."""
+    age_s = max(0.0, now - estimate.fed_s)
+    return expected_s(estimate) * 0.5 ** (age_s / HALF_LIFE_S)
--- a/bitternlever/gateway/requests.py
+++ b/bitternlever/gateway/requests.py
@@ -14,6 +14,7 @@
     context as gateway_context,
     estimates,
     forward,
+    schedule,
     stages,
     state,
     sync,
@@ -82,8 +83,9 @@
     if isinstance(answer, gateway_context.Refusal):
         return _refuse(gateway, request, context, answer)
     if context.first_piece_s is not None and context.staged_s is not None:
-        first = stages.first_piece_of(gateway, context.service)
-        estimates.add(first, context.first_piece_s - context.staged_s)
+        first = schedule.first_piece_of(gateway.tables, context.service)
+        now = clocks.boot_time()
+        estimates.add(first, now, context.first_piece_s - context.staged_s)
     events.REQUEST_ANSWERED.log(
         logger,
         request=context.head.request,
--- /dev/null
+++ b/bitternlever/gateway/schedule.py
@@ -0,0 +1,183 @@
+"""When the stages of a request run, and how much time each has.
+
+Load: a request runs through several busy stages before its engine, and its callers
+judge the time to the first event. Early stages count what the later ones take at
+present, and a stage that nothing follows starts late enough that its results don't lie
+about while the others are at work. All functions are pure but for ``learn_wait``.
+"""
+
+from bitternlever.catalog import tables as catalog_tables
+from bitternlever.gateway import (
+    context as gateway_context,
+    estimates,
+    tables as gateway_tables,
+)
+
+READ_PROMPT_S = 0.15
+"""From the last stage to an engine's first event, until that has been seen."""
+
+HOLD_BACK_FACTOR = 2.0
+"""A first stage waits for others that leave it this many times its own duration."""
+
+
+def in_order(
+    stages: tuple[catalog_tables.Stage, ...],
+) -> list[catalog_tables.Stage]:
+    """Return the stages so that each comes after those that it needs."""
+    ordered: list[catalog_tables.Stage] = []
+    placed: set[int] = set()
+    waiting = list(stages)
+    while waiting:
+        ready = [stage for stage in waiting if placed.issuperset(stage.after)]
+        ordered.extend(ready)
+        placed.update(stage.number for stage in ready)
+        waiting = [stage for stage in waiting if stage.number not in placed]
+    return ordered
+
+
+def followed(route: catalog_tables.Route) -> set[int]:
+    """Return the numbers of the stages that another stage needs."""
+    return {number for stage in route.stages for number in stage.after}
+
+
+def depth(route: catalog_tables.Route, stage: catalog_tables.Stage) -> int:
+    """Return how many stages one after another come before this one."""
+    return max(
+        (1 + depth(route, route.stages[number]) for number in stage.after),
+        default=0,
+    )
+
+
+def count_of(
+    context: gateway_context.Context,
+    stage: catalog_tables.Stage,
+) -> int:
+    """Return how many pieces a request has of a stage."""
+    pieces = context.head.pieces
+    return pieces[stage.number] if stage.number < len(pieces) else 1
+
+
+def cost_s(
+    context: gateway_context.Context,
+    stage: catalog_tables.Stage,
+) -> float:
+    """Return how long a call with the pieces of just this stage takes."""
+    count = count_of(context, stage)
+    service = context.catalog.services.get(stage.service)
+    if count == 0 or service is None or service.stage is None:
+        return 0.0
+    items = min(count, service.stage.batch)
+    return service.stage.call_s + service.stage.item_s * items
+
+
+def remaining_s(
+    context: gateway_context.Context,
+    stage: catalog_tables.Stage,
+) -> float:
+    """Return the least time from the end of a stage to the first event."""
+    return max(
+        (
+            cost_s(context, each) + remaining_s(context, each)
+            for each in context.route.stages
+            if stage.number in each.after
+        ),
+        default=READ_PROMPT_S,
+    )
+
+
+def expected_rest_s(
+    tables: gateway_tables.GatewayTables,
+    context: gateway_context.Context,
+    stage: catalog_tables.Stage,
+    now: float,
+) -> float:
+    """Return the time that probably passes from a stage's end to the first event."""
+    first_s = estimates.expected_s(first_piece_of(tables, context.service))
+    return max(
+        (
+            cost_s(context, each)
+            + estimates.decayed_s(wait_at(tables, each.service), now)
+            + expected_rest_s(tables, context, each, now)
+            for each in context.route.stages
+            if stage.number in each.after
+        ),
+        default=first_s,
+    )
+
+
+def held_back_by(
+    context: gateway_context.Context,
+    stage: catalog_tables.Stage,
+) -> list[int]:
+    """Return the stage whose end a first stage awaits, so that it ends with the others.
+
+    A result that is made early takes up room at its maker until the last one is made.
+    """
+    if stage.after or stage.number in followed(context.route):
+        return []
+    own_s = HOLD_BACK_FACTOR * cost_s(context, stage)
+    others = [
+        each
+        for each in context.route.stages
+        if each.number != stage.number
+        and remaining_s(context, each) - READ_PROMPT_S >= own_s
+    ]
+    if not others:
+        return []
+    last = min(others, key=lambda each: remaining_s(context, each))
+    return [last.number]
+
+
+def objective_left_s(
+    tables: gateway_tables.GatewayTables,
+    context: gateway_context.Context,
+    stage: catalog_tables.Stage,
+    now: float,
+) -> float:
+    """Return what a stage may take for the first event to be on time."""
+    rest_s = expected_rest_s(tables, context, stage, now)
+    return context.arrived_s + context.route.objective_s - now - rest_s
+
+
+def deadline_left_s(
+    context: gateway_context.Context,
+    stage: catalog_tables.Stage,
+    now: float,
+) -> float:
+    """Return what a stage may take at most before the caller has left."""
+    return context.first_event_s - now - remaining_s(context, stage)
+
+
+def learn_wait(
+    tables: gateway_tables.GatewayTables,
+    context: gateway_context.Context,
+    stage: catalog_tables.Stage,
+    began_s: float,
+    now: float,
+) -> None:
+    """Learn from work that was on time when it began: late work waits for others.
+
+    Work that has become late by its wait counts with the wait that it could afford.
+    """
+    least_s = cost_s(context, stage)
+    spare_s = objective_left_s(tables, context, stage, began_s) - least_s
+    if spare_s < 0:
+        return
+    waited_s = max(0.0, now - began_s - least_s)
+    estimates.add(wait_at(tables, stage.service), now, min(waited_s, spare_s))
+
+
+def wait_at(
+    tables: gateway_tables.GatewayTables,
+    service: str,
+) -> estimates.Estimate:
+    """Return the estimate of the wait at a stage service."""
+    return tables.waits.setdefault(service, estimates.Estimate(0.0))
+
+
+def first_piece_of(
+    tables: gateway_tables.GatewayTables,
+    service: str,
+) -> estimates.Estimate:
+    """Return the estimate of the time to a service's first piece of an answer."""
+    return tables.first_pieces.setdefault(service, estimates.Estimate(READ_PROMPT_S))
--- a/bitternlever/gateway/stages.py
+++ b/bitternlever/gateway/stages.py
@@ -12,17 +12,11 @@
 from bitternlever.gateway import (
     batching,
     context as gateway_context,
-    estimates,
+    schedule,
     state,
 )
 from bitternlever.messages import fleet
 
-READ_PROMPT_S = 0.15
-"""From the last stage to an engine's first event, for a prompt mostly in its cache."""
-
-HOLD_BACK_FACTOR = 2.0
-"""A first stage waits for others that leave it this many times its own duration."""
-
 LARGE_BYTES = 1_000_000
 """Results of a stage below this may cross zones without weight."""
 
@@ -45,7 +39,7 @@
     """Run all stages; return the results that the request itself reads."""
     stages = context.route.stages
     tasks: dict[int, asyncio.Task] = {}
-    for stage in _in_order(stages):
+    for stage in schedule.in_order(stages):
         tasks[stage.number] = asyncio.ensure_future(
             _stage(gateway, context, stage, tasks, results),
         )
@@ -82,11 +76,10 @@
     results: Results,
 ) -> fleet.StageRefused | None:
     """Run one stage once those before it are done; return why it was refused."""
-    for number in (*stage.after, *_held_back_by(context, stage)):
+    for number in (*stage.after, *schedule.held_back_by(context, stage)):
         if await asyncio.shield(tasks[number]) is not None:
             return None
-    pieces = context.head.pieces
-    count = pieces[stage.number] if stage.number < len(pieces) else 1
+    count = schedule.count_of(context, stage)
     results.handles[stage.number] = []
     if count > 0:
         began_s = clocks.boot_time()
@@ -96,7 +89,8 @@
             work,
             lambda work, now: _with_time_left(gateway, context, stage, work, now),
         )
-        _learn_wait(gateway, context, stage, began_s)
+        now = clocks.boot_time()
+        schedule.learn_wait(gateway.tables, context, stage, began_s, now)
         if isinstance(answer, fleet.StageRefused):
             return answer
         results.handles[stage.number] = answer.handles
@@ -104,33 +98,6 @@
     return None
 
 
-def _held_back_by(
-    context: gateway_context.Context,
-    stage: catalog_tables.Stage,
-) -> list[int]:
-    """Return the stage whose end a first stage awaits, so that it ends with the others.
-
-    A result that is made early takes up room at its maker until the last one is made.
-    """
-    if stage.after or stage.number in _followed(context.route):
-        return []
-    own_s = HOLD_BACK_FACTOR * _cost_s(context, stage)
-    others = [
-        each
-        for each in context.route.stages
-        if each.number != stage.number
-        and remaining_s(context, each) - READ_PROMPT_S >= own_s
-    ]
-    if not others:
-        return []
-    last = min(others, key=lambda each: remaining_s(context, each))
-    return [last.number]
-
-
-def _followed(route: catalog_tables.Route) -> set[int]:
-    return {number for stage in route.stages for number in stage.after}
-
-
 def _work(
     gateway: state.Gateway,
     context: gateway_context.Context,
@@ -148,11 +115,13 @@
         key=context.head.piece_key,
         pieces=[fleet.StagePiece(number, inputs) for number in range(count)],
         priority=context.priority,
-        depth=_depth(context.route, stage) + len(_held_back_by(context, stage)),
+        depth=schedule.depth(context.route, stage)
+        + len(schedule.held_back_by(context, stage)),
         objective_left_s=0.0,
         deadline_left_s=0.0,
         result_bytes=stage.result_bytes,
         workspace="" if workspace is None else workspace.name,
+        feeds_stage=stage.number in schedule.followed(context.route),
         home_zone=_home_zone(gateway, context, stage, count, results),
     )
 
@@ -176,7 +145,7 @@
     )
     if inputs and read_bytes >= LARGE_BYTES:
         return _zone_of_most(gateway, inputs)
-    is_final = stage.number not in _followed(context.route)
+    is_final = stage.number not in schedule.followed(context.route)
     if is_final and count * stage.result_bytes >= LARGE_BYTES:
         return context.engine_zone
     return ""
@@ -194,32 +163,6 @@
     return zones.most_common(1)[0][0] if zones else ""
 
 
-def _learn_wait(
-    gateway: state.Gateway,
-    context: gateway_context.Context,
-    stage: catalog_tables.Stage,
-    began_s: float,
-) -> None:
-    """Learn from work that was on time when it began: late work waits for others."""
-    least_s = _cost_s(context, stage)
-    rest_s = expected_rest_s(gateway, context, stage)
-    if context.arrived_s + context.route.objective_s < began_s + least_s + rest_s:
-        return
-    waited_s = max(0.0, clocks.boot_time() - began_s - least_s)
-    estimates.add(wait_at(gateway, stage.service), waited_s)
-
-
-def wait_at(gateway: state.Gateway, service: str) -> estimates.Estimate:
-    """Return the estimate of the wait at a stage service."""
-    return gateway.tables.waits.setdefault(service, estimates.Estimate(0.0))
-
-
-def first_piece_of(gateway: state.Gateway, service: str) -> estimates.Estimate:
-    """Return the estimate of the time to a service's first piece of an answer."""
-    held = gateway.tables.first_pieces
-    return held.setdefault(service, estimates.Estimate(READ_PROMPT_S))
-
-
 def _with_time_left(
     gateway: state.Gateway,
     context: gateway_context.Context,
@@ -227,61 +170,10 @@
     work: fleet.StageWork,
     now: float,
 ) -> fleet.StageWork:
-    rest_s = expected_rest_s(gateway, context, stage)
-    least_s = remaining_s(context, stage)
     return msgspec.structs.replace(
         work,
-        objective_left_s=context.arrived_s + context.route.objective_s - now - rest_s,
-        deadline_left_s=context.first_event_s - now - least_s,
-    )
-
-
-def expected_rest_s(
-    gateway: state.Gateway,
-    context: gateway_context.Context,
-    stage: catalog_tables.Stage,
-) -> float:
-    """Return the time that probably passes from a stage's end to the first event."""
-    followers = [each for each in context.route.stages if stage.number in each.after]
-    first_s = estimates.expected_s(first_piece_of(gateway, context.service))
-    return max(
-        (
-            _cost_s(context, each)
-            + estimates.expected_s(wait_at(gateway, each.service))
-            + expected_rest_s(gateway, context, each)
-            for each in followers
-        ),
-        default=first_s,
-    )
-
-
-def remaining_s(
-    context: gateway_context.Context,
-    stage: catalog_tables.Stage,
-) -> float:
-    """Return the least time from the end of a stage to the first event."""
-    followers = [each for each in context.route.stages if stage.number in each.after]
-    return max(
-        (_cost_s(context, each) + remaining_s(context, each) for each in followers),
-        default=READ_PROMPT_S,
-    )
-
-
-def _cost_s(context: gateway_context.Context, stage: catalog_tables.Stage) -> float:
-    pieces = context.head.pieces
-    count = pieces[stage.number] if stage.number < len(pieces) else 1
-    service = context.catalog.services.get(stage.service)
-    if count == 0 or service is None or service.stage is None:
-        return 0.0
-    items = min(count, service.stage.batch)
-    return service.stage.call_s + service.stage.item_s * items
-
-
-def _depth(route: catalog_tables.Route, stage: catalog_tables.Stage) -> int:
-    """Return how many stages one after another come before this one."""
-    return max(
-        (1 + _depth(route, route.stages[number]) for number in stage.after),
-        default=0,
+        objective_left_s=schedule.objective_left_s(gateway.tables, context, stage, now),
+        deadline_left_s=schedule.deadline_left_s(context, stage, now),
     )
 
 
@@ -310,21 +202,6 @@
         batching.release(gateway, stage.service, handles)
 
 
-def _in_order(
-    stages: tuple[catalog_tables.Stage, ...],
-) -> list[catalog_tables.Stage]:
-    """Return the stages so that each comes after those that it needs."""
-    ordered: list[catalog_tables.Stage] = []
-    placed: set[int] = set()
-    waiting = list(stages)
-    while waiting:
-        ready = [stage for stage in waiting if placed.issuperset(stage.after)]
-        ordered.extend(ready)
-        placed.update(stage.number for stage in ready)
-        waiting = [stage for stage in waiting if stage.number not in placed]
-    return ordered
-
-
 def retry_after_s(refusal: fleet.StageRefused) -> float:
     """Return when the caller may come back."""
     return max(MINIMUM_RETRY_AFTER_S, refusal.retry_after_s)
--- a/bitternlever/messages/fleet.py
+++ b/bitternlever/messages/fleet.py
@@ -124,7 +124,8 @@
 
     ``work`` names this piece of work; it is sent again until it is answered.
     ``objective_left_s`` and ``deadline_left_s`` are what the stage may take, with
-    what follows it already subtracted. ``home_zone`` is where its inputs lie, or
+    what follows it already subtracted. ``feeds_stage`` is set where another stage reads
+    the results, ``home_zone`` is where its inputs lie, or
     where its results will be read; empty where that does not matter.
     """
 
@@ -140,6 +141,7 @@
     deadline_left_s: float
     result_bytes: int
     workspace: str
+    feeds_stage: bool = False
     home_zone: str = ""
 
 
