--- a/bench/stage_world.py
+++ b/bench/stage_world.py
@@ -84,6 +84,7 @@
     engine: int
     done: set[int] = dataclasses.field(default_factory=set)
     started: set[int] = dataclasses.field(default_factory=set)
+    begun: set[int] = dataclasses.field(default_factory=set)
     handles: dict[int, list[str]] = dataclasses.field(default_factory=dict)
     began: dict[int, float] = dataclasses.field(default_factory=dict)
     attempt: int = 0
@@ -250,8 +251,10 @@
     """Start each stage whose turn has come; the engine once all are done."""
     route = flight.kind.route
     for stage in schedule.in_order(route.stages):
-        waits = (*stage.after, *schedule.held_back_by(flight.context, stage))
-        if stage.number in flight.started or not flight.done.issuperset(waits):
+        if stage.number in flight.started or not flight.done.issuperset(stage.after):
+            continue
+        held_by = schedule.held_back_by(flight.context, stage)
+        if held_by is not None and held_by not in flight.begun | flight.done:
             continue
         flight.started.add(stage.number)
         flight.began[stage.number] = emulation.now
@@ -263,6 +266,12 @@
         _engine(emulation, flight)
 
 
+def _begun(emulation: Emulation, flight: Flight) -> None:
+    waiting = len(flight.done) < len(flight.kind.route.stages)
+    if not flight.outcome and waiting:
+        _advance(emulation, flight)
+
+
 def _submit(
     emulation: Emulation,
     flight: Flight,
@@ -294,8 +303,7 @@
         key="",
         pieces=[fleet.StagePiece(number, inputs) for number in range(count)],
         priority=context.priority,
-        depth=schedule.depth(context.route, stage)
-        + len(schedule.held_back_by(context, stage)),
+        depth=schedule.depth(context.route, stage),
         objective_left_s=schedule.objective_left_s(
             emulation.tables, context, stage, now
         ),
@@ -335,6 +343,16 @@
     call: batching_tables.Call,
 ) -> None:
     """Let an upstream work on a call: results need room from its turn on."""
+    for item in call.items:
+        work = held.works[item.work]
+        flight = emulation.active.get(work.message.request)
+        if flight is not None and not work.waiting:
+            flight.begun.add(work.message.stage)
+            _at(
+                emulation,
+                emulation.now + HOP_S,
+                lambda flight=flight: _begun(emulation, flight),
+            )
     name = call.server.upstream
     room = held.capacity.room_bytes - emulation.room.get(name, 0.0)
     outcomes = []
@@ -457,6 +475,7 @@
         return
     flight.done.clear()
     flight.started.clear()
+    flight.begun.clear()
     flight.handles.clear()
 
     def again() -> None:
--- a/bitternlever/batching/batcher.py
+++ b/bitternlever/batching/batcher.py
@@ -41,7 +41,7 @@
 SHARE_WEIGHT = 0.1
 """Weight of the newest call in the mean share of work on time."""
 
-LATE_ROOM_SHARE = 0.4
+LATE_ROOM_SHARE = 0.6
 """Part of an upstream's room for results that late work has for a further stage.
 
 Late work waits there behind all others and holds its room all the while.
--- a/bitternlever/gateway/batching.py
+++ b/bitternlever/gateway/batching.py
@@ -50,11 +50,13 @@
 async def run(
     gateway: state.Gateway,
     work: fleet.StageWork,
+    begun: asyncio.Event,
     left: Callable[[fleet.StageWork, float], fleet.StageWork],
 ) -> fleet.StageDone | fleet.StageRefused:
     """Have the pieces of a stage made; return StageDone or StageRefused.
 
-    ``left`` returns the work with the time that is left at present.
+    ``left`` returns the work with the time that is left at present; ``begun`` is set
+    once all pieces are in calls.
     """
     mailbox = asyncio.Queue()
     gateway.batching.waiting[work.work] = mailbox
@@ -69,7 +71,9 @@
             if answer is None:
                 _suspect(gateway, now, target)
                 continue
-            while isinstance(answer, fleet.StageAccepted):
+            while isinstance(answer, fleet.StageAccepted | fleet.StageBegun):
+                if isinstance(answer, fleet.StageBegun):
+                    begun.set()
                 answer = None
                 answer = await _next(mailbox, ASK_AGAIN_S)
             if answer is not None:
@@ -109,7 +113,12 @@
             gateway.batching.answered.pop(message.work, None)
         case fleet.StageFreed():
             _free(gateway, now, message)
-        case fleet.StageAccepted() | fleet.StageDone() | fleet.StageRefused():
+        case (
+            fleet.StageAccepted()
+            | fleet.StageBegun()
+            | fleet.StageDone()
+            | fleet.StageRefused()
+        ):
             mailbox = gateway.batching.waiting.get(message.work)
             if mailbox is not None:
                 mailbox.put_nowait(message)
@@ -214,9 +223,21 @@
         state.in_background(gateway, _send_free(gateway, address, handles))
     for call in batcher.dispatch(held, now):
         items = [_item(held, each, now) for each in call.items]
+        _tell_begun(gateway, held, call)
         state.in_background(gateway, _call(gateway, held, call, items))
 
 
+def _tell_begun(
+    gateway: state.Gateway,
+    held: batching_tables.Batcher,
+    call: batching_tables.Call,
+) -> None:
+    for name in {item.work for item in call.items}:
+        work = held.works[name]
+        if work.message.tell_begin and not work.waiting:
+            state.send(gateway, work.link, fleet.StageBegun(work=name))
+
+
 async def _call(
     gateway: state.Gateway,
     held: batching_tables.Batcher,
--- a/bitternlever/gateway/estimates.py
+++ b/bitternlever/gateway/estimates.py
@@ -11,7 +11,7 @@
 DEVIATION_WEIGHT = 0.25
 """Weights of the newest sample, those of TCP's round-trip estimate (RFC 6298)."""
 
-MARGIN_DEVIATIONS = 1.0
+MARGIN_DEVIATIONS = 3.0
 """Mean deviations added to the mean."""
 
 
--- a/bitternlever/gateway/schedule.py
+++ b/bitternlever/gateway/schedule.py
@@ -16,8 +16,8 @@
 READ_PROMPT_S = 0.15
 """From the last stage to an engine's first event, until that has been seen."""
 
-HOLD_BACK_FACTOR = 2.0
-"""A first stage waits for others that leave it this many times its own duration."""
+HOLD_BACK_FACTOR = 1.0
+"""A first stage waits for a chain of others that takes this many times as long."""
 
 
 def in_order(
@@ -108,24 +108,37 @@
 def held_back_by(
     context: gateway_context.Context,
     stage: catalog_tables.Stage,
-) -> list[int]:
-    """Return the stage whose end a first stage awaits, so that it ends with the others.
+) -> int | None:
+    """Return the stage whose begin a first stage awaits, so that they end together.
 
     A result that is made early takes up room at its maker until the last one is made.
     """
-    if stage.after or stage.number in followed(context.route):
-        return []
-    own_s = HOLD_BACK_FACTOR * cost_s(context, stage)
+    final = followed(context.route)
+    if stage.after or stage.number in final:
+        return None
     others = [
         each
         for each in context.route.stages
         if each.number != stage.number
-        and remaining_s(context, each) - READ_PROMPT_S >= own_s
+        and each.number not in final
+        and count_of(context, each) > 0
+        and _way_s(context, each) >= HOLD_BACK_FACTOR * cost_s(context, stage)
     ]
     if not others:
-        return []
-    last = min(others, key=lambda each: remaining_s(context, each))
-    return [last.number]
+        return None
+    return max(others, key=lambda each: _way_s(context, each)).number
+
+
+def _way_s(
+    context: gateway_context.Context,
+    stage: catalog_tables.Stage,
+) -> float:
+    """Return the least time from a request's begin to the end of a stage."""
+    before_s = max(
+        (_way_s(context, context.route.stages[number]) for number in stage.after),
+        default=0.0,
+    )
+    return before_s + cost_s(context, stage)
 
 
 def objective_left_s(
--- a/bitternlever/gateway/stages.py
+++ b/bitternlever/gateway/stages.py
@@ -25,10 +25,14 @@
 
 @dataclasses.dataclass(slots=True)
 class Results:
-    """Handles of the pieces of each stage by its number, and who still reads them."""
+    """Handles of the pieces of each stage by its number, and what was given up.
+
+    ``begun`` tells when all pieces of a stage are in calls to upstreams.
+    """
 
     handles: dict[int, list[str]] = dataclasses.field(default_factory=dict)
     freed: set[int] = dataclasses.field(default_factory=set)
+    begun: dict[int, asyncio.Event] = dataclasses.field(default_factory=dict)
 
 
 async def run(
@@ -39,6 +43,7 @@
     """Run all stages; return the results that the request itself reads."""
     stages = context.route.stages
     tasks: dict[int, asyncio.Task] = {}
+    results.begun = {stage.number: asyncio.Event() for stage in stages}
     for stage in schedule.in_order(stages):
         tasks[stage.number] = asyncio.ensure_future(
             _stage(gateway, context, stage, tasks, results),
@@ -76,9 +81,12 @@
     results: Results,
 ) -> fleet.StageRefused | None:
     """Run one stage once those before it are done; return why it was refused."""
-    for number in (*stage.after, *schedule.held_back_by(context, stage)):
+    for number in stage.after:
         if await asyncio.shield(tasks[number]) is not None:
             return None
+    held_by = schedule.held_back_by(context, stage)
+    if held_by is not None:
+        await results.begun[held_by].wait()
     count = schedule.count_of(context, stage)
     results.handles[stage.number] = []
     if count > 0:
@@ -87,8 +95,10 @@
         answer = await batching.run(
             gateway,
             work,
+            results.begun[stage.number],
             lambda work, now: _with_time_left(gateway, context, stage, work, now),
         )
+        results.begun[stage.number].set()
         now = clocks.boot_time()
         schedule.learn_wait(gateway.tables, context, stage, began_s, now)
         if isinstance(answer, fleet.StageRefused):
@@ -115,17 +125,27 @@
         key=context.head.piece_key,
         pieces=[fleet.StagePiece(number, inputs) for number in range(count)],
         priority=context.priority,
-        depth=schedule.depth(context.route, stage)
-        + len(schedule.held_back_by(context, stage)),
+        depth=schedule.depth(context.route, stage),
         objective_left_s=0.0,
         deadline_left_s=0.0,
         result_bytes=stage.result_bytes,
         workspace="" if workspace is None else workspace.name,
+        tell_begin=_holds_back(context, stage),
         feeds_stage=stage.number in schedule.followed(context.route),
         home_zone=_home_zone(gateway, context, stage, count, results),
     )
 
 
+def _holds_back(
+    context: gateway_context.Context,
+    stage: catalog_tables.Stage,
+) -> bool:
+    return any(
+        schedule.held_back_by(context, each) == stage.number
+        for each in context.route.stages
+    )
+
+
 def _home_zone(
     gateway: state.Gateway,
     context: gateway_context.Context,
--- a/bitternlever/messages/fleet.py
+++ b/bitternlever/messages/fleet.py
@@ -125,7 +125,8 @@
     ``work`` names this piece of work; it is sent again until it is answered.
     ``objective_left_s`` and ``deadline_left_s`` are what the stage may take, with
     what follows it already subtracted. ``feeds_stage`` is set where another stage reads
-    the results, ``home_zone`` is where its inputs lie, or
+    the results, ``tell_begin`` where the asker waits for the begin. ``home_zone`` is
+    where its inputs lie, or
     where its results will be read; empty where that does not matter.
     """
 
@@ -142,6 +143,7 @@
     result_bytes: int
     workspace: str
     feeds_stage: bool = False
+    tell_begin: bool = False
     home_zone: str = ""
 
 
@@ -151,6 +153,12 @@
     work: str
 
 
+class StageBegun(msgspec.Struct, tag=True, frozen=True):
+    """All pieces of the work are in calls to upstreams."""
+
+    work: str
+
+
 class StageDone(msgspec.Struct, tag=True, frozen=True):
     """The results of all pieces, in the order of the pieces."""
 
@@ -188,6 +196,7 @@
     | JoinRequest
     | StageWork
     | StageAccepted
+    | StageBegun
     | StageDone
     | StageRefused
     | StageCancelled
