--- a/bench/stage_world.py
+++ b/bench/stage_world.py
@@ -303,7 +303,7 @@
         key="",
         pieces=[fleet.StagePiece(number, inputs) for number in range(count)],
         priority=context.priority,
-        depth=schedule.depth(context.route, stage),
+        depth=len(flight.done),
         objective_left_s=schedule.objective_left_s(
             emulation.tables, context, stage, now
         ),
--- a/bitternlever/batching/batcher.py
+++ b/bitternlever/batching/batcher.py
@@ -155,7 +155,8 @@
     """Give up works that will not be done before their deadline.
 
     Works past their objective share what is kept for them, oldest first; one that
-    this share does not reach in time is given up as soon as that is known.
+    this share does not reach in time is given up as soon as that is known, unless
+    earlier stages of its request are done.
     """
     ended = []
     share = max(order.LATE_SHARE, 1.0 - batcher.on_time_share)
@@ -167,7 +168,8 @@
         if not work.waiting or not order.is_late(batcher, now, work):
             continue
         wait_s = 0.0
-        if len(work.waiting) == len(work.message.pieces) and late_rate > 0:
+        fresh = len(work.waiting) == len(work.message.pieces)
+        if fresh and work.message.depth == 0 and late_rate > 0:
             wait_s = ahead / late_rate
             if work.message.result_bytes:
                 wait_s = max(wait_s, ahead_bytes / late_room_rate)
--- a/bitternlever/batching/order.py
+++ b/bitternlever/batching/order.py
@@ -1,11 +1,10 @@
 """Which stage work goes first when more waits than fits.
 
 Load: bursts of one kind of request fill a stage that all kinds share. Work that has
-been begun goes first: its results take up room until its last piece is made. Then
-work that can still meet its objective goes before work that cannot, urgent priorities
-first, then requests whose earlier stages are done, then the earliest objective. Of
-late work the
-newest goes first, since its callers have waited least and stay longest; the oldest
+been begun goes first: its results take up room until its last piece is made. So does
+work of requests whose earlier stages are done, for it would be lost. Then work that
+can still meet its objective goes before work that cannot, urgent priorities first,
+then the earliest objective. Of late work the newest goes first, since its callers have waited least and stay longest; the oldest
 keeps a share of every call, so that nothing starves.
 """
 
@@ -28,6 +27,7 @@
     late = work.late or is_late(batcher, now, work)
     return (
         fresh,
+        message.depth == 0,
         late,
         message.priority,
         -message.depth,
--- a/bitternlever/gateway/schedule.py
+++ b/bitternlever/gateway/schedule.py
@@ -40,14 +40,6 @@
     return {number for stage in route.stages for number in stage.after}
 
 
-def depth(route: catalog_tables.Route, stage: catalog_tables.Stage) -> int:
-    """Return how many stages one after another come before this one."""
-    return max(
-        (1 + depth(route, route.stages[number]) for number in stage.after),
-        default=0,
-    )
-
-
 def count_of(
     context: gateway_context.Context,
     stage: catalog_tables.Stage,
--- a/bitternlever/gateway/stages.py
+++ b/bitternlever/gateway/stages.py
@@ -125,7 +125,7 @@
         key=context.head.piece_key,
         pieces=[fleet.StagePiece(number, inputs) for number in range(count)],
         priority=context.priority,
-        depth=schedule.depth(context.route, stage),
+        depth=sum(bool(each) for each in results.handles.values()),
         objective_left_s=0.0,
         deadline_left_s=0.0,
         result_bytes=stage.result_bytes,
