--- a/bitternlever/batching/order.py
+++ b/bitternlever/batching/order.py
@@ -4,8 +4,9 @@
 been begun goes first: its results take up room until its last piece is made. So does
 work of requests whose earlier stages are done, for it would be lost. Then work that
 can still meet its objective goes before work that cannot, urgent priorities first,
-then the earliest objective. Of late work the newest goes first, since its callers have waited least and stay longest; the oldest
-keeps a share of every call, so that nothing starves.
+then the earliest objective. Of late work the newest goes first, since its callers have
+waited least and stay longest; the oldest keeps a share of every call, so that nothing
+starves.
 """
 
 from bitternlever.batching import tables
--- /dev/null
+++ b/tests/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the package of this name."""
--- /dev/null
+++ b/tests/fleet/cluster.py
@@ -0,0 +1,212 @@
+"""Control cores of a fleet on a scripted network under virtual time."""
+
+import copy
+import dataclasses
+import heapq
+import itertools
+import random
+from typing import Any
+
+from bitternlever.fleet import tables as fleet_tables, tick
+from bitternlever.messages import consensus, frames
+from bitternlever.storage import restored as storage_restored
+from tests.consensus import harness
+
+DELAY_S = (0.0005, 0.003)
+SYNC_S = (0.001, 0.004)
+STEP_S = 0.02
+
+
+@dataclasses.dataclass(slots=True)
+class Node:
+    """A control process: its disk, its core and what is on its way to it."""
+
+    link: str
+    durable: storage_restored.Restored
+    tables: fleet_tables.FleetTables | None = None
+    run: int = 0
+    wake_s: float = 0.0
+    disk_works: bool = True
+    inbox: list[Any] = dataclasses.field(default_factory=list)
+    writes: list[Any] = dataclasses.field(default_factory=list)
+
+
+class Cluster:
+    """Nodes that find each other from seeds, and what has left their cores."""
+
+    def __init__(self, names="abc", seeds="abc", seed=0):
+        self.random = random.Random(seed)
+        self.now = 0.0
+        self.seeds = tuple(self.link(name) for name in seeds)
+        self.events = []
+        self.order = itertools.count()
+        self.disks = itertools.count(1)
+        self.cut = set()
+        self.left = []
+        self.answers = {}
+        self.tokens = itertools.count(1)
+        self.nodes = {}
+        for name in names:
+            self.add(name, may_found=True)
+
+    @staticmethod
+    def link(name):
+        """Return the link of a node."""
+        return f"tcp://{name}:1"
+
+    def add(self, name, may_found=False):
+        """Start a node with an empty disk."""
+        durable = storage_restored.Restored(disk=f"disk-{next(self.disks)}")
+        self.nodes[name] = Node(link=self.link(name), durable=durable)
+        self.start(name, may_found=may_found)
+
+    def start(self, name, may_found=False):
+        """Start a process from what its disk holds."""
+        node = self.nodes[name]
+        node.run = next(self.order)
+        node.inbox, node.writes = [], []
+        held = copy.deepcopy(node.durable)
+        settings = fleet_tables.FleetSettings(
+            link=node.link,
+            zone=name,
+            disk=held.disk,
+            run=str(node.run),
+            seeds=self.seeds,
+            may_found=may_found,
+        )
+        node.tables = fleet_tables.create(settings, held, self.random.getrandbits(32))
+        node.wake_s = self.now
+
+    def kill(self, name):
+        """End a process; what was not synced is lost."""
+        node = self.nodes[name]
+        node.run = next(self.order)
+        node.tables = None
+        node.writes = []
+
+    def isolate(self, name):
+        """Cut a node off from every other, in both directions."""
+        for other in self.nodes:
+            self.cut |= {(name, other), (other, name)}
+
+    def heal(self):
+        """Let all messages through."""
+        self.cut.clear()
+
+    def put(self, name, version, body=b"{}"):
+        """Have an operator put a catalog at a node; return the call's token."""
+        token = next(self.tokens)
+        request = fleet_tables.PutRequested(token, version, body)
+        self.nodes[name].inbox.append(request)
+        return token
+
+    def read(self, name):
+        """Have an operator read the catalog at a node; return the call's token."""
+        token = next(self.tokens)
+        self.nodes[name].inbox.append(fleet_tables.ReadRequested(token))
+        return token
+
+    def leader(self):
+        """Return the name of the one node that leads, None without one."""
+        leaders = [
+            name
+            for name, node in self.nodes.items()
+            if node.tables is not None and fleet_tables.leads(node.tables)
+        ]
+        if not leaders:
+            return None
+        return max(leaders, key=lambda name: self.nodes[name].tables.replica.term)
+
+    def voters(self):
+        """Return the names of the voters that the leader knows."""
+        membership = self.nodes[self.leader()].tables.replica.membership
+        names = {node.link: name for name, node in self.nodes.items()}
+        return sorted(names[voter.node] for voter in membership.voters)
+
+    def run(self, seconds):
+        """Let time pass."""
+        end_s = self.now + seconds
+        while self.now < end_s:
+            self._deliver()
+            for name in list(self.nodes):
+                self._tick(name)
+            self.now += STEP_S / 10
+        return self
+
+    def until(self, condition, within_s=10.0):
+        """Let time pass until a condition holds; fail after ``within_s``."""
+        end_s = self.now + within_s
+        while not condition():
+            assert self.now < end_s, f"not within {within_s} s"
+            self.run(STEP_S)
+        return self
+
+    def _deliver(self):
+        while self.events and self.events[0][0] <= self.now:
+            _, _, name, run, message = heapq.heappop(self.events)
+            node = self.nodes.get(name)
+            if node is None or node.tables is None:
+                continue
+            if run is not None and run != node.run:
+                continue
+            if isinstance(message, consensus.LogSynced | consensus.SnapshotSynced):
+                self._synced(node, message)
+            node.inbox.append(message)
+
+    def _synced(self, node, message):
+        while node.writes and node.writes[0].write_id <= message.write_id:
+            harness.persist(node.durable, node.writes.pop(0))
+
+    def _tick(self, name):
+        node = self.nodes[name]
+        if node.tables is None or not (node.inbox or self.now >= node.wake_s):
+            return
+        inbox, node.inbox = node.inbox, []
+        outbox = tick.tick(node.tables, self.now, inbox)
+        node.wake_s = min(outbox.wake_at_s or self.now + STEP_S, self.now + STEP_S)
+        for message in outbox.messages:
+            self._leave(name, node, message)
+
+    def _leave(self, name, node, message):
+        match message:
+            case frames.SendPeer():
+                self._send(name, message)
+            case consensus.WriteLog() | consensus.WriteSnapshot():
+                self._write(name, node, message)
+            case fleet_tables.Done() | fleet_tables.Elsewhere():
+                self.answers[message.token] = message
+            case _:
+                self.left.append((name, message))
+
+    def _send(self, name, message):
+        targets = {node.link: other for other, node in self.nodes.items()}
+        other = targets.get(message.node)
+        if other is None:
+            self.left.append((name, message))
+            return
+        if (name, other) in self.cut:
+            return
+        received = frames.PeerReceived(
+            node=self.nodes[name].link,
+            link=self.nodes[name].link,
+            message=message.message,
+        )
+        self._post(self.random.uniform(*DELAY_S), other, None, received)
+
+    def _write(self, name, node, message):
+        if not node.disk_works:
+            return
+        node.writes.append(message)
+        if isinstance(message, consensus.WriteSnapshot):
+            done = consensus.SnapshotSynced(
+                group=message.group,
+                write_id=message.write_id,
+                last_index=message.last_index,
+            )
+        else:
+            done = consensus.LogSynced(group=message.group, write_id=message.write_id)
+        self._post(self.random.uniform(*SYNC_S), name, node.run, done)
+
+    def _post(self, delay_s, name, run, message):
+        event = (self.now + delay_s, next(self.order), name, run, message)
+        heapq.heappush(self.events, event)
--- /dev/null
+++ b/tests/fleet/test_members.py
@@ -0,0 +1,173 @@
+"""A group is founded from seeds, and its voters are replaced without an operator."""
+
+import pytest
+
+from bitternlever.fleet import tables as fleet_tables
+from tests.fleet import cluster
+
+
+def founded(names="abc", seed=0) -> cluster.Cluster:
+    """Return a cluster that has a leader and holds catalog 1."""
+    system = cluster.Cluster(names=names, seed=seed)
+    system.until(lambda: system.leader() is not None)
+    put(system, 1, b"one")
+    return system
+
+
+def put(system: cluster.Cluster, version: int, body: bytes) -> None:
+    """Put a catalog at whoever leads until it is acknowledged."""
+    for _ in range(20):
+        system.until(lambda: system.leader() is not None)
+        token = system.put(system.leader(), version, body)
+        system.run(0.3)
+        if isinstance(system.answers.get(token), fleet_tables.Done):
+            return
+    raise AssertionError(f"catalog {version} was not acknowledged")
+
+
+def read(system: cluster.Cluster) -> bytes:
+    """Read the catalog until somebody answers."""
+    for _ in range(20):
+        system.until(lambda: system.leader() is not None)
+        token = system.read(system.leader())
+        system.run(0.3)
+        answer = system.answers.get(token)
+        if isinstance(answer, fleet_tables.Done):
+            return answer.body
+    raise AssertionError("nobody answered the read")
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_seeds_found_a_group_and_the_others_stay_outside(seed):
+    system = founded(names="abcde", seed=seed)
+
+    assert system.voters() == ["a", "b", "c"]
+    assert read(system) == b"one"
+
+
+def test_a_node_that_may_not_found_never_begins_a_group():
+    system = cluster.Cluster(names="", seeds="abc")
+    for name in "abc":
+        system.add(name, may_found=False)
+
+    system.run(5.0)
+
+    assert system.leader() is None
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_a_wiped_disk_is_replaced_as_a_new_replica_and_nothing_is_lost(seed):
+    system = founded(seed=seed)
+    victim = system.leader()
+    old = system.nodes[victim].tables.replica.settings.identity
+    system.kill(victim)
+    system.run(0.5)
+    system.add(victim)
+
+    system.until(lambda: system.leader() not in (None, victim))
+    replaced_within_s = 4.0
+    system.until(lambda: _is_voter_anew(system, victim, old), replaced_within_s)
+
+    assert read(system) == b"one"
+    assert system.voters() == ["a", "b", "c"]
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_a_machine_at_another_address_takes_the_place_of_one_that_is_gone(seed):
+    system = founded(seed=seed)
+    gone = next(name for name in "abc" if name != system.leader())
+    system.kill(gone)
+    system.run(1.0)
+    system.add("z")
+
+    system.until(lambda: "z" in system.voters() and gone not in system.voters(), 8.0)
+
+    put(system, 2, b"two")
+    assert read(system) == b"two"
+
+
+def test_a_restart_of_a_few_seconds_changes_no_voter():
+    system = founded(names="abcd")
+    other = next(name for name in "abc" if name != system.leader())
+    system.kill(other)
+    system.run(2.0)
+    system.start(other)
+    system.run(3.0)
+
+    assert system.voters() == ["a", "b", "c"]
+
+
+def test_a_standby_replaces_a_voter_that_stays_away():
+    system = founded(names="abcd")
+    other = next(name for name in "abc" if name != system.leader())
+    system.kill(other)
+
+    system.until(lambda: "d" in system.voters() and other not in system.voters(), 8.0)
+
+    assert read(system) == b"one"
+
+
+def test_all_killed_at_once_come_back_with_what_was_acknowledged():
+    system = founded()
+    put(system, 5, b"five")
+    for name in "abc":
+        system.kill(name)
+    system.run(0.2)
+    for name in "abc":
+        system.start(name)
+
+    assert read(system) == b"five"
+
+
+def test_one_wiped_while_all_others_lose_power_loses_nothing():
+    system = founded()
+    put(system, 5, b"five")
+    for name in "abc":
+        system.kill(name)
+    system.run(0.5)
+    system.add("a")
+    system.start("b")
+    system.start("c")
+
+    assert read(system) == b"five"
+    system.until(lambda: system.voters() == ["a", "b", "c"], 6.0)
+
+
+def test_a_leader_that_is_cut_off_answers_no_read_and_takes_no_catalog():
+    system = founded()
+    former = system.leader()
+    system.isolate(former)
+    system.run(2.0)
+    reading = system.read(former)
+    putting = system.put(former, 9, b"nine")
+    put(system, 2, b"two")
+    system.run(1.0)
+
+    for token in (reading, putting):
+        assert not isinstance(system.answers.get(token), fleet_tables.Done)
+    system.heal()
+    system.run(2.0)
+    assert read(system) == b"two"
+
+
+def test_two_operators_at_two_nodes_end_with_the_highest_version():
+    system = founded()
+    tokens = [system.put(name, 10 + n, name.encode()) for n, name in enumerate("abc")]
+    system.run(1.0)
+    for name, token in zip("abc", tokens, strict=True):
+        answer = system.answers[token]
+        if isinstance(answer, fleet_tables.Elsewhere):
+            assert answer.leader == system.link(system.leader())
+            put(system, 10 + "abc".index(name), name.encode())
+
+    assert read(system) == b"c"
+
+
+def _is_voter_anew(system: cluster.Cluster, name: str, old: object) -> bool:
+    leader = system.leader()
+    if leader is None:
+        return False
+    membership = system.nodes[leader].tables.replica.membership
+    nodes = {voter.node: voter for voter in membership.voters}
+    voter = nodes.get(system.link(name))
+    return voter is not None and voter != old and not membership.outgoing
--- /dev/null
+++ b/tests/fleet/test_upstreams.py
@@ -0,0 +1,131 @@
+"""Words of upstreams are ordered by start and number; an end holds for its start."""
+
+import itertools
+
+import pytest
+
+from bitternlever.fleet import upstreams
+from bitternlever.messages import fleet
+from tests.gateway import samples
+
+READY = fleet.UpstreamState.READY
+DRAINING = fleet.UpstreamState.DRAINING
+GONE = fleet.UpstreamState.GONE
+
+
+def state_of(table: upstreams.Upstreams, name: str) -> fleet.UpstreamState:
+    return table.entries[name].word.state
+
+
+def end(name: str = "u1", started_ms: int = 0) -> fleet.UpstreamWord:
+    return samples.upstream_word(
+        name,
+        service="",
+        address="",
+        zone="",
+        slots=0,
+        state=GONE,
+        started_ms=started_ms,
+        number=0,
+    )
+
+
+def test_a_late_word_of_the_same_start_changes_nothing():
+    table = upstreams.Upstreams()
+    upstreams.take(table, 1.0, samples.upstream_word(number=5, state=DRAINING))
+
+    assert not upstreams.take(table, 2.0, samples.upstream_word(number=4))
+    assert state_of(table, "u1") is DRAINING
+    assert upstreams.usable(table, "plain") == []
+
+
+def test_a_word_after_the_end_does_not_bring_the_upstream_back():
+    table = upstreams.Upstreams()
+    upstreams.take(table, 1.0, samples.upstream_word(number=5))
+    upstreams.take(table, 2.0, end())
+
+    assert not upstreams.take(table, 3.0, samples.upstream_word(number=9))
+    assert state_of(table, "u1") is GONE
+
+
+def test_the_same_id_that_started_again_is_there_again():
+    table = upstreams.Upstreams()
+    upstreams.take(table, 1.0, samples.upstream_word(number=50))
+    upstreams.take(table, 2.0, end())
+
+    assert upstreams.take(table, 3.0, samples.upstream_word(started_ms=2_000, number=1))
+    assert [entry.word.number for entry in upstreams.usable(table, "plain")] == [1]
+
+
+def test_a_late_word_of_an_earlier_start_is_dropped():
+    table = upstreams.Upstreams()
+    upstreams.take(table, 1.0, samples.upstream_word(started_ms=2_000, number=1))
+
+    old = samples.upstream_word(started_ms=1_000, number=99, address="old:1")
+    assert not upstreams.take(table, 2.0, old)
+    assert table.entries["u1"].word.address == "u1:80"
+
+
+def test_whoever_started_last_holds_an_address():
+    table = upstreams.Upstreams()
+    first = samples.upstream_word("u1", address="x:80", started_ms=1_000)
+    second = samples.upstream_word("u2", address="x:80", started_ms=2_000)
+    upstreams.take(table, 1.0, first)
+    upstreams.take(table, 2.0, second)
+
+    assert state_of(table, "u1") is GONE
+    late = samples.upstream_word("u1", address="x:80", started_ms=1_000, number=7)
+    upstreams.take(table, 3.0, late)
+    assert [each.word.upstream for each in upstreams.usable(table, "plain")] == ["u2"]
+
+
+def test_an_end_of_an_unknown_upstream_is_remembered():
+    table = upstreams.Upstreams()
+    upstreams.take(table, 1.0, end(started_ms=1_000))
+
+    assert not upstreams.take(table, 2.0, samples.upstream_word(number=3))
+    assert state_of(table, "u1") is GONE
+
+
+def test_hearing_again_only_makes_the_word_younger():
+    table = upstreams.Upstreams()
+    upstreams.take(table, 1.0, samples.upstream_word())
+
+    assert not upstreams.take(table, 5.0, samples.upstream_word(age_s=1.0))
+    assert table.entries["u1"].heard_s == 4.0
+
+
+def test_the_next_heartbeat_is_no_change():
+    table = upstreams.Upstreams()
+    upstreams.take(table, 1.0, samples.upstream_word(number=1))
+
+    assert not upstreams.take(table, 2.0, samples.upstream_word(number=2))
+    assert table.entries["u1"].heard_s == 2.0
+
+
+@pytest.mark.parametrize("seed", range(24))
+def test_any_order_of_arrival_ends_in_the_same_state(seed):
+    words = [
+        samples.upstream_word(number=1),
+        samples.upstream_word(number=2, state=DRAINING),
+        end(started_ms=1_000),
+        samples.upstream_word(started_ms=2_000, number=1),
+    ]
+    order = list(itertools.permutations(words))[seed]
+    table = upstreams.Upstreams()
+
+    for at_s, word in enumerate(order):
+        upstreams.take(table, float(at_s), word)
+
+    assert state_of(table, "u1") is READY
+    assert table.entries["u1"].word.started_ms == 2_000
+
+
+def test_what_ended_long_ago_is_forgotten():
+    table = upstreams.Upstreams()
+    upstreams.take(table, 0.0, samples.upstream_word())
+
+    upstreams.forget_ended(table, upstreams.KEPT_AFTER_END_S + 0.1)
+
+    assert table.entries == {}
+    assert table.holders == {}
