--- a/bitternlever/gateway/batching.py
+++ b/bitternlever/gateway/batching.py
@@ -8,7 +8,6 @@
 
 import asyncio
 import logging
-import math
 from collections.abc import Callable
 from typing import Any
 
@@ -340,8 +339,6 @@
             work=work.message.work,
             handles=[work.handles[index] for index in range(count)],
         )
-    elif not math.isfinite(answer.retry_after_s):
-        answer = fleet.StageRefused(answer.work, answer.reason, 1.0, answer.lost_input)
     answered = gateway.batching.answered
     answered[work.message.work] = answer
     if len(answered) > REMEMBERED_RESULTS:
--- a/bitternlever/gateway/context.py
+++ b/bitternlever/gateway/context.py
@@ -12,9 +12,10 @@
 
     Times are of the boot clock. Past ``first_event_s`` the caller no longer waits for
     the beginning of an answer. ``engine_zone`` is the zone of the upstream that will
-    probably take it. ``staged_s`` and ``first_piece_s`` are when the stages were done
-    and when the first piece of the answer came. ``sent`` is set once any
-    byte of the request itself has left for an upstream that did not say otherwise.
+    probably take it. ``stage_round`` counts how often the stages were begun;
+    ``staged_s`` and ``first_piece_s`` are when they were done and when the first piece
+    of the answer came. ``sent`` is set once any byte of the request itself has left
+    for an upstream that did not say otherwise.
     """
 
     arrived_s: float
@@ -32,6 +33,7 @@
     catalog: catalog_tables.Catalog
     engine_zone: str = ""
     inputs: tuple[str, ...] = ()
+    stage_round: int = 0
     staged_s: float | None = None
     first_piece_s: float | None = None
     sent: bool = False
--- a/bitternlever/gateway/forward.py
+++ b/bitternlever/gateway/forward.py
@@ -76,13 +76,18 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Failure:
-    """An attempt without an answer to pass on; ``ran`` unless it surely did not."""
+    """An attempt without an answer to pass on; ``ran`` unless it surely did not.
+
+    ``kept`` is set where the connection had served others: the upstream itself may
+    be sound.
+    """
 
     reason: str
     ran: bool
     status: int = 502
     retry_after_s: float | None = None
     inputs_lost: bool = False
+    kept: bool = False
 
 
 async def run(
@@ -110,6 +115,8 @@
             return outcome
         failure = outcome
         _log_failure(context, word, failure)
+        if failure.inputs_lost or failure.kept:
+            context.tried.discard(word.upstream)
         if failure.inputs_lost and relay.response is None:
             return gateway_context.InputsLost(failure.reason)
         if failure.ran and not _may_run_again(context):
@@ -227,7 +234,7 @@
         return Failure("no answer within the time", context.sent, 504)
     except exchange.ExchangeError as error:
         placement.failed(health, clocks.boot_time())
-        return Failure(error.reason, error.sent)
+        return Failure(error.reason, error.sent, kept=error.kept)
     finally:
         placement.ended(health, tokens)
     if isinstance(outcome, Failure):
@@ -277,7 +284,7 @@
     attempt = Attempt(word, connection, head, answer)
     if answer.request is not None and answer.request != context.head.request:
         exchange.discard(connection)
-        return Failure("an answer to another request", True)
+        return Failure("an answer to another request", True, kept=connection.kept)
     if answer.not_run or answer.wrong_instance:
         context.sent = sent_before
         await _drop_body(gateway, attempt)
--- a/bitternlever/gateway/requests.py
+++ b/bitternlever/gateway/requests.py
@@ -127,6 +127,7 @@
     request: web.BaseRequest,
     context: gateway_context.Context,
 ) -> web.StreamResponse | gateway_context.Refusal | gateway_context.InputsLost:
+    context.stage_round += 1
     results = stages.Results()
     try:
         outcome = await stages.run(gateway, context, results)
--- a/bitternlever/gateway/stages.py
+++ b/bitternlever/gateway/stages.py
@@ -118,7 +118,7 @@
     inputs = [each for number in stage.after for each in results.handles[number]]
     workspace = context.workspace
     return fleet.StageWork(
-        work=f"{context.head.request}/{stage.number}",
+        work=f"{context.head.request}/{context.stage_round}/{stage.number}",
         request=context.head.request,
         service=stage.service,
         stage=stage.number,
--- a/bitternlever/transport/exchange.py
+++ b/bitternlever/transport/exchange.py
@@ -35,12 +35,16 @@
 
 
 class ExchangeError(Exception):
-    """An exchange ended without a whole answer; ``sent`` tells if any byte left."""
+    """An exchange ended without a whole answer; ``sent`` tells if any byte left.
 
-    def __init__(self, reason: str, *, sent: bool):
+    ``kept`` tells whether the connection had been used before.
+    """
+
+    def __init__(self, reason: str, *, sent: bool, kept: bool = False):
         super().__init__(reason)
         self.reason = reason
         self.sent = sent
+        self.kept = kept
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -112,6 +116,15 @@
             self.transport.abort()
         self._wake()
 
+    @property
+    def kept(self) -> bool:
+        """Tell whether the connection has served an earlier exchange."""
+        return self.exchanges > 1
+
+    def ended_early(self) -> ExchangeError:
+        """Return the error of an exchange that got no whole answer."""
+        return ExchangeError(self.error or "closed", sent=True, kept=self.kept)
+
     def _wake(self) -> None:
         if self.waiter is not None and not self.waiter.done():
             self.waiter.set_result(None)
@@ -123,14 +136,14 @@
                 event = self.parser.next_event()
             except h11.RemoteProtocolError as error:
                 self.fail(f"no HTTP: {error}")
-                raise ExchangeError(self.error, sent=True) from None
+                raise self.ended_early() from None
             if event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
                 self.fail("closed before the answer")
-                raise ExchangeError(self.error, sent=True)
+                raise self.ended_early()
             if event is not h11.NEED_DATA:
                 return event
             if self.error is not None:
-                raise ExchangeError(self.error, sent=True)
+                raise self.ended_early()
             self.waiter = asyncio.get_running_loop().create_future()
             try:
                 await self.waiter
@@ -198,7 +211,7 @@
             return Head(status=event.status_code, headers=list(event.headers))
         if not isinstance(event, h11.InformationalResponse):
             connection.fail("no head of an answer")
-            raise ExchangeError(connection.error, sent=True)
+            raise connection.ended_early()
 
 
 async def read_piece(connection: Connection) -> bytes | None:
@@ -219,7 +232,7 @@
         body += piece
         if len(body) > maximum_bytes:
             connection.fail(f"an answer above {maximum_bytes} bytes")
-            raise ExchangeError(connection.error, sent=True)
+            raise connection.ended_early()
 
 
 def release(pool: Pool, address: str, connection: Connection, head: Head) -> None:
--- /dev/null
+++ b/tests/gateway/entry_host.py
@@ -0,0 +1,154 @@
+"""An entry host on loopback without control, and a caller that speaks HTTP by hand."""
+
+import asyncio
+import contextlib
+import dataclasses
+
+from bitternlever.catalog import tables as catalog_tables
+from bitternlever.conf import fleet as fleet_settings
+from bitternlever.core import clocks
+from bitternlever.gateway import (
+    shell as gateway_shell,
+    state,
+    sync,
+    tables as gateway_tables,
+)
+from bitternlever.messages import fleet
+from bitternlever.platform import entry_api
+from bitternlever.transport import exchange
+from tests.gateway import samples
+
+BOUNDS = fleet_settings.Bounds(
+    drain_s=2.0,
+    grace_s=8.0,
+    revoke_s=5.0,
+    strict_revoke=True,
+    retry_ratio=0.2,
+    retry_window_s=10.0,
+    retry_slack=50,
+    directory_ttl_s=1.0,
+)
+
+
+@dataclasses.dataclass(slots=True)
+class Answer:
+    """An answer as it came over the wire; ``whole`` unless it was cut off."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    whole: bool
+
+
+def configuration() -> fleet_settings.FleetConfiguration:
+    """Return the settings of a host that listens nowhere by itself."""
+    return fleet_settings.FleetConfiguration(
+        host="one",
+        zone="a",
+        region="r",
+        link="tcp://one:1",
+        seeds=(),
+        may_found=False,
+        callers_address="",
+        readiness_address="",
+        control_address="",
+        directory_address="",
+        data_folder=None,
+        region_of_zone={"a": "r"},
+        bounds=BOUNDS,
+        descriptors=1_000,
+    )
+
+
+@contextlib.asynccontextmanager
+async def running(catalog: catalog_tables.Catalog, *words: fleet.UpstreamWord):
+    """Run an entry host with a catalog in force and these upstreams; yield it."""
+    tables = gateway_tables.GatewayTables(word=samples.host_word(), seeds=())
+    tables.catalog = catalog
+    tables.current_s = clocks.boot_time()
+    tables.hosts.listed = (samples.host_word(link="tcp://one:1"),)
+    sync.told(tables, clocks.boot_time(), fleet.UpstreamsTold(words=list(words)))
+    gateway = state.Gateway(
+        settings=configuration(),
+        tables=tables,
+        dialect=entry_api.DIALECT,
+        pool=exchange.Pool(clock=clocks.boot_time),
+        stopped=asyncio.get_running_loop().create_future(),
+        deliver=gateway_shell._dispatch,
+    )
+    gateway.state = fleet.HostState.READY
+    runner = await gateway_shell._serve("127.0.0.1:0", entry_api.callers(gateway))
+    port = runner.addresses[0][1]
+    try:
+        yield gateway, port
+    finally:
+        for task in list(gateway.tasks):
+            task.cancel()
+        await runner.cleanup()
+
+
+def request(
+    method="GET",
+    target="/a/x",
+    host="h.example",
+    body=b"",
+    key="key",
+    identity="id-1",
+    **headers: str,
+) -> bytes:
+    """Return a caller's request as bytes."""
+    lines = [f"{method} {target} HTTP/1.1", f"Host: {host}"]
+    lines.append(f"X-Bitternlever-Request-Id: {identity}")
+    if key is not None:
+        lines.append(f"Authorization: Bearer {key}")
+    if body or method == "POST":
+        lines.append(f"Content-Length: {len(body)}")
+    lines += [f"{name.replace('_', '-')}: {value}" for name, value in headers.items()]
+    return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
+
+
+async def call(port: int, data: bytes, within_s: float = 5.0) -> Answer:
+    """Send a request on a connection of its own and read the answer to its end."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    writer.write(data)
+    try:
+        async with asyncio.timeout(within_s):
+            return await read_answer(reader)
+    finally:
+        writer.close()
+
+
+async def read_answer(reader: asyncio.StreamReader) -> Answer:
+    """Read one answer."""
+    status = int((await reader.readline()).split()[1])
+    headers = {}
+    while True:
+        line = (await reader.readline()).decode("latin-1").rstrip("\r\n")
+        if not line:
+            break
+        name, _, value = line.partition(":")
+        headers[name.lower()] = value.strip()
+    if headers.get("transfer-encoding") == "chunked":
+        body, whole = await _read_chunks(reader)
+        return Answer(status, headers, body, whole)
+    length = int(headers.get("content-length", "0"))
+    try:
+        return Answer(status, headers, await reader.readexactly(length), True)
+    except asyncio.IncompleteReadError as error:
+        return Answer(status, headers, error.partial, False)
+
+
+async def _read_chunks(reader: asyncio.StreamReader) -> tuple[bytes, bool]:
+    body = b""
+    while True:
+        line = await reader.readline()
+        if not line.strip():
+            return body, False
+        size = int(line, 16)
+        try:
+            data = await reader.readexactly(size + 2)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            return body, False
+        if size == 0:
+            return body, True
+        body += data[:-2]
--- /dev/null
+++ b/tests/platform/test_codecs.py
@@ -0,0 +1,395 @@
+"""Each wire name is decoded once, faults are values, and nothing half is taken."""
+
+import json
+import pathlib
+import re
+
+import msgspec
+import pytest
+
+from bitternlever.batching import tables as batching_tables
+from bitternlever.catalog import tables as catalog_tables
+from bitternlever.gateway import dialect
+from bitternlever.messages import fleet
+from bitternlever.platform import catalog, headers, settings, stages, upstreams
+
+ROOT = pathlib.Path(__file__).parents[2]
+
+BOOT = """
+node = "front-a-1"
+role = "entry"
+class = "front"
+serves = ["front", "directory"]
+bind_ip = "10.1.0.41"
+zone = "a"
+region = "r"
+port_range = [7740,7755]
+seed_addrs = ["10.1.0.43:8628","10.2.0.28:8628"]
+bootstrap = true
+in_tolerance = false
+unknown = "ignored"
+[zones]
+a = "r"
+[listen]
+front = "10.1.0.41:8625"
+ready = "10.1.0.41:8621"
+directory = "10.1.0.41:8620"
+[limits]
+max_fds = 4100
+[bounds]
+drain_ms = 2000
+grace_s = 8
+revoke_ms = 5000
+strict_revoke = true
+retry_ratio = 0.2
+retry_window_s = 10
+retry_slack = 52
+ttl_max_s = 5
+"""
+
+CONFIG = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "r1",
+            "host": "h.example",
+            "path_prefix": "/a/",
+            "kind": "streaming",
+            "timeout_ms": 12000,
+            "goal_ms": 1700,
+            "priority": 1,
+            "backends": [
+                {"service": "engines", "weight": 90},
+                {"service": "other", "weight": 10},
+            ],
+            "max_attempts": 1,
+            "stages": [
+                {"service": "encode", "after": [], "bytes": 3000000},
+                {"service": "encode", "after": [0], "bytes": 8000},
+            ],
+            "public": False,
+            "sticky": True,
+            "resumable": False,
+            "gap_aim_ms": 300,
+        },
+        {
+            "name": "r2",
+            "host": "h.example",
+            "path_prefix": "/a/b/",
+            "kind": "non_idempotent",
+            "timeout_ms": 600,
+            "goal_ms": 100,
+            "priority": 0,
+            "service": "other",
+        },
+    ],
+    "services": [
+        {
+            "name": "engines",
+            "health_path": "/health",
+            "max_conns": 370,
+            "engine": {"slot_count": 64, "kv_capacity": 564688, "moves": True},
+        },
+        {
+            "name": "encode",
+            "pieces": {
+                "slot_count": 1,
+                "queue": 2,
+                "batch": 5,
+                "call_ms": 150.0,
+                "item_ms": 25.6,
+                "room_mb": 36.875,
+                "handle_s": 4.0,
+                "link_mbps": 10000,
+            },
+        },
+        {"name": "other"},
+    ],
+    "limits": {
+        "header_bytes": 16384,
+        "body_bytes": 4194304,
+        "header_timeout_ms": 3000,
+        "idle_timeout_ms": 15000,
+    },
+    "tenants": [{"name": "w", "api_keys": ["k1", "k2"], "priority": 1}],
+}
+
+
+def config(**changes) -> bytes:
+    return json.dumps({**CONFIG, **changes}).encode()
+
+
+def changed_route(**changes) -> bytes:
+    first, *others = CONFIG["routes"]
+    return config(routes=[{**first, **changes}, *others])
+
+
+def test_settings_are_decoded_into_our_own_words():
+    loaded = settings.decode(BOOT, "entry").unwrap()
+
+    assert loaded.host == "front-a-1"
+    assert loaded.link == "tcp://10.1.0.41:7741"
+    assert loaded.seeds == ("tcp://10.1.0.43:7740", "tcp://10.2.0.28:7740")
+    assert loaded.may_found
+    assert loaded.callers_address == "10.1.0.41:8625"
+    assert loaded.bounds.revoke_s == 5.0
+    assert loaded.bounds.retry_slack == 52
+
+
+@pytest.mark.parametrize(
+    ("line", "program", "named"),
+    [
+        ('zone = "a"', "entry", "zone"),
+        ("port_range = [7740,7755]", "entry", "port_range"),
+        ('front = "10.1.0.41:8625"', "entry", "listen.front"),
+        ("", "control", "listen.control"),
+        ("", "control", "data_dir"),
+    ],
+)
+def test_a_setting_that_lacks_is_named_with_a_remedy(line, program, named):
+    faults = settings.decode(BOOT.replace(line, "", 1), program).err()
+
+    assert any(named in str(fault) for fault in faults)
+    assert all(fault.remedy for fault in faults)
+
+
+def test_faulty_seeds_and_faulty_text_are_named():
+    seeds = BOOT.replace('"10.2.0.28:8628"', '"nowhere"')
+    assert "nowhere" in str(settings.decode(seeds, "entry").err()[0])
+    assert settings.decode("node = ", "entry").is_err()
+
+
+def test_a_config_is_decoded_into_a_catalog():
+    decoded = catalog.decode(config()).unwrap()
+
+    long, short = decoded.routes["h.example"]
+    assert (long.path_prefix, short.path_prefix) == ("/a/b/", "/a/")
+    assert long.repeatability is catalog_tables.Repeatability.ONCE
+    assert short.objective_s == 1.7
+    assert [target.weight for target in short.targets] == [90, 10]
+    assert short.stages[1].after == (0,)
+    assert short.maximum_gap_s == 0.3
+    encode = decoded.services["encode"].stage
+    assert (encode.batch, encode.call_s, encode.result_s) == (5, 0.15, 4.0)
+    assert decoded.services["engines"].engine.memory_tokens == 564_688
+    assert decoded.workspaces["k2"] == catalog_tables.Workspace("w", 1)
+
+
+FAULTY = {
+    "cut short": config()[:-20],
+    "no bytes": b"",
+    "no JSON": b"\xff\xfe",
+    "an unknown service": changed_route(backends=[{"service": "none", "weight": 1}]),
+    "an unknown service of a stage": changed_route(stages=[{"service": "none"}]),
+    "one place twice": changed_route(path_prefix="/a/b/"),
+    "no weight": changed_route(backends=[{"service": "other", "weight": 0}]),
+    "no timeout": changed_route(timeout_ms=0),
+    "no target": changed_route(backends=[]),
+    "an unknown kind": changed_route(kind="odd"),
+    "stages in a ring": changed_route(stages=[{"service": "encode", "after": [0]}]),
+    "a shared key": config(
+        tenants=[{"name": "a", "api_keys": ["k"]}, {"name": "b", "api_keys": ["k"]}]
+    ),
+    "a version that is no number": config(version="seven"),
+    "no version": json.dumps({**CONFIG, "version": None}).encode(),
+    "a name that is no text": changed_route(name=5),
+    "deep nesting": b'{"version":' + b"[" * 100_000,
+}
+
+
+@pytest.mark.parametrize("fault", FAULTY, ids=str)
+def test_an_invalid_config_is_refused_with_the_path_of_its_fault(fault):
+    refused = catalog.decode(FAULTY[fault]).err()
+
+    assert refused.path.startswith("$")
+    assert refused.reason
+
+
+def test_a_config_without_tenants_asks_for_no_keys():
+    without = {name: value for name, value in CONFIG.items() if name != "tenants"}
+
+    assert catalog.decode(json.dumps(without).encode()).unwrap().workspaces is None
+
+
+BEAT = {
+    "service": "engines",
+    "address": "10.128.0.9:8080",
+    "zone": "a",
+    "version": "v1",
+    "slot_count": 64,
+    "state": "ready",
+    "cold_left_ms": 1500,
+    "stage": "dual",
+    "models": [{"name": "m", "version": 1, "adapters": []}],
+    "call_seq": 4,
+    "born": 1_700_000_000_000,
+}
+
+
+def test_a_heartbeat_is_decoded():
+    word = upstreams.heartbeat("i-1", json.dumps(BEAT).encode()).unwrap()
+
+    assert word == fleet.UpstreamWord(
+        upstream="i-1",
+        service="engines",
+        address="10.128.0.9:8080",
+        zone="a",
+        slots=64,
+        state=fleet.UpstreamState.READY,
+        started_ms=1_700_000_000_000,
+        number=4,
+        cold_s=1.5,
+    )
+
+
+BAD_BEATS = {
+    "no address": {"address": None},
+    "an address without port": {"address": "10.1.1.1"},
+    "an unknown state": {"state": "odd"},
+    "a state of another type": {"state": 5},
+    "a number of another type": {"call_seq": "four"},
+    "a start of another type": {"born": 1.5},
+    "no slots": {"slot_count": 0},
+    "no service": {"service": ""},
+}
+
+
+@pytest.mark.parametrize("fault", BAD_BEATS, ids=str)
+def test_a_faulty_heartbeat_is_refused_whole(fault):
+    body = json.dumps({**BEAT, **BAD_BEATS[fault]}).encode()
+
+    assert upstreams.heartbeat("i-1", body).is_err()
+
+
+@pytest.mark.parametrize("body", [b"", b"\xff", b"[]", b"{", b'"x"'])
+def test_bytes_that_are_no_heartbeat_are_refused(body):
+    assert upstreams.heartbeat("i-1", body).is_err()
+    assert upstreams.heartbeat("", json.dumps(BEAT).encode()).is_err()
+
+
+def test_an_end_may_come_with_or_without_a_start():
+    assert upstreams.leave("i-1", b"").unwrap().state is fleet.UpstreamState.GONE
+    assert upstreams.leave("i-1", b'{"born":5}').unwrap().started_ms == 5
+    assert upstreams.leave("i-1", b"\xff").is_err()
+
+
+def test_a_request_head_is_decoded():
+    head = headers.read_request(
+        [
+            (b"X-Bitternlever-Request-Id", b"id"),
+            (b"X-Bitternlever-Deadline-Ms", b"4000"),
+            (b"AUTHORIZATION", b"Bearer k1"),
+            (b"X-Bitternlever-Prompt-Prefix", b"5c:800,91:410, e4:250"),
+            (b"X-Bitternlever-Token-Count", b"1460,80"),
+            (b"X-Bitternlever-Pieces", b"2,0,16"),
+            (b"X-Bitternlever-Piece-Key", b"7c"),
+            (b"Last-Event-Id", b"9"),
+        ]
+    )
+
+    assert head.deadline_s == 4.0
+    assert head.api_key == "k1"
+    assert [(part.part, part.tokens) for part in head.prompt] == [
+        ("5c", 800),
+        ("91", 410),
+        ("e4", 250),
+    ]
+    assert (head.prompt_tokens, head.output_tokens) == (1460, 80)
+    assert head.pieces == (2, 0, 16)
+    assert head.last_event == "9"
+
+
+@pytest.mark.parametrize("value", [b"", b"x", b"-1", b"1.5", b"1,x"])
+def test_numbers_that_cannot_be_read_count_as_absent(value):
+    head = headers.read_request(
+        [(b"X-Bitternlever-Deadline-Ms", value), (b"X-Bitternlever-Pieces", value)]
+    )
+
+    assert head.deadline_s is None
+    assert head.pieces == ()
+
+
+def test_a_stage_call_is_encoded_and_its_answer_decoded():
+    piece = fleet.StagePiece(2, [])
+    later = fleet.StagePiece(0, ["10.1.64.9:8080/5c"])
+    call = stages.call(
+        "10.1.64.7:8080",
+        "i-1",
+        [
+            dialect.StageItem("e5", 0, piece, 0.9, "7c"),
+            dialect.StageItem("14", 2, later, 0.5, "7c"),
+        ],
+    )
+
+    assert json.loads(call.body) == {
+        "items": [
+            {"id": "e5", "stage": 0, "piece": 2, "left_ms": 900, "key": "7c"},
+            {
+                "id": "14",
+                "stage": 2,
+                "piece": 0,
+                "left_ms": 500,
+                "inputs": ["10.1.64.9:8080/5c"],
+            },
+        ]
+    }
+    answer = b'{"items":[{"handle":"10.1.64.7:8080/91"},{"reason":"gone"}]}'
+    made, lost = stages.answer(answer, 2).unwrap()
+    assert made == batching_tables.ItemDone("10.1.64.7:8080/91")
+    assert lost.lost_input
+
+
+@pytest.mark.parametrize(
+    "body", [b"", b"[]", b'{"items":[]}', b'{"items":[{"handle":5}]}', b"\xff"]
+)
+def test_an_answer_to_a_stage_call_that_cannot_be_read_is_refused(body):
+    assert stages.answer(body, 1).is_err()
+
+
+def test_reasons_of_a_stage_are_told_apart():
+    body = b'{"items":[{"reason":"late"},{"reason":"room"},{"reason":"error"}]}'
+    late, room, error = stages.answer(body, 3).unwrap()
+
+    assert (late.too_late, room.no_room) == (True, True)
+    assert not (error.too_late or error.no_room or error.lost_input)
+
+
+WIRE_NAMES = re.compile(
+    r"call_seq|path_prefix_|response-seal|expect-instance|stage-run|stage-free"
+    r"|kv-pin|kv_capacity|slot_count|seed_addrs|bind_ip|goal_ms|api_keys|max_conns"
+    r"|beat_addr|x-bitternlever-",
+    re.IGNORECASE,
+)
+
+
+def test_nothing_outside_the_adapter_knows_a_name_of_the_platform():
+    found = [
+        (path.relative_to(ROOT).as_posix(), match.group())
+        for path in (ROOT / "bitternlever").rglob("*.py")
+        if "platform" not in path.parts
+        for match in WIRE_NAMES.finditer(path.read_text(encoding="utf-8"))
+    ]
+
+    assert found == []
+
+
+def test_the_adapter_imports_nothing_that_decides():
+    deciding = ("consensus", "batching.batcher", "gateway.placement", "fleet.members")
+    found = [
+        (path.name, name)
+        for path in (ROOT / "bitternlever" / "platform").glob("*.py")
+        for name in deciding
+        if f"bitternlever.{name}" in path.read_text(encoding="utf-8")
+    ]
+
+    assert found == []
+
+
+def test_every_message_between_processes_survives_its_encoding():
+    word = fleet.UpstreamWord(
+        "u", "s", "a:1", "z", 1, fleet.UpstreamState.READY, 5, 6, 0.5, 0.1
+    )
+    told = fleet.UpstreamsTold(words=[word])
+    data = msgspec.msgpack.encode(told)
+
+    assert msgspec.msgpack.decode(data, type=fleet.Message) == told
