--- a/bitternlever/conf/fleet.py
+++ b/bitternlever/conf/fleet.py
@@ -36,6 +36,7 @@
     readiness_address: str
     control_address: str
     directory_address: str
+    metrics_address: str
     data_folder: pathlib.Path | None
     region_of_zone: dict[str, str]
     bounds: Bounds
--- /dev/null
+++ b/bitternlever/fleet/measures.py
@@ -0,0 +1,54 @@
+"""The sources of a control process's metrics."""
+
+import typing
+
+from bitternlever.fleet import tables as fleet_tables
+from bitternlever.gateway import measures as gateway_measures
+from bitternlever.telemetry import bounded, metrics
+
+if typing.TYPE_CHECKING:
+    from bitternlever.fleet import shell as fleet_shell
+
+
+def sources(
+    shell: "fleet_shell.Shell",
+    handler: bounded.BoundedHandler | None,
+) -> list[metrics.Source]:
+    """Return the sources of a control process's metrics."""
+    return [
+        metrics.Source(
+            instrument="control.state",
+            description="What this control process believes at present.",
+            unit="1",
+            counts=False,
+            read=lambda: _believed(shell.tables),
+        ),
+        metrics.Source(
+            instrument="control.counters",
+            description="Counted events of the replicated log.",
+            unit="1",
+            counts=True,
+            read=lambda: shell.tables.replica.counters,
+        ),
+        metrics.links_source(shell.links),
+        *gateway_measures.log_sources(handler),
+    ]
+
+
+def _believed(tables: fleet_tables.FleetTables) -> dict[str, float]:
+    own = tables.replica
+    believed: dict[str, float] = {
+        "leads": float(fleet_tables.leads(tables)),
+        "term": own.term,
+        "commit_index": own.commit_index,
+        "applied_index": own.applied_index,
+        "catalog_version": -1 if tables.held.version is None else tables.held.version,
+        "hosts_listed": len(tables.hosts.listed),
+        "candidates": len(tables.candidates),
+        "disk_failed": float(own.disk.failed is not None),
+        "voters": 0 if own.membership is None else len(own.membership.voters),
+    }
+    for entry in tables.upstreams.entries.values():
+        name = f"upstreams_{entry.word.state.value}"
+        believed[name] = believed.get(name, 0) + 1
+    return believed
--- a/bitternlever/fleet/shell.py
+++ b/bitternlever/fleet/shell.py
@@ -15,10 +15,10 @@
 
 from bitternlever.conf import fleet as fleet_settings
 from bitternlever.core import clocks, reloading, runner
-from bitternlever.fleet import tables as fleet_tables, tick
+from bitternlever.fleet import measures, tables as fleet_tables, tick
 from bitternlever.messages import consensus, fleet, frames
 from bitternlever.storage import store, writer as storage_writer
-from bitternlever.telemetry import events
+from bitternlever.telemetry import events, exposition, logs
 from bitternlever.transport import links as transport_links
 
 CLUSTER_KEY = "fleet"
@@ -92,10 +92,11 @@
         sources=[source],
         clock=clocks.boot_time,
     )
-    server = web.ServerRunner(web.Server(api(shell), access_log=None))
-    await server.setup()
-    host, _, port = settings.control_address.rpartition(":")
-    await web.TCPSite(server, host, int(port)).start()
+    shown = exposition.Exposition(measures.sources(shell, logs.bounded_handler()))
+    servers = [
+        await _serve(settings.control_address, api(shell)),
+        await _serve(settings.metrics_address, exposition.handler(shown)),
+    ]
     loop.add_signal_handler(signal.SIGTERM, _signalled, shell)
     reloading.watch(
         read_settings,
@@ -109,13 +110,22 @@
     )
     exit_code = _exit_code(shell.running)
     runner.stop(shell.running)
-    await server.cleanup()
+    for server in servers:
+        await server.cleanup()
     storage_writer.stop(shell.writer)
     transport_links.close(shell.links)
     events.PROGRAM_ENDED.log(logger, program="control", exit_code=exit_code)
     return exit_code
 
 
+async def _serve(address: str, handler: Any) -> web.ServerRunner:
+    server = web.ServerRunner(web.Server(handler, access_log=None))
+    await server.setup()
+    host, _, port = address.rpartition(":")
+    await web.TCPSite(server, host, int(port)).start()
+    return server
+
+
 def tell(shell: Shell, word: fleet.UpstreamWord) -> None:
     """Take an upstream's word; it is on its way to all hosts after this tick."""
     runner.receive(shell.running, fleet_tables.UpstreamHeard(word))
--- a/bitternlever/gateway/batching.py
+++ b/bitternlever/gateway/batching.py
@@ -265,6 +265,7 @@
         reason = error.reason
     now = clocks.boot_time()
     if outcomes is None:
+        gateway.measures.batches[f"{held.service}.failed"] += 1
         events.STAGE_CALL_FAILED.log(
             logger,
             service=held.service,
@@ -274,11 +275,14 @@
         )
         ended = batcher.call_failed(held, now, call.number, full=full)
     else:
+        gateway.measures.batches[f"{held.service}.calls"] += 1
+        gateway.measures.batches[f"{held.service}.pieces"] += len(items)
         events.STAGE_CALL_DONE.log(
             logger,
             service=held.service,
             upstream=call.server.upstream,
             items=len(items),
+            request=items[0].request,
             requests=sorted({item.request for item in items}),
             took_s=round(now - call.sent_s, 3),
             failed=[each.reason for each in outcomes if each.handle is None],
--- a/bitternlever/gateway/context.py
+++ b/bitternlever/gateway/context.py
@@ -13,6 +13,7 @@
     Times are of the boot clock. Past ``first_event_s`` the caller no longer waits for
     the beginning of an answer. ``engine_zone`` is the zone of the upstream that will
     probably take it. ``stage_round`` counts how often the stages were begun;
+    ``stage_times`` are the numbers and durations of those that ended,
     ``staged_s`` and ``first_piece_s`` are when they were done and when the first piece
     of the answer came. ``sent`` is set once any byte of the request itself has left
     for an upstream that did not say otherwise.
@@ -34,6 +35,7 @@
     engine_zone: str = ""
     inputs: tuple[str, ...] = ()
     stage_round: int = 0
+    stage_times: list[tuple[int, float]] = dataclasses.field(default_factory=list)
     staged_s: float | None = None
     first_piece_s: float | None = None
     sent: bool = False
--- a/bitternlever/gateway/forward.py
+++ b/bitternlever/gateway/forward.py
@@ -114,6 +114,7 @@
         if not isinstance(outcome, Failure):
             return outcome
         failure = outcome
+        gateway.measures.attempts["failed"] += 1
         _log_failure(context, word, failure)
         if failure.inputs_lost or failure.kept:
             context.tried.discard(word.upstream)
@@ -145,6 +146,7 @@
     held = state.budget_of(gateway, context.service)
     hosts = len(gateway.tables.hosts.listed)
     if not budget.may_repeat(held, now, hosts):
+        gateway.measures.attempts["over_budget"] += 1
         events.RETRY_REFUSED.log(
             logger,
             request=context.head.request,
@@ -152,6 +154,7 @@
         )
         return False
     budget.note_repeat(held, now)
+    gateway.measures.attempts["repeated"] += 1
     return True
 
 
@@ -219,6 +222,7 @@
     tokens = context.head.prompt_tokens
     context.tried.add(word.upstream)
     context.attempts += 1
+    gateway.measures.attempts["sent"] += 1
     placement.started(health, tokens)
     began_s = clocks.boot_time()
     attempt = None
--- /dev/null
+++ b/bitternlever/gateway/measures.py
@@ -0,0 +1,125 @@
+"""What an entry host counts, and the sources of its metrics."""
+
+import bisect
+import collections
+import dataclasses
+import typing
+
+from bitternlever.core import clocks
+from bitternlever.telemetry import bounded, metrics
+from bitternlever.transport import exchange
+
+if typing.TYPE_CHECKING:
+    from bitternlever.gateway import state
+
+BOUNDS_S = (0.01, 0.03, 0.1, 0.3, 1.0, 3.0, 10.0)
+"""Upper bounds of the latency histograms, in seconds; the last bucket is open."""
+
+
+@dataclasses.dataclass(slots=True)
+class Measures:
+    """Counters by name, and latencies in buckets by name."""
+
+    requests: collections.Counter = dataclasses.field(
+        default_factory=collections.Counter,
+    )
+    refusals: collections.Counter = dataclasses.field(
+        default_factory=collections.Counter,
+    )
+    attempts: collections.Counter = dataclasses.field(
+        default_factory=collections.Counter,
+    )
+    batches: collections.Counter = dataclasses.field(
+        default_factory=collections.Counter,
+    )
+    latencies: collections.Counter = dataclasses.field(
+        default_factory=collections.Counter,
+    )
+
+
+def note_latency(measures: Measures, name: str, seconds: float) -> None:
+    """Count a latency in its bucket, and in the sum of its name."""
+    place = bisect.bisect_left(BOUNDS_S, seconds)
+    bound = f"{BOUNDS_S[place]:g}" if place < len(BOUNDS_S) else "more"
+    measures.latencies[f"{name}.le_{bound}"] += 1
+    measures.latencies[f"{name}.sum"] += seconds
+
+
+def sources(
+    gateway: "state.Gateway",
+    handler: bounded.BoundedHandler | None,
+) -> list[metrics.Source]:
+    """Return the sources of an entry host's metrics."""
+    measures = gateway.measures
+
+    def counted(instrument: str, description: str, unit: str) -> metrics.Source:
+        return metrics.Source(
+            instrument=f"entry.{instrument}",
+            description=description,
+            unit=unit,
+            counts=True,
+            read=lambda: getattr(measures, instrument),
+        )
+
+    return [
+        counted("requests", "Requests by kind and outcome.", "1"),
+        counted("refusals", "Own answers by status and reason.", "1"),
+        counted("attempts", "Sends to upstreams, repeats and their refusals.", "1"),
+        counted("batches", "Calls to stage upstreams and their pieces.", "1"),
+        counted("latencies", "Latencies in buckets, and their sums.", "s"),
+        metrics.Source(
+            instrument="entry.state",
+            description="What this host believes at present.",
+            unit="1",
+            counts=False,
+            read=lambda: _believed(gateway),
+        ),
+        connections_source(gateway.pool),
+        metrics.links_source(gateway.links),
+        *log_sources(handler),
+    ]
+
+
+def connections_source(pool: exchange.Pool) -> metrics.Source:
+    """Return the source of the counters of upstream connections."""
+    return metrics.Source(
+        instrument="entry.connections",
+        description="Connections to upstreams, opened and used again.",
+        unit="1",
+        counts=True,
+        read=lambda: {"opened": pool.opened, "reused": pool.reused},
+    )
+
+
+def log_sources(handler: bounded.BoundedHandler | None) -> list[metrics.Source]:
+    """Return the source of the counters of log lines, none without a handler."""
+    if handler is None:
+        return []
+    source = metrics.Source(
+        instrument="log",
+        description="Log lines that were left out or dropped.",
+        unit="1",
+        counts=True,
+        read=lambda: {"left_out": handler.left_out, "dropped": handler.dropped},
+    )
+    return [source]
+
+
+def _believed(gateway: "state.Gateway") -> dict[str, float]:
+    tables = gateway.tables
+    now = clocks.boot_time()
+    believed: dict[str, float] = {
+        "in_flight": gateway.in_flight,
+        "hosts_listed": len(tables.hosts.listed),
+        "controls_known": len(tables.controls),
+        "catalog_version": -1 if tables.catalog is None else tables.catalog.version,
+        "catalog_age_s": -1 if tables.current_s is None else now - tables.current_s,
+    }
+    for entry in tables.upstreams.entries.values():
+        name = f"upstreams_{entry.word.state.value}"
+        believed[name] = believed.get(name, 0) + 1
+    for service, held in tables.batchers.items():
+        believed[f"waiting.{service}"] = sum(
+            len(work.waiting) for work in held.works.values()
+        )
+    return believed
--- a/bitternlever/gateway/requests.py
+++ b/bitternlever/gateway/requests.py
@@ -14,6 +14,7 @@
     context as gateway_context,
     estimates,
     forward,
+    measures,
     schedule,
     stages,
     state,
@@ -73,6 +74,7 @@
     try:
         answer = await _run(gateway, request, context)
     except asyncio.CancelledError:
+        _count(gateway, context, "cancelled")
         events.REQUEST_CANCELLED.log(
             logger,
             request=context.head.request,
@@ -86,12 +88,14 @@
         first = schedule.first_piece_of(gateway.tables, context.service)
         now = clocks.boot_time()
         estimates.add(first, now, context.first_piece_s - context.staged_s)
+    _count(gateway, context, f"answered_{answer.status}")
     events.REQUEST_ANSWERED.log(
         logger,
         request=context.head.request,
         status=answer.status,
         attempts=context.attempts,
         route=context.route.name,
+        stages=context.stage_times,
         staged_s=_since(context.staged_s, arrived_s),
         first_s=_since(context.first_piece_s, arrived_s),
         took_s=round(clocks.boot_time() - arrived_s, 3),
@@ -152,6 +156,20 @@
         stages.free(gateway, context, results)
 
 
+def _count(
+    gateway: state.Gateway,
+    context: gateway_context.Context,
+    outcome: str,
+) -> None:
+    kind = context.route.repeatability.value
+    gateway.measures.requests[f"{kind}.{outcome}"] += 1
+    took_s = clocks.boot_time() - context.arrived_s
+    measures.note_latency(gateway.measures, f"request.{kind}", took_s)
+    if context.first_piece_s is not None:
+        first_s = context.first_piece_s - context.arrived_s
+        measures.note_latency(gateway.measures, f"first_piece.{kind}", first_s)
+
+
 def _since(at_s: float | None, began_s: float) -> float | None:
     return None if at_s is None else round(at_s - began_s, 3)
 
@@ -248,9 +266,13 @@
         retry_after_s=refusal.retry_after_s,
         route=None if context is None else context.route.name,
         waited_s=round(waited_s, 3),
+        stages=[] if context is None else context.stage_times,
         catalog_age_s=None if age_s is None else round(age_s, 3),
         sent=context is not None and context.sent,
     )
+    gateway.measures.refusals[f"{refusal.status} {refusal.reason[:40]}"] += 1
+    if context is not None:
+        _count(gateway, context, f"refused_{refusal.status}")
     headers = {}
     if refusal.retry_after_s is not None:
         headers["Retry-After"] = f"{refusal.retry_after_s:.2f}"
--- a/bitternlever/gateway/shell.py
+++ b/bitternlever/gateway/shell.py
@@ -14,12 +14,13 @@
 from bitternlever.gateway import (
     batching,
     dialect as gateway_dialect,
+    measures,
     state,
     sync,
     tables as gateway_tables,
 )
 from bitternlever.messages import fleet, frames
-from bitternlever.telemetry import events
+from bitternlever.telemetry import events, exposition, logs
 from bitternlever.transport import exchange, links
 
 CLUSTER_KEY = "fleet"
@@ -92,6 +93,14 @@
         await _serve(settings.readiness_address, apis.readiness(gateway)),
         await _serve(settings.directory_address, apis.directory(gateway)),
         await _serve(settings.callers_address, apis.callers(gateway)),
+        await _serve(
+            settings.metrics_address,
+            exposition.handler(
+                exposition.Exposition(
+                    measures.sources(gateway, logs.bounded_handler())
+                ),
+            ),
+        ),
     ]
     loop.add_signal_handler(signal.SIGTERM, _drain, gateway)
     reloading.watch(
--- a/bitternlever/gateway/stages.py
+++ b/bitternlever/gateway/stages.py
@@ -12,6 +12,7 @@
 from bitternlever.gateway import (
     batching,
     context as gateway_context,
+    measures,
     schedule,
     state,
 )
@@ -100,6 +101,9 @@
         )
         results.begun[stage.number].set()
         now = clocks.boot_time()
+        waited_s = now - began_s
+        measures.note_latency(gateway.measures, f"stage.{stage.service}", waited_s)
+        context.stage_times.append((stage.number, round(waited_s, 3)))
         schedule.learn_wait(gateway.tables, context, stage, began_s, now)
         if isinstance(answer, fleet.StageRefused):
             return answer
--- a/bitternlever/gateway/state.py
+++ b/bitternlever/gateway/state.py
@@ -10,6 +10,7 @@
 from bitternlever.gateway import (
     budget,
     dialect as gateway_dialect,
+    measures as gateway_measures,
     tables as gateway_tables,
 )
 from bitternlever.messages import fleet, frames
@@ -46,6 +47,9 @@
     in_flight: int = 0
     closing: bool = False
     flush_soon: bool = False
+    measures: gateway_measures.Measures = dataclasses.field(
+        default_factory=gateway_measures.Measures,
+    )
     budgets: dict[str, budget.Budget] = dataclasses.field(default_factory=dict)
     tasks: set[asyncio.Task] = dataclasses.field(default_factory=set)
 
--- a/bitternlever/platform/__main__.py
+++ b/bitternlever/platform/__main__.py
@@ -30,12 +30,14 @@
         for fault in loaded.err():
             print(fault, file=sys.stderr)
         return EXIT_SETTINGS_FAULTY
-    logs.configure("json", "info", stream=sys.stdout)
+    handler = logs.configure_bounded(loaded.ok().host, program)
     try:
         return asyncio.run(_run(program, loaded.ok()))
     except OSError as error:
         events.ADDRESS_REFUSED.log(logger, error=str(error))
         return EXIT_ADDRESS_IN_USE
+    finally:
+        handler.flush()
 
 
 async def _run(program: str, loaded: settings.fleet.FleetConfiguration) -> int:
--- a/bitternlever/platform/settings.py
+++ b/bitternlever/platform/settings.py
@@ -14,6 +14,10 @@
 CONTROL_LINK_OFFSET = 0
 ENTRY_LINK_OFFSET = 1
 DIRECTORY_TTL_S = 1.0
+"""How long callers keep an address: short, so that they follow a loss soon."""
+
+METRICS_PORTS = {"control": 9181, "entry": 9180}
+"""As ``deploy/system.toml`` tells the platform."""
 
 
 class _Listen(msgspec.Struct):
@@ -136,6 +140,7 @@
         readiness_address=boot.listen.ready,
         control_address=boot.listen.control,
         directory_address=boot.listen.directory,
+        metrics_address=f"{boot.bind_ip}:{METRICS_PORTS[program]}",
         data_folder=pathlib.Path(boot.data_dir) if boot.data_dir else None,
         region_of_zone=boot.zones,
         bounds=fleet.Bounds(
--- a/bitternlever/telemetry/events.py
+++ b/bitternlever/telemetry/events.py
@@ -11,12 +11,16 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Event:
-    """One kind of log event: its number, its name, its level and its text."""
+    """One kind of log event: its number, its name, its level and its text.
+
+    ``routine`` events belong to requests that go well; they are sampled under load.
+    """
 
     number: int
     name: str
     level: int
     text: str
+    routine: bool = False
 
     def log(self, logger: logging.Logger, **fields: Any) -> None:
         """Log the event with its fields."""
@@ -27,11 +31,18 @@
 CATALOGUE: dict[int, Event] = {}
 
 
-def register(number: int, name: str, level: int, text: str) -> Event:
+def register(
+    number: int,
+    name: str,
+    level: int,
+    text: str,
+    *,
+    routine: bool = False,
+) -> Event:
     """Add an event to the catalogue; a number twice is a broken invariant."""
     if number in CATALOGUE:
         raise ValueError(f"event number {number} stands twice in the catalogue")
-    event = Event(number=number, name=name, level=level, text=text)
+    event = Event(number, name, level, text, routine)
     CATALOGUE[number] = event
     return event
 
@@ -158,6 +169,7 @@
     "stage-call-done",
     logging.INFO,
     "A call to a stage upstream was answered.",
+    routine=True,
 )
 STAGE_CALL_FAILED = register(
     405,
@@ -176,6 +188,7 @@
     "request-admitted",
     logging.INFO,
     "A request was matched with a route and admitted.",
+    routine=True,
 )
 REQUEST_REFUSED = register(
     603,
@@ -188,6 +201,7 @@
     "request-answered",
     logging.INFO,
     "An upstream's answer was passed on.",
+    routine=True,
 )
 REQUEST_CANCELLED = register(
     605,
--- a/bitternlever/telemetry/logs.py
+++ b/bitternlever/telemetry/logs.py
@@ -4,30 +4,50 @@
 import logging
 import sys
 import time
-from typing import TextIO
 
+from bitternlever.telemetry import bounded
 
-def configure(
-    log_format: str,
-    log_level: str,
-    stream: TextIO | None = None,
-) -> None:
-    """Send all log records to standard error, or ``stream``, in the wanted form."""
-    handler = logging.StreamHandler(sys.stderr if stream is None else stream)
+
+def configure(log_format: str, log_level: str) -> None:
+    """Send all log records to standard error in the wanted form."""
+    handler = logging.StreamHandler(sys.stderr)
     handler.setFormatter(_JsonFormatter() if log_format == "json" else _TextFormatter())
     root = logging.getLogger()
     root.handlers[:] = [handler]
     root.setLevel(log_level.upper())
 
 
+def configure_bounded(host: str, program: str) -> bounded.BoundedHandler:
+    """Send all log records as JSON to standard output, bounded and never blocking."""
+    handler = bounded.BoundedHandler(sys.stdout.fileno())
+    handler.setFormatter(_JsonFormatter({"host": host, "program": program}))
+    root = logging.getLogger()
+    root.handlers[:] = [handler]
+    root.setLevel(logging.INFO)
+    return handler
+
+
+def bounded_handler() -> bounded.BoundedHandler | None:
+    """Return the bounded handler of this process, None where it has none."""
+    for handler in logging.getLogger().handlers:
+        if isinstance(handler, bounded.BoundedHandler):
+            return handler
+    return None
+
+
 class _JsonFormatter(logging.Formatter):
-    """Format a record as one JSON object."""
+    """Format a record as one JSON object, with some fields in each."""
+
+    def __init__(self, constant: dict[str, str] | None = None):
+        super().__init__()
+        self.constant = constant or {}
 
     def format(self, record: logging.LogRecord) -> str:
         """Return the record as one line of JSON."""
         event = getattr(record, "event", None)
         line = {
             "time": _timestamp(record),
+            **self.constant,
             "level": record.levelname.lower(),
             "number": event.number if event else 0,
             "event": event.name if event else record.name,
--- a/bitternlever/telemetry/metrics.py
+++ b/bitternlever/telemetry/metrics.py
@@ -60,11 +60,12 @@
     provider = _provider(settings, service)
     meter = provider.get_meter("bitternlever")
     for source in sources:
-        _observe(meter, source)
+        observe(meter, source)
     return provider.shutdown
 
 
-def _observe(meter: Any, source: Source) -> None:
+def observe(meter: Any, source: Source) -> None:
+    """Have a meter read a source at each export."""
     from opentelemetry import metrics
 
     def callback(_: Any) -> list[metrics.Observation]:
--- a/tests/gateway/entry_host.py
+++ b/tests/gateway/entry_host.py
@@ -53,6 +53,7 @@
         readiness_address="",
         control_address="",
         directory_address="",
+        metrics_address="",
         data_folder=None,
         region_of_zone={"a": "r"},
         bounds=BOUNDS,
