--- a/bench/stage_world.py
+++ b/bench/stage_world.py
@@ -112,6 +112,7 @@
     cached: set[tuple[int, str, int]] = dataclasses.field(default_factory=set)
     room: dict[str, float] = dataclasses.field(default_factory=dict)
     sizes: dict[str, float] = dataclasses.field(default_factory=dict)
+    made_s: dict[str, float] = dataclasses.field(default_factory=dict)
     no_room: int = 0
     unused: int = 0
 
@@ -359,6 +360,11 @@
     made = 0
     for item in call.items:
         work = held.works[item.work]
+        inputs = work.message.pieces[item.index].inputs
+        if any(_has_expired(emulation, held, handle) for handle in inputs):
+            gone = batching_tables.ItemDone(None, "gone", lost_input=True)
+            outcomes.append(gone)
+            continue
         spread = emulation.random.uniform(1 - RESULT_SPREAD, 1 + RESULT_SPREAD)
         size = work.message.result_bytes * spread
         if size > room:
@@ -369,6 +375,7 @@
         made += 1
         handle = f"{call.server.zone}|{name}/{next(emulation.numbers)}"
         emulation.sizes[handle] = size
+        emulation.made_s[handle] = emulation.now
         emulation.room[name] = emulation.room.get(name, 0.0) + size
         outcomes.append(batching_tables.ItemDone(handle))
     slow = emulation.world.slow.get(name, 1.0)
@@ -381,6 +388,15 @@
     )
 
 
+def _has_expired(
+    emulation: Emulation,
+    held: batching_tables.Batcher,
+    handle: str,
+) -> bool:
+    made_s = emulation.made_s.get(handle, emulation.now)
+    return emulation.now - made_s > held.capacity.result_s
+
+
 def _worked(
     emulation: Emulation,
     held: batching_tables.Batcher,
--- a/bitternlever/commands/operator.py
+++ b/bitternlever/commands/operator.py
@@ -14,6 +14,7 @@
     operator_config,
     operator_control,
     operator_drain,
+    operator_explain,
     operator_hosts,
     operator_manifest,
     operator_requests,
@@ -24,6 +25,7 @@
     operator_config.Config: operator_config.run,
     operator_control.Control: operator_control.run,
     operator_drain.Drain: operator_drain.run,
+    operator_explain.Explain: operator_explain.run,
     operator_hosts.Hosts: operator_hosts.run,
     operator_manifest.Manifest: operator_manifest.run,
     operator_requests.Requests: operator_requests.run,
@@ -48,6 +50,7 @@
         | operator_upstreams.Upstreams
         | operator_requests.Requests
         | operator_drain.Drain
+        | operator_explain.Explain
         | operator_control.Control
         | operator_config.Config
     ]
--- /dev/null
+++ b/bitternlever/telemetry/explain.py
@@ -0,0 +1,174 @@
+"""Put the log lines about one request together and name the cause of its end."""
+
+import dataclasses
+import json
+from collections.abc import Iterable
+from typing import Any
+
+from bitternlever.telemetry import events
+
+LATE_SHARE = 0.5
+"""A stage that took more than half of all the time is named as what it waited for."""
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Line:
+    """A log line: its time as written, its host, its event and its fields."""
+
+    time: str
+    host: str
+    number: int
+    fields: dict[str, Any]
+
+
+@dataclasses.dataclass(slots=True)
+class Explanation:
+    """A request's way in time order, the cause of its end, and what is missing."""
+
+    request: str
+    way: list[str]
+    cause: str
+    missing: list[str]
+
+    @property
+    def known(self) -> bool:
+        """Tell whether any line speaks of the request."""
+        return bool(self.way)
+
+
+def read(text: Iterable[str]) -> list[Line]:
+    """Read the JSON object of each line; what stands before it is passed over."""
+    lines = []
+    for raw in text:
+        begin = raw.find("{")
+        if begin < 0:
+            continue
+        try:
+            fields = json.loads(raw[begin:])
+        except ValueError:
+            continue
+        if isinstance(fields, dict) and isinstance(fields.get("time"), str):
+            number = fields.get("number")
+            lines.append(
+                Line(
+                    time=fields["time"],
+                    host=str(fields.get("host", "")),
+                    number=number if isinstance(number, int) else 0,
+                    fields=fields,
+                ),
+            )
+    return sorted(lines, key=lambda line: line.time)
+
+
+def explain(request: str, lines: list[Line]) -> Explanation:
+    """Explain what became of a request."""
+    own = [line for line in lines if _speaks_of(line, request)]
+    return Explanation(
+        request=request,
+        way=[_told(line) for line in own],
+        cause=_cause(own, lines),
+        missing=_missing(own, lines),
+    )
+
+
+def _speaks_of(line: Line, request: str) -> bool:
+    fields = line.fields
+    return fields.get("request") == request or request in (fields.get("requests") or ())
+
+
+def _told(line: Line) -> str:
+    hidden = {"time", "host", "program", "level", "number", "event", "text", "requests"}
+    fields = " ".join(
+        f"{name}={value}"
+        for name, value in line.fields.items()
+        if name not in hidden and value is not None
+    )
+    return f"{line.time} {line.host} {line.fields.get('event', '')} {fields}".rstrip()
+
+
+def _cause(own: list[Line], lines: list[Line]) -> str:
+    if not own:
+        return "no line speaks of this request"
+    by_number = {line.number: line for line in own}
+    for event, tell in (
+        (events.STREAM_CUT_OFF, _cut_off),
+        (events.REQUEST_REFUSED, _refused),
+        (events.REQUEST_CANCELLED, _cancelled),
+        (events.REQUEST_ANSWERED, _answered),
+    ):
+        line = by_number.get(event.number)
+        if line is not None:
+            return tell(line, own)
+    admitted = by_number.get(events.REQUEST_ADMITTED.number, own[0])
+    return _lost(admitted.host, own[-1], lines)
+
+
+def _refused(line: Line, own: list[Line]) -> str:
+    fields = line.fields
+    failed = [each for each in own if each.number == events.ATTEMPT_FAILED.number]
+    text = f"refused with {fields.get('status')}: {fields.get('reason')}"
+    text += f", after {fields.get('waited_s')} s"
+    if failed:
+        last = failed[-1].fields
+        text += f"; the last of {len(failed)} attempts, at {last.get('upstream')}"
+        text += f", failed: {last.get('reason')}"
+    return text
+
+
+def _cut_off(line: Line, own: list[Line]) -> str:
+    return (
+        f"the stream was cut off after event {line.fields.get('last_event')}: "
+        f"{line.fields.get('reason')}"
+    )
+
+
+def _cancelled(line: Line, own: list[Line]) -> str:
+    fields = line.fields
+    where = "at its upstream" if fields.get("sent") else "before it was sent"
+    stages = [each for each in own if each.number == events.STAGE_CALL_DONE.number]
+    text = f"the caller left after {fields.get('after_s')} s, {where}"
+    if stages and not fields.get("sent"):
+        last = stages[-1].fields
+        text += f"; {last.get('waiting')} pieces waited at {last.get('service')}"
+    return text
+
+
+def _answered(line: Line, own: list[Line]) -> str:
+    fields = line.fields
+    text = f"answered with {fields.get('status')} after {fields.get('took_s')} s"
+    first_s = fields.get("first_s")
+    if first_s is None:
+        return text
+    text += f", its first event after {first_s} s"
+    stages = fields.get("stages") or []
+    if stages:
+        number, longest_s = max(stages, key=lambda each: each[1])
+        share = longest_s / first_s if first_s else 0.0
+        mostly = "mostly" if share > LATE_SHARE else "longest"
+        text += f"; {mostly} at stage {number} ({longest_s} s)"
+    return text
+
+
+def _lost(host: str, last: Line, lines: list[Line]) -> str:
+    """Tell of a request without an end: its host ended, or its lines are missing."""
+    later = [line for line in lines if line.host == host and line.time > last.time]
+    for line in later:
+        if line.number == events.PROGRAM_STARTED.number:
+            return f"lost with its host: {host} started again at {line.time}"
+        if line.number == events.PROGRAM_ENDED.number:
+            return f"lost with its host: {host} ended at {line.time}"
+    if not later:
+        return f"lost with its host: {host} said nothing after {last.time}"
+    return f"not ended in these lines; {host} goes on until {later[-1].time}"
+
+
+def _missing(own: list[Line], lines: list[Line]) -> list[str]:
+    """Tell which hosts left out lines while the request was under way."""
+    if not own:
+        return []
+    first, last = own[0].time, own[-1].time
+    return [
+        f"{line.host} left out {line.fields['left_out']} lines before {line.time}"
+        for line in lines
+        if "left_out" in line.fields and line.time >= first and line.time[:19] <= last
+    ]
