--- a/bench/stage_world.py
+++ b/bench/stage_world.py
@@ -12,6 +12,7 @@
 import heapq
 import itertools
 import random
+import zlib
 from collections.abc import Callable
 
 from bitternlever.batching import batcher, tables as batching_tables
@@ -192,7 +193,8 @@
         first_s=emulation.now,
         context=_context(emulation, kind, pieces, emulation.now),
         subject=subject,
-        engine=hash((kind.route.name, subject)) % len(emulation.world.engines),
+        engine=zlib.crc32(f"{kind.route.name} {subject}".encode())
+        % len(emulation.world.engines),
     )
     emulation.flights.append(flight)
     _begin(emulation, flight)
--- /dev/null
+++ b/tests/platform/fleet_processes.py
@@ -0,0 +1,174 @@
+"""A small fleet of real processes on loopback addresses, set up as on the platform."""
+
+import asyncio
+import contextlib
+import dataclasses
+import json
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import urllib.error
+import urllib.request
+from collections.abc import Iterator
+
+ROOT = pathlib.Path(__file__).parents[2]
+ZONES = ("a", "b", "c")
+POLL_S = 0.05
+
+
+@dataclasses.dataclass(slots=True)
+class Fleet:
+    """The processes by name, their folders, and the ports that all share."""
+
+    folder: pathlib.Path
+    network: int
+    port: int
+    processes: dict[str, subprocess.Popen] = dataclasses.field(default_factory=dict)
+
+    def ip(self, name: str) -> str:
+        """Return the address of a machine: control-a is .1, entry-a is .11."""
+        place = ZONES.index(name[-1]) + (1 if name.startswith("control") else 11)
+        return f"127.{self.network}.1.{place}"
+
+    def address(self, name: str, offset: int) -> str:
+        """Return a listening address of a machine."""
+        return f"{self.ip(name)}:{self.port + offset}"
+
+    def settings(self, name: str, bootstrap: bool = True, seeds=ZONES) -> str:
+        """Return the settings file of a process."""
+        seed_list = ", ".join(
+            f'"{self.address(f"control-{zone}", 0)}"' for zone in seeds
+        )
+        control = name.startswith("control")
+        listen = (
+            f'control = "{self.address(name, 0)}"'
+            if control
+            else f'front = "{self.address(name, 1)}"\n'
+            f'ready = "{self.address(name, 2)}"\n'
+            f'directory = "{self.address(name, 3)}"'
+        )
+        data = f'data_dir = "{self.folder / name}"' if control else ""
+        return (
+            f'node = "{name}"\nbind_ip = "{self.ip(name)}"\nzone = "{name[-1]}"\n'
+            f'region = "r"\nport_range = [{self.port + 10}, {self.port + 20}]\n'
+            f"seed_addrs = [{seed_list}]\n"
+            f"bootstrap = {str(bootstrap).lower()}\n{data}\n"
+            f'[zones]\na = "r"\nb = "r"\nc = "r"\n[listen]\n{listen}\n'
+            "[bounds]\ngrace_s = 6\nstrict_revoke = true\nrevoke_ms = 5000\n"
+        )
+
+    def start(self, name: str, **options) -> None:
+        """Start a process; its output goes to a file."""
+        path = self.folder / f"{name}.toml"
+        path.write_text(self.settings(name, **options))
+        program = name.partition("-")[0]
+        with (self.folder / f"{name}.log").open("ab") as log:
+            self.processes[name] = subprocess.Popen(
+                [sys.executable, "-m", "bitternlever.platform", program],
+                cwd=ROOT,
+                env={**os.environ, "BITTERNLEVER_BOOT": str(path)},
+                stdout=log,
+                stderr=log,
+            )
+
+    def kill(self, name: str) -> None:
+        """End a process at once."""
+        process = self.processes.pop(name)
+        process.send_signal(signal.SIGKILL)
+        process.wait()
+
+    def stop(self, name: str, within_s: float = 8.0) -> int:
+        """Tell a process to stop and return its exit code."""
+        process = self.processes.pop(name)
+        process.send_signal(signal.SIGTERM)
+        return process.wait(within_s)
+
+    def log(self, name: str) -> str:
+        """Return what a process has written."""
+        return (self.folder / f"{name}.log").read_text()
+
+
+@contextlib.contextmanager
+def running(folder: pathlib.Path, network: int) -> Iterator[Fleet]:
+    """Run three control processes and two entry hosts; end them at the end."""
+    fleet = Fleet(folder=folder, network=network, port=21_000 + 100 * (network % 50))
+    try:
+        for zone in ZONES:
+            fleet.start(f"control-{zone}")
+        for zone in ZONES[:2]:
+            fleet.start(f"entry-{zone}")
+        yield fleet
+    finally:
+        for name in list(fleet.processes):
+            fleet.kill(name)
+
+
+def ask(
+    method: str,
+    address: str,
+    path: str,
+    body: bytes | None = None,
+    **headers: str,
+) -> tuple[int, bytes]:
+    """Send one request, following redirects; status 0 where nobody answers."""
+    for _ in range(3):
+        request = urllib.request.Request(
+            f"http://{address}{path}",
+            data=body,
+            method=method,
+            headers={name.replace("_", "-"): each for name, each in headers.items()},
+        )
+        try:
+            with _opener.open(request, timeout=2.0) as answer:
+                return answer.status, answer.read()
+        except urllib.error.HTTPError as error:
+            location = error.headers.get("Location")
+            if error.code != 307 or location is None:
+                return error.code, error.read()
+            address = location.removeprefix("http://").partition("/")[0]
+        except OSError:
+            return 0, b""
+    return 0, b""
+
+
+class _NoRedirects(urllib.request.HTTPRedirectHandler):
+    def redirect_request(self, *arguments):
+        return None
+
+
+_opener = urllib.request.build_opener(_NoRedirects)
+
+
+async def until(condition, within_s: float = 15.0):
+    """Wait until a condition, asked on a thread, is true; return its value."""
+    async with asyncio.timeout(within_s):
+        while True:
+            value = await asyncio.to_thread(condition)
+            if value:
+                return value
+            await asyncio.sleep(POLL_S)
+
+
+def config(version: int, **changes) -> bytes:
+    """Return a config with one plain route."""
+    route = {
+        "name": "r",
+        "host": "h.example",
+        "path_prefix": "/a/",
+        "kind": "idempotent",
+        "timeout_ms": 4_000,
+        "goal_ms": 500,
+        "priority": 1,
+        "service": "plain",
+        "max_attempts": 2,
+    }
+    whole = {
+        "version": version,
+        "routes": [route],
+        "services": [{"name": "plain", "max_conns": 100}],
+        "limits": {},
+        "tenants": [{"name": "w", "api_keys": ["key"]}],
+    }
+    return json.dumps({**whole, **changes}).encode()
