--- a/bench/stage_world.py
+++ b/bench/stage_world.py
@@ -15,7 +15,7 @@
 import zlib
 from collections.abc import Callable
 
-from bitternlever.batching import batcher, tables as batching_tables
+from bitternlever.batching import batcher, order, tables as batching_tables
 from bitternlever.catalog import routes, tables as catalog_tables
 from bitternlever.gateway import (
     context as gateway_context,
@@ -247,6 +247,10 @@
     flight.attempt += 1
     flight.context.engine_zone = emulation.world.engines[flight.engine]
     emulation.active[flight.context.head.request] = flight
+    away_s = schedule.turned_away_s(emulation.tables, flight.context, emulation.now)
+    if away_s is not None:
+        _refuse(emulation, flight, away_s)
+        return
     _advance(emulation, flight)
 
 
@@ -318,6 +322,11 @@
     )
     held = emulation.batchers[stage.service]
     refused = batcher.submit(held, now, work, "host")
+    emulation.tables.backlogs[stage.service] = gateway_tables.Backlog(
+        work_s=batcher.backlog_s(held, order.waiting(held, now)),
+        on_time_s=batcher.backlog_s(held, order.on_time(held, now)),
+        told_s=now,
+    )
     if refused is not None:
         _refuse(emulation, flight, refused.refusal.retry_after_s)
         return
@@ -483,6 +492,12 @@
 
 
 def _refuse(emulation: Emulation, flight: Flight, retry_after_s: float) -> None:
+    for number in flight.started - flight.done:
+        stage = flight.kind.route.stages[number]
+        began_s = flight.began[number]
+        schedule.learn_wait(
+            emulation.tables, flight.context, stage, began_s, emulation.now
+        )
     _end(emulation, flight)
     held_s = emulation.now - flight.context.arrived_s
     flight.refused_after_s += held_s
--- a/bench/stages.py
+++ b/bench/stages.py
@@ -180,12 +180,14 @@
     )
     lost = {"retrieve": ("a", "b"), "encode": ZONES, "rerank": ZONES}
     short = {"rerank": ("a", "b"), "encode": ZONES, "retrieve": ZONES}
+    one = {"retrieve": ("a",), "encode": ZONES, "rerank": ZONES}
     return {
         "narrow": narrow,
         "narrow-lost": dataclasses.replace(narrow, upstreams=lost),
         "narrow-slow": dataclasses.replace(narrow, slow={"encode-1": 3.0}),
         "wide": wide,
         "wide-lost": dataclasses.replace(wide, upstreams=short),
+        "wide-short": dataclasses.replace(wide, upstreams=one),
         "wide-slow": dataclasses.replace(wide, slow={"retrieve-1": 3.0}),
     }
 
--- a/bitternlever/batching/batcher.py
+++ b/bitternlever/batching/batcher.py
@@ -115,6 +115,15 @@
     return free_s - now + max(pieces / _piece_rate(batcher), by_room_s)
 
 
+def backlog_s(batcher: tables.Batcher, works: list[tables.Work]) -> float:
+    """Return how long what these works wait for will take at the present rates."""
+    if not works or not batcher.servers:
+        return 0.0
+    pieces = sum(len(work.waiting) for work in works)
+    size = sum(len(work.waiting) * work.message.result_bytes for work in works)
+    return max(pieces / _piece_rate(batcher), size / _room_rate(batcher))
+
+
 def _piece_rate(batcher: tables.Batcher) -> float:
     """Return how many pieces a second full calls to all upstreams make."""
     capacity = batcher.capacity
--- a/bitternlever/batching/order.py
+++ b/bitternlever/batching/order.py
@@ -21,6 +21,15 @@
     return sorted(works, key=lambda work: rank(batcher, now, work))
 
 
+def on_time(batcher: tables.Batcher, now: float) -> list[tables.Work]:
+    """Return the works with waiting pieces that can still meet their objective."""
+    return [
+        work
+        for work in batcher.works.values()
+        if work.waiting and not (work.late or is_late(batcher, now, work))
+    ]
+
+
 def rank(batcher: tables.Batcher, now: float, work: tables.Work) -> tuple:
     """Return the sort key of a work; smaller goes first."""
     message = work.message
--- a/bitternlever/gateway/schedule.py
+++ b/bitternlever/gateway/schedule.py
@@ -3,7 +3,8 @@
 Load: a request runs through several busy stages before its engine, and its callers
 judge the time to the first event. Early stages count what the later ones take at
 present, and a stage that nothing follows starts late enough that its results don't lie
-about while the others are at work. All functions are pure but for ``learn_wait``.
+about while the others are at work. A request that would only wait in vain is turned
+away before its first stage. All functions are pure but for ``learn_wait``.
 """
 
 from bitternlever.catalog import tables as catalog_tables
@@ -88,7 +89,7 @@
     return max(
         (
             cost_s(context, each)
-            + estimates.decayed_s(wait_at(tables, each.service), now)
+            + expected_wait_s(tables, each.service, now)
             + expected_rest_s(tables, context, each, now)
             for each in context.route.stages
             if stage.number in each.after
@@ -153,6 +154,73 @@
     return context.first_event_s - now - remaining_s(context, stage)
 
 
+def turned_away_s(
+    tables: gateway_tables.GatewayTables,
+    context: gateway_context.Context,
+    now: float,
+) -> float | None:
+    """Return when a new request should come back, None where it is let in.
+
+    Who can be on time is always let in. Others wait behind the whole queue of each of
+    their stages; where that takes longer than their callers stay, no stage is begun.
+    """
+    first = [stage for stage in context.route.stages if not stage.after]
+    spare_s = min(
+        objective_left_s(tables, context, stage, now)
+        - cost_s(context, stage)
+        - expected_wait_s(tables, stage.service, now)
+        for stage in first
+    )
+    if spare_s >= 0:
+        return None
+    latest_s = max(_behind_all_s(tables, context, stage, now) for stage in first)
+    excess_s = now + latest_s - context.first_event_s
+    return excess_s if excess_s > 0 else None
+
+
+def _behind_all_s(
+    tables: gateway_tables.GatewayTables,
+    context: gateway_context.Context,
+    stage: catalog_tables.Stage,
+    now: float,
+) -> float:
+    """Return how long the way from a stage on takes behind all that waits."""
+    rest_s = max(
+        (
+            _behind_all_s(tables, context, each, now)
+            for each in context.route.stages
+            if stage.number in each.after
+        ),
+        default=READ_PROMPT_S,
+    )
+    if count_of(context, stage) == 0:
+        return rest_s
+    return rest_s + cost_s(context, stage) + backlog_s(tables, stage.service, now)
+
+
+def expected_wait_s(
+    tables: gateway_tables.GatewayTables,
+    service: str,
+    now: float,
+) -> float:
+    """Return the wait of work on time: as learnt, or what its host told last."""
+    learnt_s = estimates.decayed_s(wait_at(tables, service), now)
+    told = tables.backlogs.get(service)
+    if told is None:
+        return learnt_s
+    return max(learnt_s, told.on_time_s - (now - told.told_s))
+
+
+def backlog_s(
+    tables: gateway_tables.GatewayTables,
+    service: str,
+    now: float,
+) -> float:
+    """Return how long a service's queue will take, as last told, less its age."""
+    told = tables.backlogs.get(service)
+    return 0.0 if told is None else max(0.0, told.work_s - (now - told.told_s))
+
+
 def learn_wait(
     tables: gateway_tables.GatewayTables,
     context: gateway_context.Context,
--- a/bitternlever/gateway/tables.py
+++ b/bitternlever/gateway/tables.py
@@ -32,13 +32,26 @@
     running_tokens: int = 0
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Backlog:
+    """How long what waits at a stage service will take, as told at ``told_s``.
+
+    ``on_time_s`` counts only the work that can still meet its objective.
+    """
+
+    work_s: float
+    on_time_s: float
+    told_s: float
+
+
 @dataclasses.dataclass(slots=True)
 class GatewayTables:
     """Everything that an entry host knows.
 
     ``current_s`` is the newest time at which the catalog in force was known to be
-    the newest one; None before the first. ``waits`` estimates the wait at each stage
-    service, ``first_pieces`` the time to a service's first piece of an answer.
+    the newest one; None before the first. ``backlogs`` are what batching hosts told
+    last of their queues, ``waits`` estimates the wait at each stage service for work on
+    time, ``first_pieces`` the time to a service's first piece of an answer.
     """
 
     word: fleet.HostWord
@@ -55,6 +68,7 @@
         default_factory=dict,
     )
     suspects: dict[str, float] = dataclasses.field(default_factory=dict)
+    backlogs: dict[str, Backlog] = dataclasses.field(default_factory=dict)
     waits: dict[str, estimates.Estimate] = dataclasses.field(default_factory=dict)
     first_pieces: dict[str, estimates.Estimate] = dataclasses.field(
         default_factory=dict,
