Turn requests away at once that would only wait in vain

Batching hosts tell their queue with each acceptance; a request that cannot be on time and whose caller leaves before the queue is done is refused before its first stage. A test of the real programs killed a second control process before the wiped one voted again, which is more than the group bears; it now waits until it votes.

--- a/bitternlever/fleet/measures.py
+++ b/bitternlever/fleet/measures.py
@@ -2,6 +2,7 @@
 
 import typing
 
+from bitternlever.consensus import tables as consensus_tables
 from bitternlever.fleet import tables as fleet_tables
 from bitternlever.gateway import measures as gateway_measures
 from bitternlever.telemetry import bounded, metrics
@@ -39,6 +40,7 @@
     own = tables.replica
     believed: dict[str, float] = {
         "leads": float(fleet_tables.leads(tables)),
+        "votes": float(consensus_tables.is_voter(own)),
         "term": own.term,
         "commit_index": own.commit_index,
         "applied_index": own.applied_index,
--- a/bitternlever/gateway/batching.py
+++ b/bitternlever/gateway/batching.py
@@ -11,9 +11,14 @@
 from collections.abc import Callable
 from typing import Any
 
-from bitternlever.batching import batcher, tables as batching_tables
+from bitternlever.batching import batcher, order, tables as batching_tables
 from bitternlever.core import clocks
-from bitternlever.gateway import dialect as gateway_dialect, state, sync
+from bitternlever.gateway import (
+    dialect as gateway_dialect,
+    state,
+    sync,
+    tables as gateway_tables,
+)
 from bitternlever.messages import fleet
 from bitternlever.routing import affinity
 from bitternlever.telemetry import events
@@ -73,6 +78,8 @@
             while isinstance(answer, fleet.StageAccepted | fleet.StageBegun):
                 if isinstance(answer, fleet.StageBegun):
                     begun.set()
+                else:
+                    _note_backlog(gateway, work.service, answer)
                 answer = None
                 answer = await _next(mailbox, ASK_AGAIN_S)
             if answer is not None:
@@ -150,6 +157,18 @@
         return None
 
 
+def _note_backlog(
+    gateway: state.Gateway,
+    service: str,
+    accepted: fleet.StageAccepted,
+) -> None:
+    gateway.tables.backlogs[service] = gateway_tables.Backlog(
+        work_s=accepted.backlog_s,
+        on_time_s=accepted.on_time_s,
+        told_s=clocks.boot_time(),
+    )
+
+
 def _suspect(gateway: state.Gateway, now: float, link: str) -> None:
     if link != gateway.settings.link:
         gateway.tables.suspects[link] = now + SUSPECT_S
@@ -175,7 +194,12 @@
             _finish(gateway, refused)
             return
         pump_later(gateway)
-    state.send(gateway, link, fleet.StageAccepted(work=message.work))
+    accepted = fleet.StageAccepted(
+        work=message.work,
+        backlog_s=batcher.backlog_s(held, order.waiting(held, now)),
+        on_time_s=batcher.backlog_s(held, order.on_time(held, now)),
+    )
+    state.send(gateway, link, accepted)
 
 
 def _batcher(gateway: state.Gateway, service: str) -> batching_tables.Batcher | None:
--- a/bitternlever/gateway/requests.py
+++ b/bitternlever/gateway/requests.py
@@ -111,6 +111,10 @@
     """Run the stages, then pass the request on; again where results were lost."""
     if not context.route.stages:
         return await forward.run(gateway, request, context, lambda: None)
+    away_s = schedule.turned_away_s(gateway.tables, context, context.arrived_s)
+    if away_s is not None:
+        reason = "the backlog is longer than the caller waits"
+        return gateway_context.Refusal(503, reason, max(LOST_RETRY_S, away_s))
     likely = forward.choose(gateway, context, context.arrived_s)
     if likely is not None:
         context.engine_zone = likely.zone
--- a/bitternlever/messages/fleet.py
+++ b/bitternlever/messages/fleet.py
@@ -149,9 +149,15 @@
 
 
 class StageAccepted(msgspec.Struct, tag=True, frozen=True):
-    """The work stands in the queue of the host that batches its service."""
+    """The work stands in the queue of the host that batches its service.
+
+    ``backlog_s`` is how long all that waits there will take, ``on_time_s`` what of it
+    can still meet its objective.
+    """
 
     work: str
+    backlog_s: float = 0.0
+    on_time_s: float = 0.0
 
 
 class StageBegun(msgspec.Struct, tag=True, frozen=True):
--- a/tests/gateway/test_decisions.py
+++ b/tests/gateway/test_decisions.py
@@ -310,3 +310,38 @@
     assert splitter.take(b"\n") == b"id: 2\ndata: b\n\n"
     assert splitter.last_event == "2"
     assert splitter.rest == b""
+
+
+def told(held, service, work_s, on_time_s=0.0, told_s=NOW):
+    held.backlogs[service] = gateway_tables.Backlog(work_s, on_time_s, told_s)
+
+
+def test_a_request_that_can_be_on_time_is_let_in_whatever_waits():
+    held = tables()
+    told(held, "rerank", work_s=60.0)
+
+    assert schedule.turned_away_s(held, staged(), NOW) is None
+
+
+def test_a_request_that_would_wait_in_vain_is_turned_away_with_the_excess():
+    held = tables()
+    told(held, "rerank", work_s=30.0, on_time_s=3.0)
+
+    away_s = schedule.turned_away_s(held, staged(), NOW)
+
+    assert 20.0 < away_s < 30.0
+
+
+def test_a_late_request_is_let_in_where_its_caller_waits_long_enough():
+    held = tables()
+    told(held, "rerank", work_s=3.0, on_time_s=3.0)
+
+    assert schedule.turned_away_s(held, staged(), NOW) is None
+
+
+def test_what_was_told_of_a_queue_ages():
+    held = tables()
+    told(held, "rerank", work_s=30.0, on_time_s=3.0, told_s=NOW - 40.0)
+
+    assert schedule.turned_away_s(held, staged(), NOW) is None
+    assert schedule.backlog_s(held, "rerank", NOW) == 0.0
--- a/tests/platform/test_processes.py
+++ b/tests/platform/test_processes.py
@@ -99,7 +99,7 @@
         fleet.kill("control-c")
         shutil.rmtree(tmp_path / "control-c")
         fleet.start("control-c", bootstrap=False)
-        await fleet_processes.until(lambda: _newest(fleet, "control-c") == 5)
+        await fleet_processes.until(lambda: _votes(fleet, "control-c"))
         fleet.kill("control-a")
         await fleet_processes.until(lambda: _newest(fleet, "control-b") == 5)
         assert await asyncio.to_thread(announce, fleet, server, 2) == 200
@@ -151,6 +151,12 @@
     assert "seed_addrs = []: name one control address" in fleet.log(f"{program}-a")
 
 
+def _votes(fleet, name: str) -> bool:
+    address = f"{fleet.ip(name)}:9181"
+    _, body = fleet_processes.ask("GET", address, "/metrics")
+    return b'bitternlever_control_state{name="votes"} 1' in body
+
+
 def _newest(fleet, name: str) -> int:
     status, body = fleet_processes.ask("GET", fleet.address(name, 0), CONFIG)
     return json.loads(body)["version"] if status == 200 else -1
