--- a/bitternlever/fleet/tables.py
+++ b/bitternlever/fleet/tables.py
@@ -11,6 +11,12 @@
 
 GROUP = 0
 
+ELECTION_TIMEOUT_S = 0.5
+"""A lost packet is sent again after 0.2 s; a killed leader is replaced in a second."""
+
+HEARTBEAT_S = 0.12
+"""Four heartbeats within an election timeout."""
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class FleetSettings:
@@ -26,8 +32,8 @@
     run: str
     seeds: tuple[str, ...]
     may_found: bool
-    election_timeout_s: float = 0.8
-    heartbeat_s: float = 0.2
+    election_timeout_s: float = ELECTION_TIMEOUT_S
+    heartbeat_s: float = HEARTBEAT_S
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/bitternlever/gateway/requests.py
+++ b/bitternlever/gateway/requests.py
@@ -25,8 +25,11 @@
 PROVEN_SHARE = 0.8
 """Part of the revocation bound for which a catalog counts as current."""
 
-NOT_READY_RETRY_S = 0.5
-"""A starting host has its catalog within about this time."""
+EXPECTED_START_S = 1.8
+"""A host has its catalog so long after its start where control starts with it."""
+
+NOT_READY_RETRY_S = 0.3
+"""The least time after which a caller may come back to a starting host."""
 
 STALE_RETRY_S = 0.3
 """A caller that comes back reaches another host."""
@@ -188,7 +191,9 @@
     tables = gateway.tables
     age_s = sync.proven_age_s(tables, now)
     if age_s is None:
-        return _err(503, "no current catalog yet", NOT_READY_RETRY_S)
+        left_s = EXPECTED_START_S - (now - gateway.started_s)
+        retry_s = max(NOT_READY_RETRY_S, left_s)
+        return _err(503, "no current catalog yet", retry_s)
     catalog = tables.catalog
     target = request.raw_path
     path = target.partition("?")[0]
--- a/bitternlever/gateway/shell.py
+++ b/bitternlever/gateway/shell.py
@@ -80,6 +80,7 @@
         pool=exchange.Pool(clock=clocks.boot_time),
         stopped=loop.create_future(),
         deliver=_dispatch,
+        started_s=clocks.boot_time(),
     )
     gateway.links = links.listen(
         node=settings.link,
--- a/bitternlever/gateway/state.py
+++ b/bitternlever/gateway/state.py
@@ -32,7 +32,8 @@
 class Gateway:
     """Everything round the tables of one entry host.
 
-    ``deliver`` takes a message of this host to itself.
+    ``deliver`` takes a message of this host to itself; ``started_s`` is of the boot
+    clock.
     """
 
     settings: fleet_settings.FleetConfiguration
@@ -41,6 +42,7 @@
     pool: exchange.Pool
     stopped: asyncio.Future
     deliver: Callable[["Gateway", str, Any], None]
+    started_s: float
     batching: Batching = dataclasses.field(default_factory=Batching)
     links: transport_links.Links | None = None
     state: fleet.HostState = fleet.HostState.STARTING
