Free results once the engine has surely fetched them

Cause: results were freed at the first event; an engine that read long prompts held three seconds of a stage's room. It fetches its inputs before it reads the prompt, and a missing one makes it refuse without running (409), after which the stages run again.

--- a/bitternlever/gateway/forward.py
+++ b/bitternlever/gateway/forward.py
@@ -49,6 +49,9 @@
 
 FULL_RETRY_S = 0.3
 
+INPUTS_FETCHED_S = 0.08
+"""An engine has fetched its inputs by then, ten times what their links take."""
+
 logger = logging.getLogger(__name__)
 
 
@@ -279,11 +282,18 @@
         return Failure(error.reason, error.sent)
     sent_before = context.sent
     context.sent = True
+    fetched = None
+    if context.inputs:
+        loop = asyncio.get_running_loop()
+        fetched = loop.call_later(INPUTS_FETCHED_S, relay.on_first_piece)
     try:
         head = await exchange.read_head(connection)
     except BaseException:
         exchange.discard(connection)
         raise
+    finally:
+        if fetched is not None:
+            fetched.cancel()
     answer = gateway.dialect.read_answer(head.status, head.headers)
     attempt = Attempt(word, connection, head, answer)
     if answer.request is not None and answer.request != context.head.request:
