--- a/bench/stage_world.py
+++ b/bench/stage_world.py
@@ -31,6 +31,7 @@
 PROMPT_TOKENS_PER_S = 63_900.0
 ENGINE_LEAST_S = 0.03
 RESULT_SPREAD = 0.2
+INPUTS_FETCHED_S = 0.05
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -114,6 +115,7 @@
     room: dict[str, float] = dataclasses.field(default_factory=dict)
     sizes: dict[str, float] = dataclasses.field(default_factory=dict)
     made_s: dict[str, float] = dataclasses.field(default_factory=dict)
+    crossed_bytes: float = 0.0
     no_room: int = 0
     unused: int = 0
 
@@ -376,6 +378,7 @@
             gone = batching_tables.ItemDone(None, "gone", lost_input=True)
             outcomes.append(gone)
             continue
+        _count_crossed(emulation, inputs, call.server.zone)
         spread = emulation.random.uniform(1 - RESULT_SPREAD, 1 + RESULT_SPREAD)
         size = work.message.result_bytes * spread
         if size > room:
@@ -399,6 +402,12 @@
     )
 
 
+def _count_crossed(emulation: Emulation, handles: list[str], zone: str) -> None:
+    for handle in handles:
+        if not handle.startswith(f"{zone}|"):
+            emulation.crossed_bytes += emulation.sizes.get(handle, 0.0)
+
+
 def _has_expired(
     emulation: Emulation,
     held: batching_tables.Batcher,
@@ -474,6 +483,10 @@
     emulation.cached.add(key)
     own = kind.own_tokens * emulation.random.lognormvariate(-0.5, 1.0)
     read_s = (shared + own) / PROMPT_TOKENS_PER_S
+    for handles in flight.handles.values():
+        _count_crossed(emulation, handles, emulation.world.engines[flight.engine])
+    fetched_s = emulation.now + INPUTS_FETCHED_S
+    _at(emulation, fetched_s, lambda: _fetched(emulation, flight))
     begin_s = max(emulation.now, emulation.engine_free_s[flight.engine])
     emulation.engine_free_s[flight.engine] = begin_s + read_s
     staged_s = emulation.now
@@ -481,6 +494,12 @@
     _at(emulation, first_s, lambda: _first_event(emulation, flight, staged_s))
 
 
+def _fetched(emulation: Emulation, flight: Flight) -> None:
+    if not flight.outcome:
+        for number in list(flight.handles):
+            _free(emulation, flight, number)
+
+
 def _first_event(emulation: Emulation, flight: Flight, staged_s: float) -> None:
     if flight.outcome:
         return
--- a/bench/stages.py
+++ b/bench/stages.py
@@ -209,6 +209,7 @@
         "refused": len(refused) / len(flights),
         "held": held / owed,
         "left": len(left) / len(flights),
+        "crossed_gb": emulation.crossed_bytes / 1e9,
         "no_room": emulation.no_room,
         "unused": emulation.unused,
     }
--- a/bitternlever/batching/batcher.py
+++ b/bitternlever/batching/batcher.py
@@ -25,10 +25,14 @@
 FULL_PAUSE_S = 0.05
 """How long an upstream that is full, or out of room, is left alone."""
 
-FAILED_PAUSE_S = 0.2
+FAILED_PAUSE_S = 0.05
 """How long an upstream is left alone after a failed call, doubled by each more."""
 
-MAXIMUM_PAUSE_S = 4.0
+MAXIMUM_PAUSE_S = 0.8
+"""An upstream that refuses connections is asked again at this interval at least."""
+
+SILENT_PAUSE_FACTOR = 8.0
+"""Silence costs the works of a call far more time than a failure that is told."""
 
 SLOWNESS_WEIGHT = 0.4
 """Weight of the newest call in an upstream's slowness."""
@@ -41,6 +45,9 @@
 SHARE_WEIGHT = 0.1
 """Weight of the newest call in the mean share of work on time."""
 
+LATE_HOME_WAIT_S = 1.0
+"""How long late work waits for its own zone: several calls of a sound upstream."""
+
 LATE_ROOM_SHARE = 0.6
 """Part of an upstream's room for results that late work has for a further stage.
 
@@ -219,6 +226,7 @@
     number: int,
     *,
     full: bool,
+    silent: bool = False,
 ) -> list[tables.Finished]:
     """Queue the pieces of a failed call again and leave the upstream alone a while.
 
@@ -233,9 +241,9 @@
     else:
         _learn_speed(call, now)
         _note_lost_results(batcher, now, call)
-        pause_s = FAILED_PAUSE_S * 2**server.failures
+        pause_s = min(MAXIMUM_PAUSE_S, FAILED_PAUSE_S * 2**server.failures)
         server.failures += 1
-        server.resume_s = now + min(MAXIMUM_PAUSE_S, pause_s)
+        server.resume_s = now + pause_s * (SILENT_PAUSE_FACTOR if silent else 1.0)
     ended = []
     for item in call.items:
         work = batcher.works.get(item.work)
@@ -361,7 +369,11 @@
     now: float,
     work: tables.Work,
 ) -> bool:
-    """Tell whether upstreams in a work's own zone would make it miss its objective."""
+    """Tell whether upstreams in a work's own zone would make it miss its objective.
+
+    Late work that they have seen has nothing to miss: it stays unless they are busy
+    for long.
+    """
     home = [
         server
         for server in batcher.servers.values()
@@ -370,7 +382,9 @@
     if not home:
         return True
     free_s = min(max(server.busy_until_s, server.resume_s, now) for server in home)
-    return work.objective_s < free_s + full_call_s(batcher.capacity)
+    if work.late:
+        return free_s > now + LATE_HOME_WAIT_S
+    return work.objective_s < free_s + order.shortest_call_s(batcher, work)
 
 
 @dataclasses.dataclass(slots=True)
--- a/bitternlever/gateway/batching.py
+++ b/bitternlever/gateway/batching.py
@@ -271,7 +271,7 @@
         call.server.address, call.server.upstream, items
     )
     timeout_s = call.expected_s * CALL_TIMEOUT_FACTOR + CALL_TIMEOUT_EXTRA_S
-    full = False
+    full = silent = False
     outcomes = None
     reason = ""
     try:
@@ -284,6 +284,7 @@
             outcomes = decoded.unwrap_or(None)
             reason = decoded.err() or ""
     except TimeoutError:
+        silent = True
         reason = f"no answer within {timeout_s:.2f} s"
     except exchange.ExchangeError as error:
         reason = error.reason
@@ -297,7 +298,7 @@
             items=len(items),
             reason=reason,
         )
-        ended = batcher.call_failed(held, now, call.number, full=full)
+        ended = batcher.call_failed(held, now, call.number, full=full, silent=silent)
     else:
         gateway.measures.batches[f"{held.service}.calls"] += 1
         gateway.measures.batches[f"{held.service}.pieces"] += len(items)
--- a/bitternlever/gateway/forward.py
+++ b/bitternlever/gateway/forward.py
@@ -49,8 +49,8 @@
 
 FULL_RETRY_S = 0.3
 
-INPUTS_FETCHED_S = 0.08
-"""An engine has fetched its inputs by then, ten times what their links take."""
+INPUTS_FETCHED_S = 0.05
+"""An engine has fetched its inputs by then, several times what their links take."""
 
 logger = logging.getLogger(__name__)
 
--- a/tests/batching/test_batcher.py
+++ b/tests/batching/test_batcher.py
@@ -339,3 +339,29 @@
     batcher.forget_expired(held, NOW + 0.2 + held.capacity.result_s)
 
     assert held.servers["s0"].results == {}
+
+
+def test_an_upstream_that_is_silent_rests_longer_than_one_that_tells_its_failure():
+    rests = []
+    for silent in (False, True):
+        held = batch()
+        batcher.submit(held, NOW, work("one"), "link")
+        (call,) = batcher.dispatch(held, NOW)
+        batcher.call_failed(held, NOW, call.number, full=False, silent=silent)
+        rests.append(call.server.resume_s - NOW)
+
+    assert rests[1] > 4 * rests[0]
+
+
+def test_late_work_stays_in_its_zone_unless_that_is_busy_for_long():
+    held = batch(servers=3)
+    late = work("late", home_zone="b", objective_left_s=-1.0)
+    batcher.submit(held, NOW, late, "link")
+    held.works["late"].late = True
+    held.servers["s1"].calls = 1
+    held.servers["s1"].busy_until_s = NOW + 0.3
+
+    assert batcher.dispatch(held, NOW) == []
+    held.servers["s1"].busy_until_s = NOW + 2.0
+    (call,) = batcher.dispatch(held, NOW)
+    assert call.server.zone != "b"
