--- a/bitternlever/transport/links.py
+++ b/bitternlever/transport/links.py
@@ -252,6 +252,7 @@
         return
     now = links.clock()
     if peer.incarnation != frame.incarnation:
+        _follow_restart(links, peer)
         peer.incarnation = frame.incarnation
         peer.received = 0
     if frame.messages:
@@ -266,6 +267,15 @@
         peer.unacknowledged_since_s = None
 
 
+def _follow_restart(links: Links, peer: Peer) -> None:
+    """Dial a peer that has started again.
+
+    Its former connection may hang unnoticed, and so may a dial begun while it was down.
+    """
+    if peer.incarnation:
+        _redial(links, peer, peer.link)
+
+
 def _learn_name(links: Links, frame: frames.Frame) -> None:
     """Give a peer that was named by its address its own name."""
     links.names[frame.link] = frame.sender
--- a/tests/transport/test_links.py
+++ b/tests/transport/test_links.py
@@ -158,3 +158,26 @@
         )
 
     assert first.links.dropped == 1
+
+
+async def test_a_peer_that_started_again_is_dialled_at_once(pair):
+    first, second = pair
+    relay = Relay(int(second.link.rpartition(":")[2]))
+    await relay.start()
+    first.send("entry-b", f"tcp://127.0.0.1:{relay.port}", 1)
+    await until(lambda: second.numbers() == [1])
+    second.send("entry-a", first.link, 7)
+    await until(lambda: first.numbers() == [7])
+    await until(lambda: first.links.peers["entry-b"].unacknowledged_since_s is None)
+    relay.silence_open_connections()
+    first.send("entry-b", None, 2)
+
+    second.links.incarnation = "2"
+    second.send("entry-a", first.link, 8)
+    async with asyncio.timeout(links.SILENCE_S / 2):
+        while first.links.redialled == 0:
+            await asyncio.sleep(0.01)
+        first.send("entry-b", None, 3)
+        while 3 not in second.numbers():
+            await asyncio.sleep(0.01)
+    relay.server.close()
