--- a/bitternlever/batching/batcher.py
+++ b/bitternlever/batching/batcher.py
@@ -31,12 +31,20 @@
 MAXIMUM_PAUSE_S = 0.8
 """An upstream that refuses connections is asked again at this interval at least."""
 
+MAXIMUM_DOUBLINGS = 10
+"""More change nothing, since the pause has its own bound."""
+
 SILENT_PAUSE_FACTOR = 8.0
 """Silence costs the works of a call far more time than a failure that is told."""
 
 SLOWNESS_WEIGHT = 0.4
 """Weight of the newest call in an upstream's slowness."""
 
+LEAST_SLOWNESS = 0.5
+"""No upstream is taken for more than twice as fast as its service declares."""
+
+LEAST_CALL_S = 0.001
+
 MAXIMUM_RETRY_AFTER_S = 8.0
 
 HELD_WEIGHT = 0.05
@@ -149,7 +157,11 @@
 
 def full_call_s(capacity: catalog_tables.StageCapacity) -> float:
     """Return how long a full call takes."""
-    return capacity.call_s + capacity.item_s * capacity.batch
+    return _call_s(capacity, capacity.batch)
+
+
+def _call_s(capacity: catalog_tables.StageCapacity, items: int) -> float:
+    return capacity.call_s + capacity.item_s * items
 
 
 def dispatch(batcher: tables.Batcher, now: float) -> list[tables.Call]:
@@ -211,7 +223,9 @@
     server.calls -= 1
     server.failures = 0
     server.busy_until_s = now
-    _learn_speed(call, now)
+    made = sum(outcome.handle is not None for outcome in outcomes)
+    if made:
+        _learn_speed(call, now, _call_s(batcher.capacity, made) * server.slowness)
     ended = []
     for item, outcome in zip(call.items, outcomes, strict=True):
         finished = _item_done(batcher, now, call, item, outcome)
@@ -239,9 +253,11 @@
     if full:
         server.resume_s = now + FULL_PAUSE_S
     else:
-        _learn_speed(call, now)
+        if silent:
+            _learn_speed(call, now, call.expected_s)
         _note_lost_results(batcher, now, call)
-        pause_s = min(MAXIMUM_PAUSE_S, FAILED_PAUSE_S * 2**server.failures)
+        doublings = min(server.failures, MAXIMUM_DOUBLINGS)
+        pause_s = min(MAXIMUM_PAUSE_S, FAILED_PAUSE_S * 2**doublings)
         server.failures += 1
         server.resume_s = now + pause_s * (SILENT_PAUSE_FACTOR if silent else 1.0)
     ended = []
@@ -445,7 +461,7 @@
     items: list[tables.Item],
 ) -> tables.Call:
     capacity = batcher.capacity
-    expected_s = (capacity.call_s + capacity.item_s * len(items)) * server.slowness
+    expected_s = _call_s(capacity, len(items)) * server.slowness
     batcher.next_call += 1
     call = tables.Call(
         number=batcher.next_call,
@@ -546,10 +562,11 @@
         server.reserved_late = max(0, server.reserved_late - late_size)
 
 
-def _learn_speed(call: tables.Call, now: float) -> None:
+def _learn_speed(call: tables.Call, now: float, expected_s: float) -> None:
+    """Take how long a call took against what its upstream's speed let expect."""
     server = call.server
-    ratio = (now - call.sent_s) / max(call.expected_s / server.slowness, 1e-6)
-    ratio = max(0.5, ratio)
+    ratio = (now - call.sent_s) / max(expected_s / server.slowness, LEAST_CALL_S)
+    ratio = max(LEAST_SLOWNESS, ratio)
     server.slowness += SLOWNESS_WEIGHT * (ratio - server.slowness)
 
 
--- a/bitternlever/gateway/batching.py
+++ b/bitternlever/gateway/batching.py
@@ -80,7 +80,7 @@
                     begun.set()
                 else:
                     _note_backlog(gateway, work.service, answer)
-                answer = None
+                answer = None  # Cancelled from here on, the work is not answered.
                 answer = await _next(mailbox, ASK_AGAIN_S)
             if answer is not None:
                 return answer
--- a/bitternlever/gateway/placement.py
+++ b/bitternlever/gateway/placement.py
@@ -16,6 +16,9 @@
 MAXIMUM_REST_S = 4.0
 """Below the time in which a restarted upstream should be used again."""
 
+MAXIMUM_DOUBLINGS = 10
+"""More change nothing, since the rest has its own bound."""
+
 REST_AFTER_FAILURES = 2
 """One failure may be the request's own fault."""
 
@@ -88,7 +91,9 @@
     held.failures += 1
     over = held.failures - REST_AFTER_FAILURES
     if over >= 0:
-        held.resume_s = now + min(MAXIMUM_REST_S, REST_S * 2**over)
+        held.resume_s = now + min(
+            MAXIMUM_REST_S, REST_S * 2 ** min(over, MAXIMUM_DOUBLINGS)
+        )
 
 
 def _engine_load(tables: gateway_tables.GatewayTables, name: str) -> float:
--- a/bitternlever/gateway/requests.py
+++ b/bitternlever/gateway/requests.py
@@ -141,7 +141,12 @@
     context.stage_round += 1
     results = stages.Results()
     try:
-        outcome = await stages.run(gateway, context, results)
+        try:
+            async with asyncio.timeout(_stages_left_s(context)):
+                outcome = await stages.run(gateway, context, results)
+        except TimeoutError:
+            reason = "the stages are not done in time"
+            return gateway_context.Refusal(503, reason, LOST_RETRY_S)
         if outcome.is_err():
             refusal = outcome.err()
             if refusal.lost_input:
@@ -181,6 +186,10 @@
     return None if at_s is None else round(at_s - began_s, 3)
 
 
+def _stages_left_s(context: gateway_context.Context) -> float:
+    return max(0.0, context.first_event_s - clocks.boot_time())
+
+
 def match(
     gateway: state.Gateway,
     request: web.BaseRequest,
--- a/bitternlever/transport/exchange.py
+++ b/bitternlever/transport/exchange.py
@@ -13,8 +13,8 @@
 
 import h11
 
-CONNECT_TIMEOUT_S = 0.6
-"""Two hundred times the delay between zones; a lost first packet is sent again."""
+CONNECT_TIMEOUT_S = 0.3
+"""A hundred times a round trip between zones; a lost first packet costs a second."""
 
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
--- a/tests/batching/test_batcher.py
+++ b/tests/batching/test_batcher.py
@@ -365,3 +365,38 @@
     held.servers["s1"].busy_until_s = NOW + 2.0
     (call,) = batcher.dispatch(held, NOW)
     assert call.server.zone != "b"
+
+
+def test_an_upstream_that_fails_at_once_is_not_taken_for_a_fast_one():
+    held = batch(servers=2)
+    for _ in range(3):
+        batcher.submit(held, NOW, work("one"), "link")
+        (call,) = batcher.dispatch(held, NOW)[:1]
+        batcher.call_failed(held, NOW + 0.001, call.number, full=False)
+        held.works.clear()
+        for server in held.servers.values():
+            server.resume_s = NOW
+
+    assert all(server.slowness >= 1.0 for server in held.servers.values())
+
+
+def test_an_upstream_without_room_is_not_taken_for_a_fast_one():
+    held = batch()
+    batcher.submit(held, NOW, work("one"), "link")
+    (call,) = batcher.dispatch(held, NOW)
+    outcome = tables.ItemDone(None, "room", no_room=True)
+
+    batcher.call_done(held, NOW + 0.001, call.number, [outcome])
+
+    assert call.server.slowness == 1.0
+
+
+def test_failures_without_end_keep_the_pause_within_its_bound():
+    held = batch()
+    held.servers["s0"].failures = 5_000
+    batcher.submit(held, NOW, work("one"), "link")
+    (call,) = batcher.dispatch(held, NOW)
+
+    batcher.call_failed(held, NOW, call.number, full=False)
+
+    assert call.server.resume_s == NOW + batcher.MAXIMUM_PAUSE_S
--- a/tests/gateway/test_requests.py
+++ b/tests/gateway/test_requests.py
@@ -1,6 +1,7 @@
 """Requests on their way over real connections, to servers with and without faults."""
 
 import asyncio
+import dataclasses
 import json
 
 import pytest
@@ -533,3 +534,25 @@
 
     assert answer.status == 400
     assert server.received == []
+
+
+async def test_a_stage_that_never_answers_ends_as_not_run_when_callers_leave():
+    encode = await platform_server.start("s1", platform_server.silent())
+    rerank = await platform_server.start("s2", stage_answers())
+    engine = await platform_server.start("e1", platform_server.stream(b"id: 1\n\n"))
+    catalog = staged_catalog()
+    route = catalog.routes["h.example"][0]
+    catalog.routes["h.example"] = [dataclasses.replace(route, timeout_s=0.8)]
+    words = [
+        word(encode, service="encode"),
+        word(rerank, service="rerank"),
+        word(engine, service="engines"),
+    ]
+    data = entry_host.request("POST", X_Bitternlever_Pieces="1,1")
+
+    async with entry_host.running(catalog, *words) as (_, port):
+        answer = await entry_host.call(port, data, within_s=1.5)
+
+    assert answer.status == 503
+    assert "retry-after" in answer.headers
+    assert engine.received == []
