--- a/tests/docs/test_proofs_page.py
+++ b/tests/docs/test_proofs_page.py
@@ -30,7 +30,34 @@
     )
 
 
+PLATFORM = re.compile(r"\n## On the users' platform\n.*?(?=\n## )", re.DOTALL)
+PLATFORM_TESTS = (
+    "batching",
+    "bench",
+    "catalog",
+    "fleet",
+    "gateway",
+    "platform",
+    "telemetry",
+    "transport",
+)
+
+
 def test_every_named_process_test_exists():
     text = (ROOT / "tests" / "processes" / "test_failures.py").read_text()
+    others = PLATFORM.sub("\n", PROOFS)
+
+    assert [name for name in TEST.findall(others) if f"def {name}(" not in text] == []
+
+
+def test_every_test_named_for_the_platform_exists():
+    section = PLATFORM.search(PROOFS).group()
+    text = "".join(
+        path.read_text()
+        for folder in PLATFORM_TESTS
+        for path in (ROOT / "tests" / folder).glob("test_*.py")
+    )
+    names = TEST.findall(section)
 
-    assert [name for name in TEST.findall(PROOFS) if f"def {name}(" not in text] == []
+    assert len(names) > 10
+    assert [name for name in names if f"def {name}(" not in text] == []
