--- a/bitternlever/gateway/batching.py
+++ b/bitternlever/gateway/batching.py
@@ -43,6 +43,8 @@
 """Allows for the fetching of inputs, which no expectation contains."""
 
 FREE_TIMEOUT_S = 1.0
+"""Results that are not freed by then expire a few seconds later by themselves."""
+
 STAGE_IDLE_S = 30.0
 """Stage calls may be repeated, so kept connections are used up to their limit."""
 
--- a/bitternlever/gateway/forward.py
+++ b/bitternlever/gateway/forward.py
@@ -48,6 +48,7 @@
 """Upstreams that start tell control within about this time."""
 
 FULL_RETRY_S = 0.3
+"""Upstreams that were all full have ended several plain calls by then."""
 
 INPUTS_FETCHED_S = 0.05
 """An engine has fetched its inputs by then, several times what their links take."""
--- a/bitternlever/gateway/requests.py
+++ b/bitternlever/gateway/requests.py
@@ -38,6 +38,7 @@
 """A request runs its stages once more where results were lost with their maker."""
 
 LOST_RETRY_S = 0.3
+"""About one stage call: what took the results has been noticed by then."""
 
 logger = logging.getLogger(__name__)
 
--- a/bitternlever/gateway/shell.py
+++ b/bitternlever/gateway/shell.py
@@ -33,7 +33,11 @@
 """Left of the grace period for closing and the end of the process."""
 
 DRAIN_POLL_S = 0.1
+"""A small part of the margin that is left of the grace period."""
+
 EXPIRE_INTERVAL_S = 0.25
+"""Half of the margin that idle connections keep to their upstream's limit."""
+
 HEADER_BYTES = 65_536
 """What the parser takes at most; the catalog's own limit is checked behind it."""
 
--- a/bitternlever/gateway/stages.py
+++ b/bitternlever/gateway/stages.py
@@ -22,6 +22,7 @@
 """Results of a stage below this may cross zones without weight."""
 
 MINIMUM_RETRY_AFTER_S = 0.1
+"""Below a call's duration nothing has changed at the stage."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -229,8 +230,3 @@
 def retry_after_s(refusal: fleet.StageRefused) -> float:
     """Return when the caller may come back."""
     return max(MINIMUM_RETRY_AFTER_S, refusal.retry_after_s)
-
-
-def left_s(context: gateway_context.Context) -> float:
-    """Return what is left of the caller's time."""
-    return context.deadline_s - clocks.boot_time()
