Notice a silent link within half a lease, and give large frames their time

Cause: a link that went silent was dialled anew after 2 s and a check; an owner's lease of 3 s then had less than 0.75 s for the new connection and the renewal.

Ruled out: a longer lease (it is also the freshness bound of manifests and the time until takeover); acknowledging more often alone (the dial is what comes late).

Change: silence counts after 1.2 s. Since a large catalog on a slow link may take longer than that, a frame gets 1 s more for each megabit; before, 2 s was a bound on what a link could carry at all.

Tests: half a lease, large frames (both seen failing on the former code).

--- a/bitternlever/transport/links.py
+++ b/bitternlever/transport/links.py
@@ -17,7 +17,12 @@
 from bitternlever.telemetry import events
 from bitternlever.transport import codec
 
-SILENCE_S = 2.0
+SILENCE_S = 1.2
+"""Two acknowledgements may be late; a lease of 3 s outlives it and a new dial."""
+
+SLOWEST_BYTES_PER_S = 125_000
+"""A fifth of the slowest link of a host (5 Mbit/s), which other frames share."""
+
 ACKNOWLEDGE_WITHIN_S = 0.5
 IDLE_PEER_S = 60.0
 CHECK_INTERVAL_S = 0.25
@@ -36,6 +41,7 @@
 class Peer:
     """The way to one other process; times are monotonic seconds.
 
+    ``unacknowledged_bytes`` were sent since the peer had acknowledged everything.
     A link given by the core stays; one learnt from the peer's frames follows them.
     """
 
@@ -47,6 +53,7 @@
     sequence: int = 0
     acknowledged: int = 0
     unacknowledged_since_s: float | None = None
+    unacknowledged_bytes: int = 0
     incarnation: str = ""
     received: int = 0
     owes_since_s: float | None = None
@@ -186,7 +193,7 @@
     peer.socket.close()
     peer.link = link
     peer.socket = _dial(link)
-    peer.unacknowledged_since_s = None
+    _all_acknowledged(peer)
     links.redialled += 1
 
 
@@ -215,7 +222,10 @@
         links.frames_sent += 1
         links.bytes_sent += len(data)
     peer.owes_since_s = None
-    if messages and peer.unacknowledged_since_s is None:
+    if not messages:
+        return
+    peer.unacknowledged_bytes += len(data)
+    if peer.unacknowledged_since_s is None:
         peer.unacknowledged_since_s = now
 
 
@@ -264,7 +274,12 @@
         peer.acknowledged = frame.acknowledged
         peer.unacknowledged_since_s = now
     if peer.acknowledged >= peer.sequence:
-        peer.unacknowledged_since_s = None
+        _all_acknowledged(peer)
+
+
+def _all_acknowledged(peer: Peer) -> None:
+    peer.unacknowledged_since_s = None
+    peer.unacknowledged_bytes = 0
 
 
 def _follow_restart(links: Links, peer: Peer) -> None:
@@ -306,6 +321,11 @@
     if peer.owes_since_s is not None and now - peer.owes_since_s > ACKNOWLEDGE_WITHIN_S:
         _send_frame(links, peer)
     since_s = peer.unacknowledged_since_s
-    if since_s is not None and now - since_s > SILENCE_S:
+    if since_s is not None and now - since_s > _patience_s(peer):
         events.LINK_SILENT.log(logger, node=peer.node, link=peer.link)
         _redial(links, peer, peer.link)
+
+
+def _patience_s(peer: Peer) -> float:
+    """Return how long a peer may take to acknowledge; a large frame needs longer."""
+    return SILENCE_S + peer.unacknowledged_bytes / SLOWEST_BYTES_PER_S
--- a/tests/transport/test_links.py
+++ b/tests/transport/test_links.py
@@ -7,7 +7,8 @@
 
 import pytest
 
-from bitternlever.messages import calls, frames
+from bitternlever.conf import settings
+from bitternlever.messages import calls, fleet, frames
 from bitternlever.transport import links
 
 PATIENCE_S = 15.0
@@ -22,7 +23,7 @@
 class Process:
     """One end of a link and what it received."""
 
-    def __init__(self, node):
+    def __init__(self, node, clock=time.monotonic):
         self.received = []
         self.link = f"tcp://127.0.0.1:{free_port()}"
         self.links = links.listen(
@@ -30,7 +31,7 @@
             link=self.link,
             incarnation="1",
             cluster_key="a key of the cluster",
-            clock=time.monotonic,
+            clock=clock,
             on_message=self.received.append,
         )
 
@@ -181,3 +182,37 @@
         while 3 not in second.numbers():
             await asyncio.sleep(0.01)
     relay.server.close()
+
+
+async def _redialled_after(passed_s, message):
+    """Send a message to a peer that accepts and never answers; let time pass."""
+    clock = [100.0]
+    with socket.create_server(("127.0.0.1", 0)) as mute:
+        sender = Process("entry-a", clock=lambda: clock[0])
+        link = f"tcp://127.0.0.1:{mute.getsockname()[1]}"
+        links.send(
+            sender.links, frames.SendPeer(node="mute", message=message, link=link)
+        )
+        links.flush(sender.links)
+        clock[0] += passed_s
+        await asyncio.sleep(2 * links.CHECK_INTERVAL_S)
+        links.close(sender.links)
+        return sender.links.redialled
+
+
+async def test_a_silent_link_is_dialled_anew_within_half_a_lease():
+    half_s = float(settings.HOST_LEASE_S.default) / 2
+    message = calls.OrphansWaiting(group=1, count=1)
+
+    assert await _redialled_after(half_s - links.CHECK_INTERVAL_S, message) == 1
+
+
+@pytest.mark.parametrize(("passed_s", "redialled"), [(2.5, 0), (8.0, 1)])
+async def test_a_large_message_gets_the_time_that_a_slow_link_needs(
+    passed_s,
+    redialled,
+):
+    megabit = 125_000
+    message = fleet.CatalogPushed(version=1, body=bytes(5 * megabit))
+
+    assert await _redialled_after(passed_s, message) == redialled
