Let a control group grow to the voters that its losses ask for

Cause: the grown deployments must bear the loss of two machines with their disks; three voters bear one, and a commit on two disks is lost with both.

Ruled out: founding with all that may vote (nobody knows how many machines there are, and seeds may be fewer than the voters needed); a joint membership for each addition (a quorum before and one after an addition of one voter share a replica anyway).

Tests under virtual time: growth, two wiped while all others lose power, two lost for good, a learner that is lost, zones.

--- a/bitternlever/conf/fleet.py
+++ b/bitternlever/conf/fleet.py
@@ -22,7 +22,8 @@
 class FleetConfiguration:
     """Settings of one process; addresses are ``IP:PORT``, links ``tcp://IP:PORT``.
 
-    An address is empty where the process does not serve it. ``region_of_zone`` maps
+    ``tolerated_losses`` counts the control hosts that may be lost at the same time. An
+    address is empty where the process does not serve it. ``region_of_zone`` maps
     all availability zones.
     """
 
@@ -32,6 +33,7 @@
     link: str
     seeds: tuple[str, ...]
     may_found: bool
+    tolerated_losses: int
     callers_address: str
     readiness_address: str
     control_address: str
--- a/bitternlever/consensus/replacement.py
+++ b/bitternlever/consensus/replacement.py
@@ -37,14 +37,14 @@
         if any(old == was and new.node == new_node for was, new in membership.replaced):
             return result.Ok(_progress("done", "the successor is a voter"))
         return _refuse(f"replica {old.node} with disk {old.disk} is no voter")
-    if not _settled(replica):
+    if not is_settled(replica):
         return _wait("another membership change is not committed yet")
     if now < replica.office.since_s + _recent_s(replica):
         return _wait("the leader is new and has not heard from every voter yet")
     reason = _risk(replica, now, old)
     if reason is not None:
         return _refuse(reason)
-    successor = _successor(replica, now, outbox, new_node)
+    successor = find_successor(replica, now, outbox, new_node)
     if successor is None:
         return _wait(f"node {new_node} has not answered with a disk that is no voter")
     if successor in membership.voters:
@@ -55,7 +55,7 @@
 
 def run(replica: tables.Replica, now: float) -> None:
     """Take the next step of a replacement when it is safe."""
-    if replica.role is not tables.Role.LEADER or not _settled(replica):
+    if replica.role is not tables.Role.LEADER or not is_settled(replica):
         return
     if replica.stopping:
         return
@@ -68,7 +68,7 @@
         left = consensus.Membership(voters=membership.voters, replaced=replaced)
         _change(replica, left)
         return
-    if not _caught_up(replica, now, new) or _risk(replica, now, old) is not None:
+    if not is_caught_up(replica, now, new) or _risk(replica, now, old) is not None:
         return
     remaining = [voter for voter in membership.voters if voter != old]
     joint = msgspec.structs.replace(
@@ -88,7 +88,7 @@
     """Say why one more loss after the removal of ``old`` would cost the quorum."""
     membership = replica.membership
     remaining = [voter for voter in membership.voters if voter != old]
-    sound = [voter for voter in remaining if _caught_up(replica, now, voter)]
+    sound = [voter for voter in remaining if is_caught_up(replica, now, voter)]
     after = len(remaining)
     count = len(sound)
     if membership.replacing is None or membership.replacing[1] not in remaining:
@@ -105,7 +105,7 @@
     )
 
 
-def _caught_up(
+def is_caught_up(
     replica: tables.Replica,
     now: float,
     member: consensus.ReplicaId,
@@ -127,14 +127,14 @@
     return RECENT_ELECTION_TIMEOUTS * replica.settings.election_timeout_s
 
 
-def _settled(replica: tables.Replica) -> bool:
+def is_settled(replica: tables.Replica) -> bool:
     """Tell whether the newest membership and an own entry are committed."""
     if replica.commit_index < replica.office.first_index:
         return False
     return replica.memberships[-1][0] <= replica.commit_index
 
 
-def _successor(
+def find_successor(
     replica: tables.Replica,
     now: float,
     outbox: ticks.Outbox,
@@ -165,9 +165,9 @@
     wanted_old, new = replica.membership.replacing
     if old != wanted_old or new not in replica.membership.learners:
         return
-    if not _settled(replica):
+    if not is_settled(replica):
         return
-    successor = _successor(replica, now, outbox, new_node)
+    successor = find_successor(replica, now, outbox, new_node)
     if successor is None or successor == new:
         return
     if successor not in replica.membership.voters:
--- a/bitternlever/consensus/replica.py
+++ b/bitternlever/consensus/replica.py
@@ -7,6 +7,7 @@
     disk,
     elections,
     founding,
+    growth,
     handover,
     log as consensus_log,
     reads,
@@ -125,6 +126,7 @@
     elections.run(replica, now, outbox)
     commits.run(replica, now, outbox)
     replacement.run(replica, now)
+    growth.run(replica, now)
     reads.run(replica, now, outbox)
     handover.run(replica, now, outbox)
     snapshots.run(replica, outbox)
--- a/bitternlever/fleet/members.py
+++ b/bitternlever/fleet/members.py
@@ -1,5 +1,8 @@
 """Who votes: replicas ask to be let in, and the leader replaces voters that are gone.
 
+A group that has fewer voters than the losses it must bear ask for takes in those that
+ask, first from availability zones with the fewest voters.
+
 A replica that is no member, or hears no leader, asks the nodes it knows; they pass it
 on to the leader. A voter whose node has come back with another disk is replaced by it
 at once: the old disk cannot return. A voter that is only silent is replaced once
@@ -8,7 +11,7 @@
 is that of ``consensus.replacement``.
 """
 
-from bitternlever.consensus import replacement, tables as consensus_tables
+from bitternlever.consensus import growth, replacement, tables as consensus_tables
 from bitternlever.core import ticks
 from bitternlever.fleet import tables as fleet_tables
 from bitternlever.messages import consensus, fleet, frames
@@ -35,7 +38,8 @@
         _ask(tables, now, outbox)
     if fleet_tables.leads(tables) and now >= tables.check_members_at_s:
         tables.check_members_at_s = now + CHECK_INTERVAL_S
-        _replace(tables, now, outbox)
+        if not _replace(tables, now, outbox):
+            _grow(tables, now, outbox)
     if fleet_tables.leads(tables):
         outbox.wake(tables.check_members_at_s)
 
@@ -49,6 +53,7 @@
     """Note a candidate as leader; pass it on to the leader as another member."""
     node = request.replica.node
     tables.candidates[node] = fleet_tables.Candidate(request.replica, now)
+    tables.zones[node] = request.zone
     leader = tables.replica.leader
     if leader is None or leader.node in (tables.settings.link, node):
         return
@@ -95,25 +100,53 @@
     tables: fleet_tables.FleetTables,
     now: float,
     outbox: ticks.Outbox,
-) -> None:
+) -> bool:
+    """Begin or push on a replacement; return whether a voter is to be replaced."""
     membership = tables.replica.membership
     if membership.replacing is not None:
         old, new = membership.replacing
         candidate = tables.candidates.get(new.node)
         if candidate is not None:
             replacement.request(tables.replica, now, outbox, old, new.node)
-            return
+            return True
         other = _successor(tables, membership, old)
         if other is not None:
             replacement.request(tables.replica, now, outbox, old, other)
-        return
+        return True
     for voter in membership.voters:
         if voter == tables.replica.settings.identity:
             continue
         successor = _successor_if_gone(tables, now, membership, voter)
         if successor is not None:
             replacement.request(tables.replica, now, outbox, voter, successor)
-            return
+            return True
+    return False
+
+
+def _grow(tables: fleet_tables.FleetTables, now: float, outbox: ticks.Outbox) -> None:
+    membership = tables.replica.membership
+    needed = 2 * tables.settings.tolerated_losses + 1
+    if len(membership.voters) >= needed:
+        return
+    learning = [each.node for each in membership.learners]
+    if any(node in tables.candidates for node in learning):
+        return
+    newcomer = _newcomer(tables, membership)
+    if newcomer is not None:
+        growth.request(tables.replica, now, outbox, newcomer)
+
+
+def _newcomer(
+    tables: fleet_tables.FleetTables,
+    membership: consensus.Membership,
+) -> str | None:
+    """Return a candidate of a zone that has the fewest voters."""
+    voting = {each.node for each in membership.voters}
+    zones = [tables.zones.get(node) for node in voting]
+    outside = sorted(tables.candidates.keys() - voting)
+    if not outside:
+        return None
+    return min(outside, key=lambda node: zones.count(tables.zones[node]))
 
 
 def _successor_if_gone(
--- a/bitternlever/fleet/shell.py
+++ b/bitternlever/fleet/shell.py
@@ -175,6 +175,7 @@
             run=uuid.uuid4().hex,
             seeds=settings.seeds,
             may_found=settings.may_found,
+            tolerated_losses=settings.tolerated_losses,
         ),
         restored,
         seed=int.from_bytes(os.urandom(8), "big"),
--- a/bitternlever/fleet/tables.py
+++ b/bitternlever/fleet/tables.py
@@ -23,7 +23,8 @@
     """Settings of the control core; nodes are named by their links.
 
     ``seeds`` are the links of nodes that are told at the start; with ``may_found``
-    they are the first voters.
+    they are the first voters. ``tolerated_losses`` counts the nodes that may be lost
+    at the same time.
     """
 
     link: str
@@ -32,6 +33,7 @@
     run: str
     seeds: tuple[str, ...]
     may_found: bool
+    tolerated_losses: int = 1
     election_timeout_s: float = ELECTION_TIMEOUT_S
     heartbeat_s: float = HEARTBEAT_S
 
@@ -100,7 +102,8 @@
 class FleetTables:
     """Everything that a control process knows; systems run over it each tick.
 
-    ``seeds`` are the newest that the settings name.
+    ``seeds`` are the newest that the settings name; ``zones`` are the availability
+    zones of nodes that have asked to take part.
     """
 
     settings: FleetSettings
@@ -112,6 +115,7 @@
     )
     hosts: fleet_hosts.Hosts = dataclasses.field(default_factory=fleet_hosts.Hosts)
     candidates: dict[str, Candidate] = dataclasses.field(default_factory=dict)
+    zones: dict[str, str] = dataclasses.field(default_factory=dict)
     subscribers: dict[str, Subscriber] = dataclasses.field(default_factory=dict)
     changed: set[str] = dataclasses.field(default_factory=set)
     heard_again: set[str] = dataclasses.field(default_factory=set)
@@ -147,6 +151,7 @@
         seeds=settings.seeds,
         held=held,
         replica=own,
+        zones={settings.link: settings.zone},
     )
 
 
--- a/bitternlever/platform/settings.py
+++ b/bitternlever/platform/settings.py
@@ -31,6 +31,10 @@
     max_fds: int = 1_024
 
 
+class _Tolerate(msgspec.Struct):
+    machines: int = 1
+
+
 class _Bounds(msgspec.Struct):
     drain_ms: float = 2_000
     grace_s: float = 8.0
@@ -60,6 +64,7 @@
     zones: dict[str, str] = {}
     listen: _Listen = msgspec.field(default_factory=_Listen)
     limits: _Limits = msgspec.field(default_factory=_Limits)
+    tolerate: _Tolerate = msgspec.field(default_factory=_Tolerate)
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
 
 
@@ -136,6 +141,7 @@
             for seed in boot.seed_addrs
         ),
         may_found=boot.bootstrap,
+        tolerated_losses=max(1, boot.tolerate.machines),
         callers_address=boot.listen.front,
         readiness_address=boot.listen.ready,
         control_address=boot.listen.control,
--- a/tests/fleet/cluster.py
+++ b/tests/fleet/cluster.py
@@ -34,9 +34,10 @@
 class Cluster:
     """Nodes that find each other from seeds, and what has left their cores."""
 
-    def __init__(self, names="abc", seeds="abc", seed=0):
+    def __init__(self, names="abc", seeds="abc", seed=0, tolerated_losses=1):
         self.random = random.Random(seed)
         self.now = 0.0
+        self.tolerated_losses = tolerated_losses
         self.seeds = tuple(self.link(name) for name in seeds)
         self.events = []
         self.order = itertools.count()
@@ -46,6 +47,7 @@
         self.answers = {}
         self.tokens = itertools.count(1)
         self.nodes = {}
+        self.zones = {}
         for name in names:
             self.add(name, may_found=True)
 
@@ -68,11 +70,12 @@
         held = copy.deepcopy(node.durable)
         settings = fleet_tables.FleetSettings(
             link=node.link,
-            zone=name,
+            zone=self.zones.get(name, name),
             disk=held.disk,
             run=str(node.run),
             seeds=self.seeds,
             may_found=may_found,
+            tolerated_losses=self.tolerated_losses,
         )
         node.tables = fleet_tables.create(settings, held, self.random.getrandbits(32))
         node.wake_s = self.now
--- a/tests/fleet/test_members.py
+++ b/tests/fleet/test_members.py
@@ -6,9 +6,13 @@
 from tests.fleet import cluster
 
 
-def founded(names="abc", seed=0) -> cluster.Cluster:
+def founded(names="abc", seed=0, tolerated_losses=1) -> cluster.Cluster:
     """Return a cluster that has a leader and holds catalog 1."""
-    system = cluster.Cluster(names=names, seed=seed)
+    system = cluster.Cluster(
+        names=names,
+        seed=seed,
+        tolerated_losses=tolerated_losses,
+    )
     system.until(lambda: system.leader() is not None)
     put(system, 1, b"one")
     return system
@@ -163,6 +167,83 @@
     assert read(system) == b"c"
 
 
+def grown(names="abcdef", seed=0) -> cluster.Cluster:
+    """Return a group that bears the loss of two and holds catalog 1."""
+    system = founded(names=names, seed=seed, tolerated_losses=2)
+    system.until(lambda: len(system.voters()) == 5)
+    return system
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_a_group_grows_to_bear_two_losses_and_no_further(seed):
+    system = grown(seed=seed)
+    system.run(5.0)
+
+    assert len(system.voters()) == 5
+    assert {"a", "b", "c"} < set(system.voters())
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_two_wiped_at_once_while_all_others_lose_power_lose_nothing(seed):
+    system = grown(seed=seed)
+    put(system, 5, b"five")
+    wiped = system.random.sample(system.voters(), 2)
+    for name in "abcdef":
+        system.kill(name)
+    system.run(0.3)
+    for name in "abcdef":
+        if name in wiped:
+            system.add(name)
+        else:
+            system.start(name)
+
+    assert read(system) == b"five"
+    system.until(lambda: len(system.voters()) == 5, 8.0)
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_two_lost_for_good_leave_a_group_that_serves_and_heals(seed):
+    system = grown(seed=seed)
+    gone = system.random.sample(system.voters(), 2)
+    for name in gone:
+        system.kill(name)
+
+    put(system, 5, b"five")
+    system.add("y")
+    system.add("z")
+    system.until(lambda: not set(gone) & set(system.voters()), 15.0)
+    put(system, 6, b"six")
+
+    assert len(system.voters()) == 5
+    assert read(system) == b"six"
+
+
+def test_a_learner_that_is_lost_gives_way_to_another_candidate():
+    system = founded(tolerated_losses=2)
+    leader = system.nodes[system.leader()].tables
+    system.add("d")
+    system.nodes["d"].disk_works = False
+    system.until(lambda: bool(leader.replica.membership.learners))
+    system.kill("d")
+    system.add("e")
+    system.add("f")
+
+    system.until(lambda: set("abcef") == set(system.voters()), 15.0)
+
+
+def test_a_group_takes_its_new_voters_from_zones_that_have_fewest():
+    system = cluster.Cluster(names="", tolerated_losses=2)
+    system.zones = dict(zip("abcdef", ["1", "2", "3", "1", "1", "2"], strict=True))
+    for name in "abcdef":
+        system.add(name, may_found=True)
+    system.until(lambda: system.leader() is not None)
+
+    system.until(lambda: len(system.voters()) == 5)
+
+    assert {system.zones[name] for name in system.voters()} == {"1", "2", "3"}
+    assert "f" in system.voters()
+
+
 def _is_voter_anew(system: cluster.Cluster, name: str, old: object) -> bool:
     leader = system.leader()
     if leader is None:
--- a/tests/gateway/entry_host.py
+++ b/tests/gateway/entry_host.py
@@ -48,6 +48,7 @@
         region="r",
         link="tcp://one:1",
         seeds=(),
+        tolerated_losses=1,
         may_found=False,
         callers_address="",
         readiness_address="",
--- a/tests/platform/test_codecs.py
+++ b/tests/platform/test_codecs.py
@@ -36,6 +36,9 @@
 directory = "10.1.0.41:8620"
 [limits]
 max_fds = 4100
+[tolerate]
+machines = 2
+zones = 0
 [bounds]
 drain_ms = 2000
 grace_s = 8
@@ -131,6 +134,7 @@
     assert loaded.link == "tcp://10.1.0.41:7741"
     assert loaded.seeds == ("tcp://10.1.0.43:7740", "tcp://10.2.0.28:7740")
     assert loaded.may_found
+    assert loaded.tolerated_losses == 2
     assert loaded.callers_address == "10.1.0.41:8625"
     assert loaded.bounds.revoke_s == 5.0
     assert loaded.bounds.retry_slack == 52
