Bind a link beside its own address, so that a relay can stand before it

Needed by a soak that disturbs the traffic between real processes from outside: each process is named by its link, so a relay has to listen there. BITTERNLEVER_LINK_BOUND is checked like the other settings.

--- a/bitternlever/conf/fleet.py
+++ b/bitternlever/conf/fleet.py
@@ -24,13 +24,15 @@
 
     ``tolerated_losses`` counts the control hosts that may be lost at the same time. An
     address is empty where the process does not serve it. ``region_of_zone`` maps
-    all availability zones.
+    all availability zones. ``link_bound`` is where the link is bound: itself, unless
+    something forwards from there.
     """
 
     host: str
     zone: str
     region: str
     link: str
+    link_bound: str
     seeds: tuple[str, ...]
     may_found: bool
     tolerated_losses: int
--- a/bitternlever/fleet/shell.py
+++ b/bitternlever/fleet/shell.py
@@ -84,6 +84,7 @@
         cluster_key=CLUSTER_KEY,
         clock=clocks.boot_time,
         on_message=source.on_next,
+        bound=settings.link_bound,
     )
     shell.running = runner.start(
         tick=functools.partial(_tick, shell),
--- a/bitternlever/gateway/shell.py
+++ b/bitternlever/gateway/shell.py
@@ -93,6 +93,7 @@
         cluster_key=CLUSTER_KEY,
         clock=clocks.boot_time,
         on_message=lambda received: _receive(gateway, received),
+        bound=settings.link_bound,
     )
     servers = [
         await _serve(settings.readiness_address, apis.readiness(gateway)),
--- a/bitternlever/platform/settings.py
+++ b/bitternlever/platform/settings.py
@@ -10,6 +10,7 @@
 from bitternlever.conf import fleet
 
 PATH_VARIABLE = "BITTERNLEVER_BOOT"
+LINK_BOUND_VARIABLE = "BITTERNLEVER_LINK_BOUND"
 MILLISECONDS = 1_000
 CONTROL_LINK_OFFSET = 0
 ENTRY_LINK_OFFSET = 1
@@ -83,11 +84,14 @@
             f"name a readable settings file ({error})",
         )
         return result.Err([fault])
-    return decode(text, program)
+    return decode(text, program, os.environ.get(LINK_BOUND_VARIABLE, ""))
 
 
-def decode(text: str, program: str) -> Loaded:
-    """Decode the text of a settings file."""
+def decode(text: str, program: str, link_bound: str = "") -> Loaded:
+    """Decode the text of a settings file.
+
+    ``link_bound`` is the ``IP:PORT`` where the link is bound, if it is not its own.
+    """
     try:
         boot = msgspec.convert(tomllib.loads(text), _Boot, strict=False)
     except tomllib.TOMLDecodeError as error:
@@ -98,9 +102,13 @@
         name = field.rstrip("`") or "settings file"
         return result.Err([fleet.SettingFault(name, "as given", reason)])
     faults = _faults(boot, program)
+    if link_bound and not _is_address(link_bound):
+        faults.append(
+            fleet.SettingFault(LINK_BOUND_VARIABLE, link_bound, "write IP:PORT"),
+        )
     if faults:
         return result.Err(faults)
-    return result.Ok(_configuration(boot, program))
+    return result.Ok(_configuration(boot, program, link_bound))
 
 
 def _faults(boot: _Boot, program: str) -> list[fleet.SettingFault]:
@@ -110,8 +118,7 @@
             fleet.SettingFault("seed_addrs", "[]", "name one control address at least"),
         )
     for seed in boot.seed_addrs:
-        host, _, port = seed.rpartition(":")
-        if not host or not port.isdigit():
+        if not _is_address(seed):
             faults.append(fleet.SettingFault("seed_addrs", seed, "write IP:PORT"))
     if boot.port_range[1] - boot.port_range[0] < ENTRY_LINK_OFFSET:
         faults.append(
@@ -126,16 +133,27 @@
     return faults
 
 
-def _configuration(boot: _Boot, program: str) -> fleet.FleetConfiguration:
+def _is_address(text: str) -> bool:
+    host, _, port = text.rpartition(":")
+    return bool(host) and port.isdigit()
+
+
+def _configuration(
+    boot: _Boot,
+    program: str,
+    link_bound: str,
+) -> fleet.FleetConfiguration:
     offset = CONTROL_LINK_OFFSET if program == "control" else ENTRY_LINK_OFFSET
     first_port = boot.port_range[0]
     control_port = first_port + CONTROL_LINK_OFFSET
     bounds = boot.bounds
+    link = f"tcp://{boot.bind_ip}:{first_port + offset}"
     return fleet.FleetConfiguration(
         host=boot.node,
         zone=boot.zone,
         region=boot.region,
-        link=f"tcp://{boot.bind_ip}:{first_port + offset}",
+        link=link,
+        link_bound=f"tcp://{link_bound}" if link_bound else link,
         seeds=tuple(
             f"tcp://{seed.rpartition(':')[0]}:{control_port}"
             for seed in boot.seed_addrs
--- a/bitternlever/transport/links.py
+++ b/bitternlever/transport/links.py
@@ -91,9 +91,11 @@
     cluster_key: str,
     clock: Callable[[], float],
     on_message: Callable[[frames.PeerReceived], None],
+    bound: str | None = None,
 ) -> Links:
     """Listen at ``link`` and hand every received message to ``on_message``.
 
+    Peers dial ``link``; ``bound`` is where to listen if something forwards from there.
     Raise OSError when the address cannot be bound.
     """
     pull = pynng.Pull0(
@@ -101,9 +103,9 @@
         recv_max_size=codec.MAXIMUM_FRAME_BYTES,
     )
     try:
-        pull.listen(link)
+        pull.listen(bound or link)
     except pynng.NNGException as error:
-        raise OSError(f"cannot listen at {link}: {error}") from error
+        raise OSError(f"cannot listen at {bound or link}: {error}") from error
     links = Links(
         node=node,
         link=link,
--- a/tests/platform/fleet_processes.py
+++ b/standins/fleet.py
@@ -1,4 +1,8 @@
-"""A small fleet of real processes on loopback addresses, set up as on the platform."""
+"""A fleet of real processes on loopback addresses, set up as on the platform.
+
+Machines are named by program and letter: ``control-a`` to ``control-j`` and
+``entry-a`` to ``entry-j``. The letters go round the availability zones.
+"""
 
 import asyncio
 import contextlib
@@ -13,29 +17,53 @@
 import urllib.request
 from collections.abc import Iterator
 
-ROOT = pathlib.Path(__file__).parents[2]
+ROOT = pathlib.Path(__file__).parents[1]
+LETTERS = "abcdefghij"
 ZONES = ("a", "b", "c")
 POLL_S = 0.05
+LINK_OFFSETS = {"control": 10, "entry": 11}
+"""The programs' links, from the first port that all machines share."""
+
+BOUND_OFFSET = 30
+"""Added to a link's port where a relay listens at the link itself."""
 
 
 @dataclasses.dataclass(slots=True)
 class Fleet:
-    """The processes by name, their folders, and the ports that all share."""
+    """The processes by name, their folders, and the ports that all share.
+
+    With ``relayed`` each link is bound beside its own address, where a relay listens.
+    """
 
     folder: pathlib.Path
     network: int
     port: int
+    tolerated_losses: int = 1
+    relayed: bool = False
     processes: dict[str, subprocess.Popen] = dataclasses.field(default_factory=dict)
 
     def ip(self, name: str) -> str:
         """Return the address of a machine: control-a is .1, entry-a is .11."""
-        place = ZONES.index(name[-1]) + (1 if name.startswith("control") else 11)
+        place = LETTERS.index(name[-1]) + (1 if name.startswith("control") else 11)
         return f"127.{self.network}.1.{place}"
 
+    def zone(self, name: str) -> str:
+        """Return a machine's availability zone."""
+        return ZONES[LETTERS.index(name[-1]) % len(ZONES)]
+
     def address(self, name: str, offset: int) -> str:
         """Return a listening address of a machine."""
         return f"{self.ip(name)}:{self.port + offset}"
 
+    def link(self, name: str) -> str:
+        """Return the address that others dial."""
+        return self.address(name, LINK_OFFSETS[name.partition("-")[0]])
+
+    def bound_link(self, name: str) -> str:
+        """Return the address that a relayed process itself listens at."""
+        offset = LINK_OFFSETS[name.partition("-")[0]] + BOUND_OFFSET
+        return self.address(name, offset)
+
     def settings(self, name: str, bootstrap: bool = True, seeds=ZONES) -> str:
         """Return the settings file of a process."""
         seed_list = ", ".join(
@@ -51,10 +79,12 @@
         )
         data = f'data_dir = "{self.folder / name}"' if control else ""
         return (
-            f'node = "{name}"\nbind_ip = "{self.ip(name)}"\nzone = "{name[-1]}"\n'
+            f'node = "{name}"\nbind_ip = "{self.ip(name)}"\n'
+            f'zone = "{self.zone(name)}"\n'
             f'region = "r"\nport_range = [{self.port + 10}, {self.port + 20}]\n'
             f"seed_addrs = [{seed_list}]\n"
             f"bootstrap = {str(bootstrap).lower()}\n{data}\n"
+            f"[tolerate]\nmachines = {self.tolerated_losses}\n"
             f'[zones]\na = "r"\nb = "r"\nc = "r"\n[listen]\n{listen}\n'
             "[bounds]\ngrace_s = 6\nstrict_revoke = true\nrevoke_ms = 5000\n"
         )
@@ -64,11 +94,14 @@
         path = self.folder / f"{name}.toml"
         path.write_text(self.settings(name, **options))
         program = name.partition("-")[0]
+        environment = {**os.environ, "BITTERNLEVER_BOOT": str(path)}
+        if self.relayed:
+            environment["BITTERNLEVER_LINK_BOUND"] = self.bound_link(name)
         with (self.folder / f"{name}.log").open("ab") as log:
             self.processes[name] = subprocess.Popen(
                 [sys.executable, "-m", "bitternlever.platform", program],
                 cwd=ROOT,
-                env={**os.environ, "BITTERNLEVER_BOOT": str(path)},
+                env=environment,
                 stdout=log,
                 stderr=log,
             )
@@ -93,7 +126,7 @@
 @contextlib.contextmanager
 def running(folder: pathlib.Path, network: int) -> Iterator[Fleet]:
     """Run three control processes and two entry hosts; end them at the end."""
-    fleet = Fleet(folder=folder, network=network, port=21_000 + 100 * (network % 50))
+    fleet = create(folder, network)
     try:
         for zone in ZONES:
             fleet.start(f"control-{zone}")
@@ -101,8 +134,19 @@
             fleet.start(f"entry-{zone}")
         yield fleet
     finally:
-        for name in list(fleet.processes):
-            fleet.kill(name)
+        end(fleet)
+
+
+def create(folder: pathlib.Path, network: int, **options) -> Fleet:
+    """Return a fleet without processes; networks differ in addresses and ports."""
+    port = 21_000 + 100 * (network % 50)
+    return Fleet(folder=folder, network=network, port=port, **options)
+
+
+def end(fleet: Fleet) -> None:
+    """End all processes of a fleet, also stopped ones."""
+    for name in list(fleet.processes):
+        fleet.kill(name)
 
 
 def ask(
--- /dev/null
+++ b/standins/relay.py
@@ -0,0 +1,128 @@
+"""A TCP relay that delays, resets, silences or cuts what passes through it.
+
+Open connections can go silent for good while new ones work. A cut relay accepts
+connections and passes nothing on; a connection that has lost bytes stays silent when
+the relay is healed.
+"""
+
+import asyncio
+import contextlib
+import dataclasses
+import socket
+import struct
+
+CHUNK_BYTES = 65_536
+
+
+@dataclasses.dataclass(slots=True)
+class Relay:
+    """Where a relay leads, how it treats what passes, and its connections."""
+
+    target: tuple[str, int]
+    server: asyncio.Server | None = None
+    connections: set["Connection"] = dataclasses.field(default_factory=set)
+    accepted: int = 0
+    delay_s: float = 0.0
+    cut: bool = False
+
+    @property
+    def port(self) -> int:
+        """Return the port at which the relay listens."""
+        return self.server.sockets[0].getsockname()[1]
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Connection:
+    """One relayed connection; a silent one swallows what either side sends."""
+
+    near: asyncio.StreamWriter
+    far: asyncio.StreamWriter | None = None
+    silent: bool = False
+
+
+async def listen(
+    target: tuple[str, int],
+    host: str = "127.0.0.1",
+    port: int = 0,
+) -> Relay:
+    """Relay a loopback address, by default a free port, to ``target``."""
+    relay = Relay(target=target)
+
+    async def accept(reader, writer) -> None:
+        await _relay(relay, reader, writer)
+
+    relay.server = await asyncio.start_server(accept, host, port)
+    return relay
+
+
+@contextlib.asynccontextmanager
+async def start(host: str, port: int):
+    """Relay a free loopback port to ``host`` and ``port`` within the context."""
+    relay = await listen((host, port))
+    try:
+        yield relay
+    finally:
+        relay.server.close()
+
+
+def silence(relay: Relay) -> None:
+    """Let every open connection go silent for good; none is closed."""
+    for connection in relay.connections:
+        connection.silent = True
+
+
+def reset(relay: Relay) -> None:
+    """Reset every open connection on both sides."""
+    for connection in list(relay.connections):
+        for writer in (connection.near, connection.far):
+            if writer is not None:
+                _abort(writer)
+
+
+def close(relay: Relay) -> None:
+    """Listen no more and drop every connection."""
+    relay.server.close()
+    reset(relay)
+
+
+async def _relay(relay: Relay, reader, writer) -> None:
+    connection = Connection(near=writer)
+    relay.connections.add(connection)
+    relay.accepted += 1
+    with contextlib.suppress(OSError):
+        far_reader, connection.far = await asyncio.open_connection(*relay.target)
+        ways = (
+            asyncio.ensure_future(_pump(relay, connection, reader, connection.far)),
+            asyncio.ensure_future(_pump(relay, connection, far_reader, writer)),
+        )
+        try:
+            await asyncio.wait(ways, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            for way in ways:
+                way.cancel()
+            connection.far.close()
+    writer.close()
+    relay.connections.discard(connection)
+
+
+async def _pump(relay: Relay, connection: Connection, reader, writer) -> None:
+    with contextlib.suppress(OSError):
+        while data := await reader.read(CHUNK_BYTES):
+            if relay.delay_s:
+                await asyncio.sleep(relay.delay_s)
+            if relay.cut:
+                connection.silent = True
+            if not connection.silent:
+                writer.write(data)
+                await writer.drain()
+        writer.close()
+
+
+def _abort(writer: asyncio.StreamWriter) -> None:
+    own_socket = writer.get_extra_info("socket")
+    if own_socket is None:
+        return
+    with contextlib.suppress(OSError):
+        linger = struct.pack("ii", 1, 0)
+        own_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    writer.transport.abort()
--- a/tests/gateway/entry_host.py
+++ b/tests/gateway/entry_host.py
@@ -49,6 +49,7 @@
         link="tcp://one:1",
         seeds=(),
         tolerated_losses=1,
+        link_bound="tcp://one:1",
         may_found=False,
         callers_address="",
         readiness_address="",
--- a/tests/platform/test_processes.py
+++ b/tests/platform/test_processes.py
@@ -7,8 +7,7 @@
 
 import pytest
 
-from standins import platform_server
-from tests.platform import fleet_processes
+from standins import fleet as fleet_processes, platform_server
 
 CONFIG = "/api/config"
 
--- a/tests/processes/test_failures.py
+++ b/tests/processes/test_failures.py
@@ -11,7 +11,8 @@
 import pytest
 import pytest_asyncio
 
-from tests.processes import relay, system as systems
+from standins import relay
+from tests.processes import system as systems
 
 TEST_LIMIT_S = 60.0
 LEASE_S = 3.0
