--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Real programs under random faults from outside; promises checked from the records."""
--- /dev/null
+++ b/tests/soak/test_plan.py
@@ -0,0 +1,38 @@
+"""A run's faults follow from its seed and stay within what the settings tolerate."""
+
+import pytest
+
+from soak import plan
+
+
+def test_the_same_seed_gives_the_same_faults():
+    assert plan.draw(5) == plan.draw(5)
+    assert plan.draw(5) != plan.draw(6)
+
+
+@pytest.mark.parametrize("seed", range(0, 400, 8))
+def test_no_more_control_hosts_are_lost_at_once_than_are_tolerated(seed):
+    faults = plan.draw(seed)
+
+    for fault in faults:
+        lost = plan.lost_controls(faults, fault.at_s)
+        assert len(lost) <= plan.TOLERATED_LOSSES
+
+
+def test_every_kind_of_fault_comes_up():
+    kinds = {fault.kind for seed in range(200) for fault in plan.draw(seed)}
+
+    assert kinds == set(plan.Kind)
+
+
+def test_faults_overlap_but_never_on_one_target():
+    overlaps = 0
+    for seed in range(100):
+        faults = plan.draw(seed)
+        for place, first in enumerate(faults):
+            for second in faults[place + 1 :]:
+                if second.at_s < first.at_s + first.for_s:
+                    overlaps += 1
+                    assert first.target != second.target
+
+    assert overlaps > 0
