Count an upstream where a request may have run, whatever became of its answer

Cause: an idempotent request counted as run only once the head of an answer was there, so bytes that are no HTTP, a reset or a crossed answer did not count against the route's bound on upstreams; with four bad upstreams it ran at all four.

Change: the set of upstreams where a request may have run is kept and bounded.

--- a/bitternlever/gateway/context.py
+++ b/bitternlever/gateway/context.py
@@ -40,7 +40,7 @@
     first_piece_s: float | None = None
     sent: bool = False
     attempts: int = 0
-    runs: int = 0
+    ran_at: set[str] = dataclasses.field(default_factory=set)
     tried: set[str] = dataclasses.field(default_factory=set)
 
 
--- a/bitternlever/gateway/forward.py
+++ b/bitternlever/gateway/forward.py
@@ -124,7 +124,7 @@
             context.tried.discard(word.upstream)
         if failure.inputs_lost and relay.response is None:
             return gateway_context.InputsLost(failure.reason)
-        if failure.ran and not _may_run_again(context):
+        if failure.ran and not _may_run_again(context, word):
             break
     return _give_up(relay, context, failure)
 
@@ -162,9 +162,14 @@
     return True
 
 
-def _may_run_again(context: gateway_context.Context) -> bool:
+def _may_run_again(
+    context: gateway_context.Context,
+    word: fleet.UpstreamWord,
+) -> bool:
+    """Count an upstream where a request may have run; tell whether it may run again."""
     route = context.route
-    if context.runs >= route.maximum_attempts:
+    context.ran_at.add(word.upstream)
+    if len(context.ran_at) >= route.maximum_attempts:
         return False
     if route.repeatability is catalog_tables.Repeatability.IDEMPOTENT:
         return True
@@ -309,7 +314,6 @@
             503,
             inputs_lost=answer.inputs_lost,
         )
-    context.runs += 1
     return attempt
 
 
@@ -355,7 +359,7 @@
     _release(gateway, attempt)
     if relay.response is not None:
         return Failure(f"the stream cannot go on: status {status}", True)
-    if status >= 500 and _may_run_again(context):
+    if status >= 500 and _may_run_again(context, attempt.word):
         return Failure(f"status {status}", True, status)
     return await _answer_whole(gateway, relay, attempt, body)
 
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -17,7 +17,8 @@
 """A request that meets the end of its connection may be lost on the way."""
 
 PROMISES_NOT_RUN = (408, 421, 429, 503)
-IDEMPOTENT_ATTEMPTS = 2
+IDEMPOTENT_UPSTREAMS = 2
+"""The attempts that the run's routes allow are counted by upstream."""
 
 Records = soak_records.Records
 
@@ -42,13 +43,17 @@
 
 
 def _runs_are_bounded(records: Records) -> list[str]:
-    times = collections.Counter(run.request for run in records.runs)
-    bound = {"idempotent": IDEMPOTENT_ATTEMPTS, "non_idempotent": 1}
-    return [
-        f"{call.kind} request {call.request} ran {times[call.request]} times"
-        for call in records.calls
-        if times[call.request] > bound[call.kind]
-    ]
+    runs = collections.defaultdict(list)
+    for run in records.runs:
+        runs[run.request].append(run.upstream)
+    found = []
+    for call in records.calls:
+        upstreams = runs[call.request]
+        if call.kind == "non_idempotent" and len(upstreams) > 1:
+            found.append(f"request {call.request} ran {len(upstreams)} times")
+        if len(set(upstreams)) > IDEMPOTENT_UPSTREAMS:
+            found.append(f"request {call.request} ran at {set(upstreams)}")
+    return found
 
 
 def _answers_are_whole_and_right(records: Records) -> list[str]:
--- a/tests/gateway/test_requests.py
+++ b/tests/gateway/test_requests.py
@@ -250,6 +250,27 @@
     assert "retry-after" in answer.headers
 
 
+@pytest.mark.parametrize(
+    "fault",
+    [
+        platform_server.garbage(),
+        platform_server.close(),
+        platform_server.cut(reset=True),
+        platform_server.crossed(),
+        platform_server.answer(500),
+    ],
+)
+async def test_an_idempotent_request_reaches_no_more_servers_than_its_route_allows(
+    fault,
+):
+    servers = [await platform_server.start(f"u{number}", fault) for number in range(4)]
+
+    answer = await ask(with_route(maximum_attempts=2), servers)
+
+    assert answer.status in (500, 502)
+    assert sum(bool(server.received) for server in servers) == 2
+
+
 async def test_a_server_that_cannot_be_reached_costs_no_run():
     gone = await platform_server.start("u1")
     platform_server.stop(gone)
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -63,6 +63,11 @@
     records.runs.append(run("r"))
 
 
+def _run_at_three(records):
+    records.calls.append(served("i", kind="idempotent"))
+    records.runs.extend(run("i", upstream=name) for name in ("u1", "u2", "u3"))
+
+
 def _exit(**changes):
     fields = {"process": "entry-a", "code": 0, "asked": True, "took_s": 1.0}
     seen = soak_records.Exit(**{**fields, **changes})
@@ -73,6 +78,7 @@
     ("breach", "told"),
     [
         (lambda records: records.runs.append(run()), "ran 2 times"),
+        (_run_at_three, "request i ran at"),
         (_add_call(request="b"), "not its own"),
         (_add_call(body=b"else"), "not its own"),
         (_add_call(sealed=False), "not its own"),
