A draining host tells callers to leave their connections

Hosts answered on kept connections to the end as if they stayed.

Ruled out: waiting longer (the grace period is bounded, callers send on and on); reading on after the last moment (the process has to end at some time).

Change: while a host drains its answers carry Connection: close; callers then ask the directory, which names others. Test over three kinds of answers, seen failing.

--- a/bitternlever/gateway/forward.py
+++ b/bitternlever/gateway/forward.py
@@ -386,6 +386,8 @@
     """Pass events on as they arrive; only whole ones where another run may follow."""
     if relay.response is None:
         relay.response = web.StreamResponse(status=attempt.head.status)
+        if state.is_draining(gateway):
+            relay.response.force_close()
         for name, value in gateway.dialect.answer_headers(attempt.head.headers):
             relay.response.headers[name] = value
         await relay.response.prepare(relay.request)
--- a/bitternlever/gateway/requests.py
+++ b/bitternlever/gateway/requests.py
@@ -44,12 +44,15 @@
 
 
 async def serve(gateway: state.Gateway, request: web.BaseRequest) -> web.StreamResponse:
-    """Answer one request of a caller."""
+    """Answer one request of a caller; a draining host lets its connection go."""
     gateway.in_flight += 1
     try:
-        return await _serve(gateway, request)
+        answer = await _serve(gateway, request)
     finally:
         gateway.in_flight -= 1
+    if state.is_draining(gateway) and not answer.prepared:
+        answer.force_close()
+    return answer
 
 
 async def _serve(
--- a/bitternlever/gateway/shell.py
+++ b/bitternlever/gateway/shell.py
@@ -226,7 +226,7 @@
 
 def _drain(gateway: state.Gateway) -> None:
     """Leave the directory, serve on until callers have gone, then end."""
-    if gateway.state is fleet.HostState.DRAINING:
+    if state.is_draining(gateway):
         return
     gateway.state = fleet.HostState.DRAINING
     events.DRAIN_REQUESTED.log(logger, in_flight=gateway.in_flight)
--- a/bitternlever/gateway/state.py
+++ b/bitternlever/gateway/state.py
@@ -96,6 +96,11 @@
     return gateway.state is fleet.HostState.READY
 
 
+def is_draining(gateway: Gateway) -> bool:
+    """Tell whether this host has been told to stop."""
+    return gateway.state is fleet.HostState.DRAINING
+
+
 def _flush(gateway: Gateway) -> None:
     gateway.flush_soon = False
     transport_links.flush(gateway.links)
--- a/tests/gateway/test_requests.py
+++ b/tests/gateway/test_requests.py
@@ -282,6 +282,31 @@
     assert answer.status == 200
 
 
+@pytest.mark.parametrize(
+    ("behaviour", "changes"),
+    [
+        (platform_server.answer(), {}),
+        (platform_server.refuse(), {}),
+        (platform_server.stream(b"data: 1\n\n"), {"repeatability": STREAM}),
+    ],
+)
+async def test_a_draining_host_tells_callers_to_leave_its_connection(
+    behaviour,
+    changes,
+):
+    server = await platform_server.start("u1", behaviour)
+    catalog = with_route(**changes)
+    async with entry_host.running(catalog, word(server)) as (gateway, port):
+        calm = await entry_host.call(port, entry_host.request())
+        gateway.state = fleet.HostState.DRAINING
+        draining = await entry_host.call(port, entry_host.request())
+
+    assert "connection" not in calm.headers
+    assert draining.headers["connection"] == "close"
+    assert draining.status == calm.status
+    assert draining.whole
+
+
 async def test_an_answer_without_a_length_is_whole_when_the_server_closes():
     server = await platform_server.start("u1", platform_server.unframed())
 
