The host that batches a service learns its waits and tells all hosts

Cause: each host learnt the wait at a stage service from its own requests. So far from the emulator early stages left too little time for the later ones.

Ruled out: a longer half-life (marks work late long after a burst); every host asking (calls).

Change: the batching host keeps the estimate and tells it with its backlog, in the answer to work and in its heartbeats; the leader passes it on with its age in answers to all hosts (about 40 bytes a service).

--- a/bench/stage_world.py
+++ b/bench/stage_world.py
@@ -15,12 +15,11 @@
 import zlib
 from collections.abc import Callable
 
-from bitternlever.batching import batcher, order, tables as batching_tables
+from bitternlever.batching import batcher, estimates, tables as batching_tables
 from bitternlever.catalog import routes, tables as catalog_tables
 from bitternlever.gateway import (
     context as gateway_context,
     dialect,
-    estimates,
     schedule,
     tables as gateway_tables,
 )
@@ -88,7 +87,6 @@
     started: set[int] = dataclasses.field(default_factory=set)
     begun: set[int] = dataclasses.field(default_factory=set)
     handles: dict[int, list[str]] = dataclasses.field(default_factory=dict)
-    began: dict[int, float] = dataclasses.field(default_factory=dict)
     attempt: int = 0
     outcome: str = ""
     first_event_s: float | None = None
@@ -266,7 +264,6 @@
         if held_by is not None and held_by not in flight.begun | flight.done:
             continue
         flight.started.add(stage.number)
-        flight.began[stage.number] = emulation.now
         if schedule.count_of(flight.context, stage) == 0:
             _stage_done(emulation, flight, stage, [])
             return
@@ -324,10 +321,8 @@
     )
     held = emulation.batchers[stage.service]
     refused = batcher.submit(held, now, work, "host")
-    emulation.tables.backlogs[stage.service] = gateway_tables.Backlog(
-        work_s=batcher.backlog_s(held, order.waiting(held, now)),
-        on_time_s=batcher.backlog_s(held, order.on_time(held, now)),
-        told_s=now,
+    emulation.tables.loads[stage.service] = gateway_tables.Told(
+        batcher.load(held, now), now
     )
     if refused is not None:
         _refuse(emulation, flight, refused.refusal.retry_after_s)
@@ -446,14 +441,6 @@
 ) -> None:
     flight.handles[stage.number] = handles
     flight.done.add(stage.number)
-    if handles:
-        schedule.learn_wait(
-            emulation.tables,
-            flight.context,
-            stage,
-            flight.began[stage.number],
-            emulation.now,
-        )
     for number in stage.after:
         _free(emulation, flight, number)
     _advance(emulation, flight)
@@ -511,12 +498,6 @@
 
 
 def _refuse(emulation: Emulation, flight: Flight, retry_after_s: float) -> None:
-    for number in flight.started - flight.done:
-        stage = flight.kind.route.stages[number]
-        began_s = flight.began[number]
-        schedule.learn_wait(
-            emulation.tables, flight.context, stage, began_s, emulation.now
-        )
     _end(emulation, flight)
     held_s = emulation.now - flight.context.arrived_s
     flight.refused_after_s += held_s
--- a/bitternlever/batching/batcher.py
+++ b/bitternlever/batching/batcher.py
@@ -9,7 +9,7 @@
 import dataclasses
 import math
 
-from bitternlever.batching import order, tables
+from bitternlever.batching import estimates, order, tables
 from bitternlever.catalog import tables as catalog_tables
 from bitternlever.messages import fleet
 
@@ -139,6 +139,29 @@
     return max(pieces / _piece_rate(batcher), size / _room_rate(batcher))
 
 
+def load(batcher: tables.Batcher, now: float) -> fleet.ServiceLoad:
+    """Return what hosts are told of this queue."""
+    return fleet.ServiceLoad(
+        service=batcher.service,
+        backlog_s=backlog_s(batcher, order.waiting(batcher, now)),
+        on_time_s=backlog_s(batcher, order.on_time(batcher, now)),
+        wait_s=estimates.decayed_s(batcher.wait, now),
+    )
+
+
+def _learn_wait(batcher: tables.Batcher, now: float, work: tables.Work) -> None:
+    """Learn from work that was on time when it came: late work waits for others.
+
+    Work that has become late by its wait counts with the wait that it could afford.
+    """
+    least_s = order.shortest_call_s(batcher, work)
+    spare_s = work.objective_s - work.arrived_s - least_s
+    if spare_s < 0:
+        return
+    waited_s = max(0.0, now - work.arrived_s - least_s)
+    estimates.add(batcher.wait, now, min(waited_s, spare_s))
+
+
 def _piece_rate(batcher: tables.Batcher) -> float:
     """Return how many pieces a second full calls to all upstreams make."""
     capacity = batcher.capacity
@@ -206,6 +229,7 @@
             ahead_bytes += len(work.waiting) * work.message.result_bytes
             continue
         cancel(batcher, now, work.message.work)
+        _learn_wait(batcher, now, work)
         reason = "the deadline cannot be met any more"
         ended.append(_refused(work, reason, max(wait_s, FULL_PAUSE_S)))
     return ended
@@ -514,6 +538,7 @@
         if len(work.handles) < len(work.message.pieces):
             return None
         del batcher.works[item.work]
+        _learn_wait(batcher, now, work)
         return tables.Finished(work)
     return _item_failed(batcher, now, server, work, item, outcome)
 
--- a/bitternlever/gateway/estimates.py
+++ b/bitternlever/batching/estimates.py
@@ -1,4 +1,4 @@
-"""How long the rest of a request's way takes at present, learned from what was seen.
+"""How long a step of a request's way takes at present, learned from what was seen.
 
 Load: a stage that all requests share is full. A request that will miss its objective
 further on must not go before one that can still meet it, so what is subtracted for the
@@ -43,5 +43,9 @@
 
 def decayed_s(estimate: Estimate, now: float) -> float:
     """Return what most samples stay below, less the older the newest sample is."""
-    age_s = max(0.0, now - estimate.fed_s)
-    return expected_s(estimate) * 0.5 ** (age_s / HALF_LIFE_S)
+    return faded_s(expected_s(estimate), now - estimate.fed_s)
+
+
+def faded_s(value_s: float, age_s: float) -> float:
+    """Return what is left of an estimate that is so old."""
+    return value_s * 0.5 ** (max(0.0, age_s) / HALF_LIFE_S)
--- a/bitternlever/batching/tables.py
+++ b/bitternlever/batching/tables.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from bitternlever.batching import estimates
 from bitternlever.catalog import tables as catalog_tables
 from bitternlever.messages import fleet
 
@@ -87,7 +88,8 @@
 
     ``unread`` lists results that nobody will read, by address and handle.
     ``held_s`` is the mean time from the begin of a call to the end of its results,
-    ``on_time_share`` the mean part of a full call that work on time takes.
+    ``on_time_share`` the mean part of a full call that work on time takes, ``wait``
+    the wait of work that was on time when it came.
     """
 
     service: str
@@ -98,6 +100,9 @@
     next_call: int = 0
     held_s: float = 0.5
     on_time_share: float = 0.0
+    wait: estimates.Estimate = dataclasses.field(
+        default_factory=lambda: estimates.Estimate(0.0),
+    )
     unread: list[tuple[str, str]] = dataclasses.field(default_factory=list)
 
 
--- a/bitternlever/fleet/feed.py
+++ b/bitternlever/fleet/feed.py
@@ -21,6 +21,9 @@
 SUBSCRIBER_SILENCE_S = 3.0
 """Hosts out of touch for longer are told nothing until they are heard again."""
 
+LOAD_KEPT_S = 2.0
+"""A batching host tells its loads four times a second; then another has taken over."""
+
 WORDS_PER_MESSAGE = 200
 """Keeps a message of words below 64 KiB."""
 
@@ -34,6 +37,8 @@
     """Answer a host's heartbeat and send what it lacks."""
     hosts.take(tables.hosts, now, beat.word)
     hosts.refresh(tables.hosts, now)
+    for load in beat.loads:
+        tables.loads[load.service] = fleet_tables.HeardLoad(load, now)
     subscriber = _subscriber(tables, now, beat)
     own = tables.replica
     current = reads.ready(own) and reads.lease_valid(own, now)
@@ -50,6 +55,7 @@
         controls=fleet_tables.controls(tables),
         hosts_revision=lists.revision,
         hosts=None if known else list(lists.listed),
+        loads=_loads(tables, now) if fleet_tables.leads(tables) else [],
     )
     outbox.send(frames.SendPeer(subscriber.link, answer, subscriber.link))
     if not subscriber.told_all:
@@ -91,6 +97,17 @@
     tables.heard_again.add(word.upstream)
 
 
+def _loads(tables: fleet_tables.FleetTables, now: float) -> list[fleet.ServiceLoad]:
+    """Return the loads of services with their age; drop what nobody renews."""
+    for service, heard in list(tables.loads.items()):
+        if now - heard.heard_s > LOAD_KEPT_S:
+            del tables.loads[service]
+    return [
+        msgspec.structs.replace(heard.load, age_s=now - heard.heard_s)
+        for heard in tables.loads.values()
+    ]
+
+
 def _subscriber(
     tables: fleet_tables.FleetTables,
     now: float,
--- a/bitternlever/fleet/tables.py
+++ b/bitternlever/fleet/tables.py
@@ -6,7 +6,7 @@
 from bitternlever.catalog import machine
 from bitternlever.consensus import replica, tables as consensus_tables
 from bitternlever.fleet import hosts as fleet_hosts, upstreams as fleet_upstreams
-from bitternlever.messages import consensus
+from bitternlever.messages import consensus, fleet
 from bitternlever.storage import restored as storage_restored
 
 GROUP = 0
@@ -46,6 +46,14 @@
     heard_s: float
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class HeardLoad:
+    """What a batching host told of a service, and when it came."""
+
+    load: fleet.ServiceLoad
+    heard_s: float
+
+
 @dataclasses.dataclass(slots=True)
 class Subscriber:
     """An entry host that hears this process; ``pushed_version`` was sent last."""
@@ -115,6 +123,7 @@
     )
     hosts: fleet_hosts.Hosts = dataclasses.field(default_factory=fleet_hosts.Hosts)
     candidates: dict[str, Candidate] = dataclasses.field(default_factory=dict)
+    loads: dict[str, HeardLoad] = dataclasses.field(default_factory=dict)
     zones: dict[str, str] = dataclasses.field(default_factory=dict)
     subscribers: dict[str, Subscriber] = dataclasses.field(default_factory=dict)
     changed: set[str] = dataclasses.field(default_factory=set)
--- a/bitternlever/gateway/batching.py
+++ b/bitternlever/gateway/batching.py
@@ -11,13 +11,12 @@
 from collections.abc import Callable
 from typing import Any
 
-from bitternlever.batching import batcher, order, tables as batching_tables
+from bitternlever.batching import batcher, tables as batching_tables
 from bitternlever.core import clocks
 from bitternlever.gateway import (
     dialect as gateway_dialect,
     state,
     sync,
-    tables as gateway_tables,
 )
 from bitternlever.messages import fleet
 from bitternlever.routing import affinity
@@ -81,7 +80,7 @@
                 if isinstance(answer, fleet.StageBegun):
                     begun.set()
                 else:
-                    _note_backlog(gateway, work.service, answer)
+                    sync.load_told(gateway.tables, clocks.boot_time(), answer.load)
                 answer = None  # Cancelled from here on, the work is not answered.
                 answer = await _next(mailbox, ASK_AGAIN_S)
             if answer is not None:
@@ -137,6 +136,15 @@
     return any(held.works or held.calls for held in gateway.tables.batchers.values())
 
 
+def loads(gateway: state.Gateway, now: float) -> list[fleet.ServiceLoad]:
+    """Return what to tell of the services that this host batches."""
+    return [
+        batcher.load(held, now)
+        for held in gateway.tables.batchers.values()
+        if owner(gateway, now, held.service) == gateway.settings.link
+    ]
+
+
 def pump_later(gateway: state.Gateway) -> None:
     """Fill calls at the end of this turn of the loop."""
     if not gateway.batching.pump_soon:
@@ -159,18 +167,6 @@
         return None
 
 
-def _note_backlog(
-    gateway: state.Gateway,
-    service: str,
-    accepted: fleet.StageAccepted,
-) -> None:
-    gateway.tables.backlogs[service] = gateway_tables.Backlog(
-        work_s=accepted.backlog_s,
-        on_time_s=accepted.on_time_s,
-        told_s=clocks.boot_time(),
-    )
-
-
 def _suspect(gateway: state.Gateway, now: float, link: str) -> None:
     if link != gateway.settings.link:
         gateway.tables.suspects[link] = now + SUSPECT_S
@@ -196,11 +192,7 @@
             _finish(gateway, refused)
             return
         pump_later(gateway)
-    accepted = fleet.StageAccepted(
-        work=message.work,
-        backlog_s=batcher.backlog_s(held, order.waiting(held, now)),
-        on_time_s=batcher.backlog_s(held, order.on_time(held, now)),
-    )
+    accepted = fleet.StageAccepted(work=message.work, load=batcher.load(held, now))
     state.send(gateway, link, accepted)
 
 
--- a/bitternlever/gateway/requests.py
+++ b/bitternlever/gateway/requests.py
@@ -7,12 +7,12 @@
 import result
 from aiohttp import web
 
+from bitternlever.batching import estimates
 from bitternlever.catalog import routes, tables as catalog_tables
 from bitternlever.core import clocks
 from bitternlever.gateway import (
     budget,
     context as gateway_context,
-    estimates,
     forward,
     measures,
     schedule,
--- a/bitternlever/gateway/schedule.py
+++ b/bitternlever/gateway/schedule.py
@@ -1,16 +1,17 @@
 """When the stages of a request run, and how much time each has.
 
 Load: a request runs through several busy stages before its engine, and its callers
-judge the time to the first event. Early stages count what the later ones take at
-present, and a stage that nothing follows starts late enough that its results don't lie
-about while the others are at work. A request that would only wait in vain is turned
-away before its first stage. All functions are pure but for ``learn_wait``.
+judge the time to the first event; each of many hosts sees few of them. Early stages
+count what the later ones take at present, as the hosts tell that batch them, and a
+stage that nothing follows starts late enough that its results don't lie about while
+the others are at work. A request that would only wait in vain is turned away before its
+first stage. All functions are pure.
 """
 
+from bitternlever.batching import estimates
 from bitternlever.catalog import tables as catalog_tables
 from bitternlever.gateway import (
     context as gateway_context,
-    estimates,
     tables as gateway_tables,
 )
 
@@ -203,12 +204,13 @@
     service: str,
     now: float,
 ) -> float:
-    """Return the wait of work on time: as learnt, or what its host told last."""
-    learnt_s = estimates.decayed_s(wait_at(tables, service), now)
-    told = tables.backlogs.get(service)
+    """Return the wait of work on time: as it was lately, or as what waits now asks."""
+    told = tables.loads.get(service)
     if told is None:
-        return learnt_s
-    return max(learnt_s, told.on_time_s - (now - told.told_s))
+        return 0.0
+    age_s = now - told.told_s
+    lately_s = estimates.faded_s(told.load.wait_s, age_s)
+    return max(lately_s, told.load.on_time_s - age_s)
 
 
 def backlog_s(
@@ -217,35 +219,10 @@
     now: float,
 ) -> float:
     """Return how long a service's queue will take, as last told, less its age."""
-    told = tables.backlogs.get(service)
-    return 0.0 if told is None else max(0.0, told.work_s - (now - told.told_s))
-
-
-def learn_wait(
-    tables: gateway_tables.GatewayTables,
-    context: gateway_context.Context,
-    stage: catalog_tables.Stage,
-    began_s: float,
-    now: float,
-) -> None:
-    """Learn from work that was on time when it began: late work waits for others.
-
-    Work that has become late by its wait counts with the wait that it could afford.
-    """
-    least_s = cost_s(context, stage)
-    spare_s = objective_left_s(tables, context, stage, began_s) - least_s
-    if spare_s < 0:
-        return
-    waited_s = max(0.0, now - began_s - least_s)
-    estimates.add(wait_at(tables, stage.service), now, min(waited_s, spare_s))
-
-
-def wait_at(
-    tables: gateway_tables.GatewayTables,
-    service: str,
-) -> estimates.Estimate:
-    """Return the estimate of the wait at a stage service."""
-    return tables.waits.setdefault(service, estimates.Estimate(0.0))
+    told = tables.loads.get(service)
+    if told is None:
+        return 0.0
+    return max(0.0, told.load.backlog_s - (now - told.told_s))
 
 
 def first_piece_of(
--- a/bitternlever/gateway/shell.py
+++ b/bitternlever/gateway/shell.py
@@ -212,7 +212,9 @@
 
 
 def _send_beats(gateway: state.Gateway) -> None:
-    for link, message in sync.beat(gateway.tables, clocks.boot_time(), gateway.state):
+    now = clocks.boot_time()
+    loads = batching.loads(gateway, now)
+    for link, message in sync.beat(gateway.tables, now, gateway.state, loads):
         state.send(gateway, link, message)
 
 
--- a/bitternlever/gateway/stages.py
+++ b/bitternlever/gateway/stages.py
@@ -105,7 +105,6 @@
         waited_s = now - began_s
         measures.note_latency(gateway.measures, f"stage.{stage.service}", waited_s)
         context.stage_times.append((stage.number, round(waited_s, 3)))
-        schedule.learn_wait(gateway.tables, context, stage, began_s, now)
         if isinstance(answer, fleet.StageRefused):
             return answer
         results.handles[stage.number] = answer.handles
--- a/bitternlever/gateway/sync.py
+++ b/bitternlever/gateway/sync.py
@@ -30,8 +30,9 @@
     tables: gateway_tables.GatewayTables,
     now: float,
     state: fleet.HostState,
+    loads: list[fleet.ServiceLoad],
 ) -> list[tuple[str, fleet.HostBeat]]:
-    """Return the heartbeats to send, by link."""
+    """Return the heartbeats to send, by link; ``loads`` are of this host's services."""
     tables.word = msgspec.structs.replace(
         tables.word,
         number=tables.word.number + 1,
@@ -48,6 +49,7 @@
                 catalog_version=version,
                 control_run=control.run,
                 hosts_revision=control.hosts_revision,
+                loads=loads,
             ),
         )
         for control in tables.controls.values()
@@ -75,10 +77,24 @@
         known = tables.controls.setdefault(other, gateway_tables.Control(other))
         known.known_s = now
     _put_hosts_together(tables, now)
+    for load in answer.loads:
+        load_told(tables, now, load)
     if answer.current and _covers(tables, answer.catalog_version):
         tables.current_s = max(tables.current_s or 0.0, answer.sent_s)
 
 
+def load_told(
+    tables: gateway_tables.GatewayTables,
+    now: float,
+    load: fleet.ServiceLoad,
+) -> None:
+    """Take what waits at a service unless something newer is known."""
+    told_s = now - load.age_s
+    held = tables.loads.get(load.service)
+    if held is None or held.told_s < told_s:
+        tables.loads[load.service] = gateway_tables.Told(load, told_s)
+
+
 def catalog_received(
     tables: gateway_tables.GatewayTables,
     catalog: catalog_tables.Catalog,
--- a/bitternlever/gateway/tables.py
+++ b/bitternlever/gateway/tables.py
@@ -2,10 +2,9 @@
 
 import dataclasses
 
-from bitternlever.batching import tables as batching_tables
+from bitternlever.batching import estimates, tables as batching_tables
 from bitternlever.catalog import tables as catalog_tables
 from bitternlever.fleet import hosts as fleet_hosts, upstreams as fleet_upstreams
-from bitternlever.gateway import estimates
 from bitternlever.messages import fleet
 
 
@@ -33,14 +32,10 @@
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
-class Backlog:
-    """How long what waits at a stage service will take, as told at ``told_s``.
+class Told:
+    """What waits at a stage service, as the host that batches it told at ``told_s``."""
 
-    ``on_time_s`` counts only the work that can still meet its objective.
-    """
-
-    work_s: float
-    on_time_s: float
+    load: fleet.ServiceLoad
     told_s: float
 
 
@@ -49,9 +44,9 @@
     """Everything that an entry host knows.
 
     ``current_s`` is the newest time at which the catalog in force was known to be
-    the newest one; None before the first. ``backlogs`` are what batching hosts told
-    last of their queues, ``waits`` estimates the wait at each stage service for work on
-    time, ``first_pieces`` the time to a service's first piece of an answer.
+    the newest one; None before the first. ``loads`` are what batching hosts told last
+    of their services, ``first_pieces`` estimates the time to a service's first piece of
+    an answer.
     """
 
     word: fleet.HostWord
@@ -68,8 +63,7 @@
         default_factory=dict,
     )
     suspects: dict[str, float] = dataclasses.field(default_factory=dict)
-    backlogs: dict[str, Backlog] = dataclasses.field(default_factory=dict)
-    waits: dict[str, estimates.Estimate] = dataclasses.field(default_factory=dict)
+    loads: dict[str, Told] = dataclasses.field(default_factory=dict)
     first_pieces: dict[str, estimates.Estimate] = dataclasses.field(
         default_factory=dict,
     )
--- a/bitternlever/messages/fleet.py
+++ b/bitternlever/messages/fleet.py
@@ -35,11 +35,27 @@
     state: HostState
 
 
+class ServiceLoad(msgspec.Struct, frozen=True, array_like=True):
+    """What waits at a stage service, as the host says that batches it.
+
+    ``backlog_s`` is how long all that waits will take, ``on_time_s`` what of it can
+    still meet its objective, ``wait_s`` how long work on time has waited lately, with a
+    margin. ``age_s`` counts from the telling until the message was sent.
+    """
+
+    service: str
+    backlog_s: float
+    on_time_s: float
+    wait_s: float
+    age_s: float = 0.0
+
+
 class HostBeat(msgspec.Struct, tag=True, frozen=True):
     """An entry host's heartbeat to each control process.
 
     ``catalog_version`` is the version in force there; ``hosts_revision`` and
-    ``upstreams_revision`` are what it has from this control process's run.
+    ``upstreams_revision`` are what it has from this control process's run. ``loads``
+    are of the services that it batches.
     """
 
     word: HostWord
@@ -47,13 +63,15 @@
     catalog_version: int | None
     control_run: str
     hosts_revision: int
+    loads: list[ServiceLoad] = []
 
 
 class HostBeatAnswer(msgspec.Struct, tag=True, frozen=True):
     """Control's answer; ``current`` is set by a leader that holds its lease.
 
     Then ``catalog_version`` was the newest acknowledged version after the beat was
-    sent. ``hosts`` is left out where the host already has that revision.
+    sent. ``hosts`` is left out where the host already has that revision; a leader
+    passes on the ``loads`` that batching hosts told.
     """
 
     sent_s: float
@@ -63,6 +81,7 @@
     controls: list[str]
     hosts_revision: int
     hosts: list[HostWord] | None = None
+    loads: list[ServiceLoad] = []
 
 
 class CatalogPushed(msgspec.Struct, tag=True, frozen=True):
@@ -149,15 +168,10 @@
 
 
 class StageAccepted(msgspec.Struct, tag=True, frozen=True):
-    """The work stands in the queue of the host that batches its service.
-
-    ``backlog_s`` is how long all that waits there will take, ``on_time_s`` what of it
-    can still meet its objective.
-    """
+    """The work stands in the queue of the host that batches its service."""
 
     work: str
-    backlog_s: float = 0.0
-    on_time_s: float = 0.0
+    load: ServiceLoad
 
 
 class StageBegun(msgspec.Struct, tag=True, frozen=True):
--- a/tests/batching/test_batcher.py
+++ b/tests/batching/test_batcher.py
@@ -400,3 +400,37 @@
     batcher.call_failed(held, NOW, call.number, full=False)
 
     assert call.server.resume_s == NOW + batcher.MAXIMUM_PAUSE_S
+
+
+def _after_waits(objective_left_s: float) -> float:
+    """Return the wait that is told after works that each wait for a second."""
+    held = batch()
+    now = NOW
+    for number in range(20):
+        message = work(f"w{number}", objective_left_s=objective_left_s)
+        batcher.submit(held, now, message, "link")
+        now += 1.0
+        (call,) = batcher.dispatch(held, now)
+        now += call.expected_s
+        batcher.call_done(held, now, call.number, done(call))
+    return batcher.load(held, now).wait_s
+
+
+def test_the_wait_of_work_on_time_is_told_to_the_hosts():
+    assert 0.9 < _after_waits(objective_left_s=3.0) < 2.0
+
+
+def test_work_that_comes_late_tells_nothing_of_the_wait():
+    assert _after_waits(objective_left_s=0.05) == 0.0
+
+
+def test_work_that_becomes_late_tells_the_wait_that_it_could_afford():
+    afforded_s = 0.7 - order.shortest_call_s(batch(), _queued())
+
+    assert 0.8 * afforded_s < _after_waits(objective_left_s=0.7) < 2 * afforded_s
+
+
+def _queued() -> tables.Work:
+    held = batch()
+    batcher.submit(held, NOW, work("w"), "link")
+    return held.works["w"]
--- a/tests/gateway/test_decisions.py
+++ b/tests/gateway/test_decisions.py
@@ -2,10 +2,10 @@
 
 import pytest
 
+from bitternlever.batching import estimates
 from bitternlever.catalog import tables as catalog_tables
 from bitternlever.gateway import (
     budget,
-    estimates,
     event_stream,
     placement,
     schedule,
@@ -41,7 +41,7 @@
 
 def beaten(version=None) -> gateway_tables.GatewayTables:
     held = tables(version)
-    sync.beat(held, NOW, fleet.HostState.READY)
+    sync.beat(held, NOW, fleet.HostState.READY, [])
     return held
 
 
@@ -85,10 +85,10 @@
     held = beaten()
     sync.answered(held, NOW, "tcp://c:1", answer(controls=["tcp://c:1", "tcp://d:1"]))
 
-    links = [link for link, _ in sync.beat(held, NOW, fleet.HostState.READY)]
+    links = [link for link, _ in sync.beat(held, NOW, fleet.HostState.READY, [])]
     assert links == ["tcp://c:1", "tcp://d:1"]
     later_s = NOW + sync.FORGET_CONTROL_S + 1.0
-    links = [link for link, _ in sync.beat(held, later_s, fleet.HostState.READY)]
+    links = [link for link, _ in sync.beat(held, later_s, fleet.HostState.READY, [])]
     assert links == ["tcp://c:1"]
 
 
@@ -272,25 +272,13 @@
     held = tables()
     first, last = context.route.stages[1], context.route.stages[3]
     free_s = schedule.objective_left_s(held, context, first, NOW)
-    for _ in range(50):
-        estimates.add(schedule.wait_at(held, "rerank"), NOW, 0.3)
+    told(held, "rerank", work_s=0.0, wait_s=0.3)
 
     full_s = schedule.objective_left_s(held, context, first, NOW)
     assert free_s - full_s == pytest.approx(0.3, abs=0.05)
     assert schedule.objective_left_s(held, context, last, NOW) > full_s
 
 
-def test_waits_of_late_work_are_not_learnt():
-    context = staged()
-    held = tables()
-    last = context.route.stages[3]
-
-    schedule.learn_wait(held, context, last, NOW + 1.4, NOW + 9.0)
-    assert estimates.expected_s(schedule.wait_at(held, "rerank")) == 0.0
-    schedule.learn_wait(held, context, last, NOW + 0.5, NOW + 1.0)
-    assert estimates.expected_s(schedule.wait_at(held, "rerank")) > 0.0
-
-
 def test_stages_are_ordered_after_those_they_need():
     stages = (
         catalog_tables.Stage(0, "s", (2,), 0),
@@ -312,8 +300,30 @@
     assert splitter.rest == b""
 
 
-def told(held, service, work_s, on_time_s=0.0, told_s=NOW):
-    held.backlogs[service] = gateway_tables.Backlog(work_s, on_time_s, told_s)
+def told(held, service, work_s, on_time_s=0.0, wait_s=0.0, told_s=NOW):
+    load = fleet.ServiceLoad(service, work_s, on_time_s, wait_s)
+    held.loads[service] = gateway_tables.Told(load, told_s)
+
+
+def test_the_newest_that_is_known_of_a_services_load_counts():
+    held = tables()
+    told(held, "rerank", work_s=1.0, told_s=NOW)
+    older = fleet.ServiceLoad("rerank", 9.0, 0.0, 0.0, age_s=2.0)
+    newer = fleet.ServiceLoad("rerank", 5.0, 0.0, 0.0, age_s=0.2)
+
+    sync.load_told(held, NOW + 1.0, older)
+    assert schedule.backlog_s(held, "rerank", NOW + 1.0) == 0.0
+    sync.load_told(held, NOW + 1.0, newer)
+    assert schedule.backlog_s(held, "rerank", NOW + 1.0) == pytest.approx(4.8)
+
+
+def test_a_host_learns_the_waits_of_services_that_it_has_not_used():
+    held = beaten(version=1)
+    load = fleet.ServiceLoad("rerank", 0.0, 0.0, wait_s=0.3, age_s=0.1)
+
+    sync.answered(held, NOW, "tcp://c:1", answer(loads=[load]))
+
+    assert 0.25 < schedule.expected_wait_s(held, "rerank", NOW) < 0.3
 
 
 def test_a_request_that_can_be_on_time_is_let_in_whatever_waits():
