--- a/bitternlever/batching/order.py
+++ b/bitternlever/batching/order.py
@@ -2,11 +2,11 @@
 
 Load: bursts of one kind of request fill a stage that all kinds share. Work that has
 been begun goes first: its results take up room until its last piece is made. So does
-work of requests whose earlier stages are done, for it would be lost. Then work that
-can still meet its objective goes before work that cannot, urgent priorities first,
-then the earliest objective. Of late work the newest goes first, since its callers have
-waited least and stay longest; the oldest keeps a share of every call, so that nothing
-starves.
+work of requests whose earlier stages are done, for it would be lost. Then urgent
+priorities go first, and within one priority work that can still meet its objective goes
+before work that cannot, then the earliest objective. Of late work the newest goes
+first, since its callers have waited least and stay longest; the oldest keeps a share of
+every call, so that nothing starves.
 """
 
 from bitternlever.batching import tables
@@ -38,8 +38,8 @@
     return (
         fresh,
         message.depth == 0,
-        late,
         message.priority,
+        late,
         -message.depth,
         -work.objective_s if late else work.objective_s,
         work.arrived_s,
--- a/bitternlever/gateway/batching.py
+++ b/bitternlever/gateway/batching.py
@@ -79,7 +79,7 @@
             while isinstance(answer, fleet.StageAccepted | fleet.StageBegun):
                 if isinstance(answer, fleet.StageBegun):
                     begun.set()
-                else:
+                elif answer.load is not None:
                     sync.load_told(gateway.tables, clocks.boot_time(), answer.load)
                 answer = None  # Cancelled from here on, the work is not answered.
                 answer = await _next(mailbox, ASK_AGAIN_S)
--- a/bitternlever/messages/fleet.py
+++ b/bitternlever/messages/fleet.py
@@ -168,10 +168,13 @@
 
 
 class StageAccepted(msgspec.Struct, tag=True, frozen=True):
-    """The work stands in the queue of the host that batches its service."""
+    """The work stands in the queue of the host that batches its service.
+
+    Hosts of version 0.2 tell no ``load``.
+    """
 
     work: str
-    load: ServiceLoad
+    load: ServiceLoad | None = None
 
 
 class StageBegun(msgspec.Struct, tag=True, frozen=True):
--- a/tests/batching/test_batcher.py
+++ b/tests/batching/test_batcher.py
@@ -116,6 +116,17 @@
     assert names(call).count("late") == 1
 
 
+def test_urgent_work_that_is_late_goes_before_work_that_is_not_urgent():
+    held = batch()
+    batcher.submit(held, NOW, work("note", pieces=4, priority=2), "link")
+    urgent = work("urgent", pieces=4, priority=0, objective_left_s=0.0)
+    batcher.submit(held, NOW + 0.01, urgent, "link")
+
+    (call,) = batcher.dispatch(held, NOW + 0.02)
+
+    assert names(call) == ["urgent"] * 4
+
+
 def test_of_late_work_the_newest_goes_first():
     held = batch()
     old = work("old", objective_left_s=-2.0)
