Order stage work by the route's priority where workspaces are equal; end work with its inputs

Cause 1: a workspace's priority replaced the route's, and all workspaces of the sites have the same one.

Change 1: rank = workspace's priority, then the route's. Engines get the workspace's as before.

Tests: rank; the deadline of a stage with and without inputs; paid-for work that is given up with a time to return.

--- a/bench/stage_world.py
+++ b/bench/stage_world.py
@@ -87,6 +87,7 @@
     started: set[int] = dataclasses.field(default_factory=set)
     begun: set[int] = dataclasses.field(default_factory=set)
     handles: dict[int, list[str]] = dataclasses.field(default_factory=dict)
+    made_s: dict[int, float] = dataclasses.field(default_factory=dict)
     attempt: int = 0
     outcome: str = ""
     first_event_s: float | None = None
@@ -239,6 +240,7 @@
         service="engines",
         workspace=None,
         priority=route.priority,
+        rank=route.priority,
         catalog=emulation.catalog,
     )
 
@@ -308,12 +310,12 @@
         stage=stage.number,
         key="",
         pieces=[fleet.StagePiece(number, inputs) for number in range(count)],
-        priority=context.priority,
+        priority=context.rank,
         depth=len(flight.done),
         objective_left_s=schedule.objective_left_s(
             emulation.tables, context, stage, now
         ),
-        deadline_left_s=schedule.deadline_left_s(context, stage, now),
+        deadline_left_s=schedule.deadline_left_s(context, stage, now, flight.made_s),
         result_bytes=stage.result_bytes,
         workspace="",
         feeds_stage=not final,
@@ -441,6 +443,7 @@
 ) -> None:
     flight.handles[stage.number] = handles
     flight.done.add(stage.number)
+    flight.made_s[stage.number] = emulation.now
     for number in stage.after:
         _free(emulation, flight, number)
     _advance(emulation, flight)
--- a/bitternlever/batching/batcher.py
+++ b/bitternlever/batching/batcher.py
@@ -207,7 +207,8 @@
 
     Works past their objective share what is kept for them, oldest first; one that
     this share does not reach in time is given up as soon as that is known, unless
-    earlier stages of its request are done.
+    earlier stages of its request are done. Its caller may come back when what waits
+    now is done.
     """
     ended = []
     share = max(order.LATE_SHARE, 1.0 - batcher.on_time_share)
@@ -231,7 +232,8 @@
         cancel(batcher, now, work.message.work)
         _learn_wait(batcher, now, work)
         reason = "the deadline cannot be met any more"
-        ended.append(_refused(work, reason, max(wait_s, FULL_PAUSE_S)))
+        backlog = backlog_s(batcher, order.waiting(batcher, now))
+        ended.append(_refused(work, reason, max(wait_s, backlog, FULL_PAUSE_S)))
     return ended
 
 
--- a/bitternlever/catalog/routes.py
+++ b/bitternlever/catalog/routes.py
@@ -7,6 +7,9 @@
 PATIENCE_GAPS = 8.0
 """Callers abandon a stream without an event after the longest of these."""
 
+PRIORITY_LEVELS = 10
+"""Priorities are 0 to 9, as an engine takes them."""
+
 
 def match(catalog: tables.Catalog, host: str, path: str) -> tables.Route | None:
     """Return the route of ``host`` with the longest prefix that begins ``path``.
@@ -43,6 +46,17 @@
     return route.priority
 
 
+def rank(route: tables.Route, workspace: tables.Workspace | None) -> int:
+    """Return a request's place in the order of scarce work; smaller goes first.
+
+    The workspace's priority comes before the route's, which decides among equals.
+    """
+    least = PRIORITY_LEVELS - 1
+    return effective_priority(route, workspace) * PRIORITY_LEVELS + min(
+        route.priority, least
+    )
+
+
 def patience_s(route: tables.Route) -> float:
     """Return how long a caller waits for an answer, or for a stream's first event."""
     if route.repeatability is not tables.Repeatability.STREAM:
--- a/bitternlever/gateway/requests.py
+++ b/bitternlever/gateway/requests.py
@@ -240,6 +240,7 @@
             service=routes.choose_service(route, draw),
             workspace=workspace,
             priority=routes.effective_priority(route, workspace),
+            rank=routes.rank(route, workspace),
             catalog=catalog,
         ),
     )
--- a/bitternlever/gateway/schedule.py
+++ b/bitternlever/gateway/schedule.py
@@ -150,9 +150,18 @@
     context: gateway_context.Context,
     stage: catalog_tables.Stage,
     now: float,
+    made_s: dict[int, float],
 ) -> float:
-    """Return what a stage may take at most before the caller has left."""
-    return context.first_event_s - now - remaining_s(context, stage)
+    """Return what a stage may take at most: then its inputs or its caller are gone.
+
+    ``made_s`` tells when the results of the stages before it were made, by number.
+    """
+    latest_s = context.first_event_s - remaining_s(context, stage)
+    for number in stage.after:
+        service = context.catalog.services.get(context.route.stages[number].service)
+        if number in made_s and service is not None and service.stage is not None:
+            latest_s = min(latest_s, made_s[number] + service.stage.result_s)
+    return latest_s - now
 
 
 def turned_away_s(
--- a/bitternlever/gateway/stages.py
+++ b/bitternlever/gateway/stages.py
@@ -29,12 +29,14 @@
 class Results:
     """Handles of the pieces of each stage by its number, and what was given up.
 
-    ``begun`` tells when all pieces of a stage are in calls to upstreams.
+    ``begun`` tells when all pieces of a stage are in calls to upstreams, ``made_s``
+    when their results were all there.
     """
 
     handles: dict[int, list[str]] = dataclasses.field(default_factory=dict)
     freed: set[int] = dataclasses.field(default_factory=set)
     begun: dict[int, asyncio.Event] = dataclasses.field(default_factory=dict)
+    made_s: dict[int, float] = dataclasses.field(default_factory=dict)
 
 
 async def run(
@@ -98,7 +100,9 @@
             gateway,
             work,
             results.begun[stage.number],
-            lambda work, now: _with_time_left(gateway, context, stage, work, now),
+            lambda work, now: _with_time_left(
+                gateway, context, stage, results, work, now
+            ),
         )
         results.begun[stage.number].set()
         now = clocks.boot_time()
@@ -108,6 +112,7 @@
         if isinstance(answer, fleet.StageRefused):
             return answer
         results.handles[stage.number] = answer.handles
+        results.made_s[stage.number] = now
     _free_read(gateway, context, stage, tasks, results)
     return None
 
@@ -128,7 +133,7 @@
         stage=stage.number,
         key=context.head.piece_key,
         pieces=[fleet.StagePiece(number, inputs) for number in range(count)],
-        priority=context.priority,
+        priority=context.rank,
         depth=sum(bool(each) for each in results.handles.values()),
         objective_left_s=0.0,
         deadline_left_s=0.0,
@@ -191,13 +196,15 @@
     gateway: state.Gateway,
     context: gateway_context.Context,
     stage: catalog_tables.Stage,
+    results: Results,
     work: fleet.StageWork,
     now: float,
 ) -> fleet.StageWork:
+    made_s = results.made_s
     return msgspec.structs.replace(
         work,
         objective_left_s=schedule.objective_left_s(gateway.tables, context, stage, now),
-        deadline_left_s=schedule.deadline_left_s(context, stage, now),
+        deadline_left_s=schedule.deadline_left_s(context, stage, now, made_s),
     )
 
 
--- a/bitternlever/messages/fleet.py
+++ b/bitternlever/messages/fleet.py
@@ -142,7 +142,8 @@
     """Ask the host that batches a service for the pieces of one stage.
 
     ``work`` names this piece of work; it is sent again until it is answered. ``depth``
-    counts the stages of the request that are done.
+    counts the stages of the request that are done; of ``priority`` the smallest goes
+    first.
     ``objective_left_s`` and ``deadline_left_s`` are what the stage may take, with
     what follows it already subtracted. ``feeds_stage`` is set where another stage reads
     the results, ``tell_begin`` where the asker waits for the begin. ``home_zone`` is
--- a/tests/batching/test_batcher.py
+++ b/tests/batching/test_batcher.py
@@ -286,6 +286,23 @@
     assert [each.work.message.work for each in ended] == ["soon"]
 
 
+def test_paid_for_work_is_given_up_when_its_inputs_end_with_a_time_to_return():
+    held = batch()
+    batcher.submit(held, NOW, work("running", pieces=4), "link")
+    batcher.dispatch(held, NOW)
+    for number in range(30):
+        message = work(
+            f"paid{number}", pieces=4, depth=1, objective_left_s=0, deadline_left_s=0.5
+        )
+        batcher.submit(held, NOW, message, "link")
+
+    ended = batcher.expired(held, NOW + 0.4)
+
+    assert len(ended) == 30
+    assert ended[0].refusal.retry_after_s > 1.0
+    assert not ended[0].refusal.lost_input
+
+
 def test_a_slow_upstream_is_expected_to_be_slow_and_asked_last():
     held = batch(servers=2)
     batcher.submit(held, NOW, work("one"), "link")
--- a/tests/catalog/test_catalog.py
+++ b/tests/catalog/test_catalog.py
@@ -96,3 +96,18 @@
     machine.create(other).restore(state.snapshot())
 
     assert (other.version, other.body) == (7, b"\x00\xff")
+
+
+def test_among_requests_of_equal_workspaces_the_routes_priority_decides():
+    urgent, calm = samples.route(priority=0), samples.route(priority=2)
+    first, second = tables.Workspace("f", 0), tables.Workspace("s", 1)
+
+    ranks = [
+        routes.rank(urgent, first),
+        routes.rank(calm, first),
+        routes.rank(urgent, second),
+        routes.rank(calm, second),
+    ]
+
+    assert ranks == sorted(set(ranks))
+    assert routes.rank(urgent, None) < routes.rank(calm, None)
--- a/tests/gateway/test_decisions.py
+++ b/tests/gateway/test_decisions.py
@@ -279,6 +279,26 @@
     assert schedule.objective_left_s(held, context, last, NOW) > full_s
 
 
+def test_a_stage_may_take_no_longer_than_its_inputs_are_kept():
+    context = staged()
+    second = context.route.stages[2]
+    kept_s = context.catalog.services["encode"].stage.result_s
+
+    unbounded_s = schedule.deadline_left_s(context, second, NOW, {})
+    left_s = schedule.deadline_left_s(context, second, NOW, {1: NOW - 1.0})
+
+    assert unbounded_s > kept_s
+    assert left_s == pytest.approx(kept_s - 1.0)
+
+
+def test_a_stage_without_inputs_may_take_until_its_caller_leaves():
+    context = staged()
+    first = context.route.stages[1]
+    made_s = {0: NOW - 9.0}
+
+    assert schedule.deadline_left_s(context, first, NOW, made_s) > 5.0
+
+
 def test_stages_are_ordered_after_those_they_need():
     stages = (
         catalog_tables.Stage(0, "s", (2,), 0),
