--- a/bitternlever/platform/__main__.py
+++ b/bitternlever/platform/__main__.py
@@ -48,7 +48,7 @@
     It reads them all for TLS connections, which these programs do not make; that is a
     fifth of the processor time of a start.
     """
-    os.environ.setdefault("SSL_CERT_FILE", os.devnull)
+    os.environ["SSL_CERT_FILE"] = os.devnull
 
 
 async def _run(program: str, loaded: settings.fleet.FleetConfiguration) -> int:
