Soak: note when the soak itself does not run

Between 03:01:50.5 and 51.8 all eight processes noted all their links as silent at once, though one control process was killed: the relays stood still, and with them callers and upstreams, which live in the soak's process.

Change: the soak notes spans in which it did not run for 0.3 s and more, prints their sum and lets a request that waited then end late; nothing else is allowed by it. Killed processes are awaited on a thread.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -119,6 +119,7 @@
         "answers": {str(status): count for status, count in sorted(answers.items())},
         "configs": len(records.puts),
         "reads": len(records.reads),
+        "stalled_s": round(sum(end - begin for begin, end in records.stalls), 1),
         "violations": len(found),
         "found": found[:SHOWN_VIOLATIONS],
     }
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -84,6 +84,7 @@
         for call in records.calls
         if call.ended_s is None or call.ended_s - call.sent_s > latest_s
         if not _disturbed(records, call, latest_s)
+        if not _stalled(records, call, latest_s)
     ]
 
 
@@ -167,3 +168,11 @@
         and call.sent_s <= until_s
         for host, since_s, until_s in records.disturbed
     )
+
+
+def _stalled(records: Records, call: soak_records.Call, for_s: float) -> bool:
+    """Tell whether the caller itself did not run while it waited."""
+    return any(
+        since_s <= call.sent_s + for_s and call.sent_s <= until_s
+        for since_s, until_s in records.stalls
+    )
--- a/soak/records.py
+++ b/soak/records.py
@@ -64,7 +64,8 @@
     """Everything that was seen; ``disturbed`` are spans by host, ``revoked`` by key.
 
     ``drained`` tells when an upstream's word of its drain was acknowledged, and until
-    when it held.
+    when it held. ``stalls`` are spans in which the soak itself did not run, and with it
+    callers, relays and upstreams.
     """
 
     calls: list[Call] = dataclasses.field(default_factory=list)
@@ -75,6 +76,7 @@
     revoked: dict[str, float] = dataclasses.field(default_factory=dict)
     drained: list[tuple[str, float, float]] = dataclasses.field(default_factory=list)
     disturbed: list[tuple[str, float, float]] = dataclasses.field(default_factory=list)
+    stalls: list[tuple[float, float]] = dataclasses.field(default_factory=list)
     quiet_since_s: float | None = None
 
 
--- a/soak/world.py
+++ b/soak/world.py
@@ -30,6 +30,9 @@
 EXIT_WITHIN_S = 15.0
 WATCH_INTERVAL_S = 0.1
 ASK_WITHIN_S = aiohttp.ClientTimeout(total=1.0)
+STALL_S = 0.3
+"""Several times what the soak's own work takes; a part of the margin of the checks."""
+
 DELAY_S = 0.15
 CLOSING_S = 0.3
 """Until the ends of all connections are seen."""
@@ -120,6 +123,7 @@
             await asyncio.sleep(0.2)
     _run(world, soak_operator.run(world.operator))
     _run(world, _watch(world))
+    _run(world, _watch_stalls(world))
     for number in range(CALLERS):
         caller = callers.Caller(
             name=f"caller-{number}",
@@ -241,7 +245,7 @@
     ended = [name for name in names if name in world.fleet.processes]
     for name in ended:
         world.stopped.add(name)
-        world.fleet.kill(name)
+        await asyncio.to_thread(world.fleet.kill, name)
         data = world.fleet.folder / name
         if wiped and data.exists():
             shutil.rmtree(data)
@@ -284,6 +288,15 @@
         await asyncio.sleep(WATCH_INTERVAL_S)
 
 
+async def _watch_stalls(world: World) -> None:
+    """Note when this program itself did not get to run."""
+    while True:
+        slept_s = _now()
+        await asyncio.sleep(WATCH_INTERVAL_S)
+        if _now() - slept_s > WATCH_INTERVAL_S + STALL_S:
+            world.records.stalls.append((slept_s, _now()))
+
+
 async def _resolve(world: World) -> tuple[str, str] | None:
     """Ask some host's directory for an address; None where nobody answers."""
     asked = world.source.choice(plan.ENTRIES)
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -116,6 +116,15 @@
     assert any(told in each for each in checks.violations(records))
 
 
+def test_an_end_comes_late_only_while_the_soak_itself_runs():
+    records = sound()
+    records.calls.append(served(status=504, ended_s=9.0))
+    assert len(checks.violations(records)) == 1
+
+    records.stalls.append((2.0, 4.5))
+    assert checks.violations(records) == []
+
+
 def test_what_a_kill_cuts_is_allowed_and_only_on_its_host():
     records = sound()
     records.disturbed.append(("entry-a", 1.0, 2.0))
