--- a/bench/stage_world.py
+++ b/bench/stage_world.py
@@ -20,6 +20,7 @@
 from bitternlever.gateway import (
     context as gateway_context,
     dialect,
+    forward,
     schedule,
     tables as gateway_tables,
 )
@@ -30,7 +31,6 @@
 PROMPT_TOKENS_PER_S = 63_900.0
 ENGINE_LEAST_S = 0.03
 RESULT_SPREAD = 0.2
-INPUTS_FETCHED_S = 0.05
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -240,7 +240,6 @@
         service="engines",
         workspace=None,
         priority=route.priority,
-        rank=route.priority,
         catalog=emulation.catalog,
     )
 
@@ -310,7 +309,7 @@
         stage=stage.number,
         key="",
         pieces=[fleet.StagePiece(number, inputs) for number in range(count)],
-        priority=context.rank,
+        priority=routes.rank(context.route, context.workspace),
         depth=len(flight.done),
         objective_left_s=schedule.objective_left_s(
             emulation.tables, context, stage, now
@@ -475,7 +474,7 @@
     read_s = (shared + own) / PROMPT_TOKENS_PER_S
     for handles in flight.handles.values():
         _count_crossed(emulation, handles, emulation.world.engines[flight.engine])
-    fetched_s = emulation.now + INPUTS_FETCHED_S
+    fetched_s = emulation.now + forward.INPUTS_FETCHED_S
     _at(emulation, fetched_s, lambda: _fetched(emulation, flight))
     begin_s = max(emulation.now, emulation.engine_free_s[flight.engine])
     emulation.engine_free_s[flight.engine] = begin_s + read_s
--- a/bitternlever/batching/batcher.py
+++ b/bitternlever/batching/batcher.py
@@ -8,6 +8,7 @@
 
 import dataclasses
 import math
+from collections.abc import Collection
 
 from bitternlever.batching import estimates, order, tables
 from bitternlever.catalog import tables as catalog_tables
@@ -44,8 +45,10 @@
 """No upstream is taken for more than twice as fast as its service declares."""
 
 LEAST_CALL_S = 0.001
+"""Keeps a service that declares no time out of a division by zero."""
 
 MAXIMUM_RETRY_AFTER_S = 8.0
+"""Most callers' patience is over by then; a longer time would tell them not to come."""
 
 HELD_WEIGHT = 0.05
 """Weight of the newest result in the mean time for which results are held."""
@@ -130,7 +133,7 @@
     return free_s - now + max(pieces / _piece_rate(batcher), by_room_s)
 
 
-def backlog_s(batcher: tables.Batcher, works: list[tables.Work]) -> float:
+def backlog_s(batcher: tables.Batcher, works: Collection[tables.Work]) -> float:
     """Return how long what these works wait for will take at the present rates."""
     if not works or not batcher.servers:
         return 0.0
@@ -143,7 +146,7 @@
     """Return what hosts are told of this queue."""
     return fleet.ServiceLoad(
         service=batcher.service,
-        backlog_s=backlog_s(batcher, order.waiting(batcher, now)),
+        backlog_s=backlog_s(batcher, batcher.works.values()),
         on_time_s=backlog_s(batcher, order.on_time(batcher, now)),
         wait_s=estimates.decayed_s(batcher.wait, now),
     )
@@ -232,7 +235,7 @@
         cancel(batcher, now, work.message.work)
         _learn_wait(batcher, now, work)
         reason = "the deadline cannot be met any more"
-        backlog = backlog_s(batcher, order.waiting(batcher, now))
+        backlog = backlog_s(batcher, batcher.works.values())
         ended.append(_refused(work, reason, max(wait_s, backlog, FULL_PAUSE_S)))
     return ended
 
@@ -337,11 +340,9 @@
 
 def take_unread(batcher: tables.Batcher) -> dict[str, list[str]]:
     """Return the results that nobody will read, by the address of their maker."""
-    by_address: dict[str, list[str]] = {}
-    for address, handle in batcher.unread:
-        by_address.setdefault(address, []).append(handle)
-    batcher.unread.clear()
-    return by_address
+    unread = batcher.unread
+    batcher.unread = {}
+    return unread
 
 
 def forget_expired(batcher: tables.Batcher, now: float) -> None:
@@ -570,7 +571,7 @@
 def _abandon(batcher: tables.Batcher, now: float, handles: list[str]) -> None:
     """Note results that nobody will read."""
     for address, freed in free(batcher, now, handles).items():
-        batcher.unread.extend((address, handle) for handle in freed)
+        batcher.unread.setdefault(address, []).extend(freed)
 
 
 def _unreserve(
--- a/bitternlever/batching/tables.py
+++ b/bitternlever/batching/tables.py
@@ -86,7 +86,7 @@
 class Batcher:
     """The queue of one service.
 
-    ``unread`` lists results that nobody will read, by address and handle.
+    ``unread`` lists results that nobody will read, by the address of their maker.
     ``held_s`` is the mean time from the begin of a call to the end of its results,
     ``on_time_share`` the mean part of a full call that work on time takes, ``wait``
     the wait of work that was on time when it came.
@@ -103,7 +103,7 @@
     wait: estimates.Estimate = dataclasses.field(
         default_factory=lambda: estimates.Estimate(0.0),
     )
-    unread: list[tuple[str, str]] = dataclasses.field(default_factory=list)
+    unread: dict[str, list[str]] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/bitternlever/consensus/commits.py
+++ b/bitternlever/consensus/commits.py
@@ -1,5 +1,6 @@
 """Proposals, the commit index, and the application of committed entries."""
 
+import msgspec
 import result
 
 from bitternlever.consensus import disk, elections, log as consensus_log, tables
@@ -45,6 +46,15 @@
     return entry.index
 
 
+def propose_membership(
+    replica: tables.Replica,
+    membership: consensus.Membership,
+) -> None:
+    """Append a new membership as leader; it holds from its append on."""
+    data = msgspec.msgpack.encode(membership)
+    propose(replica, consensus.EntryKind.MEMBERSHIP, data)
+
+
 def run(replica: tables.Replica, now: float, outbox: ticks.Outbox) -> None:
     """Advance the leader's commit index and apply what is committed."""
     if replica.role is tables.Role.LEADER:
--- a/bitternlever/consensus/growth.py
+++ b/bitternlever/consensus/growth.py
@@ -9,7 +9,6 @@
 
 from bitternlever.consensus import commits, replacement, tables
 from bitternlever.core import ticks
-from bitternlever.messages import consensus
 
 
 def request(
@@ -27,7 +26,8 @@
         return
     if successor in membership.voters:
         return
-    _change(replica, msgspec.structs.replace(membership, learners=[successor]))
+    changed = msgspec.structs.replace(membership, learners=[successor])
+    commits.propose_membership(replica, changed)
 
 
 def run(replica: tables.Replica, now: float) -> None:
@@ -43,9 +43,4 @@
     if not all(replacement.is_caught_up(replica, now, each) for each in voters):
         return
     changed = msgspec.structs.replace(membership, voters=voters, learners=[])
-    _change(replica, changed)
-
-
-def _change(replica: tables.Replica, membership: consensus.Membership) -> None:
-    data = msgspec.msgpack.encode(membership)
-    commits.propose(replica, consensus.EntryKind.MEMBERSHIP, data)
+    commits.propose_membership(replica, changed)
--- a/bitternlever/consensus/replacement.py
+++ b/bitternlever/consensus/replacement.py
@@ -66,7 +66,7 @@
     if membership.outgoing:
         replaced = [*membership.replaced, (old, new)][-REMEMBERED_REPLACEMENTS:]
         left = consensus.Membership(voters=membership.voters, replaced=replaced)
-        _change(replica, left)
+        commits.propose_membership(replica, left)
         return
     if not is_caught_up(replica, now, new) or _risk(replica, now, old) is not None:
         return
@@ -77,7 +77,7 @@
         outgoing=membership.voters,
         learners=[],
     )
-    _change(replica, joint)
+    commits.propose_membership(replica, joint)
 
 
 def _risk(
@@ -184,7 +184,7 @@
         learners=[successor],
         replacing=(old, successor),
     )
-    _change(replica, changed)
+    commits.propose_membership(replica, changed)
 
 
 def _progress_of(
@@ -202,11 +202,6 @@
     return result.Ok(_progress("voter", "the old voter is about to leave"))
 
 
-def _change(replica: tables.Replica, membership: consensus.Membership) -> None:
-    data = msgspec.msgpack.encode(membership)
-    commits.propose(replica, consensus.EntryKind.MEMBERSHIP, data)
-
-
 def _progress(step: str, detail: str) -> directory.ReplaceProgress:
     return directory.ReplaceProgress(step=step, detail=detail)
 
--- a/bitternlever/fleet/hosts.py
+++ b/bitternlever/fleet/hosts.py
@@ -49,7 +49,7 @@
         return
     if held is not None and order(held.word) > order(word):
         return
-    if held is None or _lasting(held.word) != _lasting(word):
+    if held is None or _numbered(held.word, word.number) != word:
         hosts.changed = True
     hosts.heard[word.host] = Heard(word=word, heard_s=now)
 
@@ -65,7 +65,7 @@
     ]
     for name in silent:
         del hosts.heard[name]
-    listed = tuple(_lasting(hosts.heard[name].word) for name in sorted(hosts.heard))
+    listed = tuple(_numbered(hosts.heard[name].word, 0) for name in sorted(hosts.heard))
     if listed != hosts.listed:
         hosts.listed = listed
         hosts.revision += 1
@@ -76,6 +76,6 @@
     return word.started_ms, word.number
 
 
-def _lasting(word: fleet.HostWord) -> fleet.HostWord:
-    """Return a word without what differs in each heartbeat."""
-    return msgspec.structs.replace(word, number=0)
+def _numbered(word: fleet.HostWord, number: int) -> fleet.HostWord:
+    """Return a word with another number, which alone differs in each heartbeat."""
+    return msgspec.structs.replace(word, number=number)
--- a/bitternlever/fleet/measures.py
+++ b/bitternlever/fleet/measures.py
@@ -4,7 +4,6 @@
 
 from bitternlever.consensus import tables as consensus_tables
 from bitternlever.fleet import tables as fleet_tables
-from bitternlever.gateway import measures as gateway_measures
 from bitternlever.telemetry import bounded, metrics
 
 if typing.TYPE_CHECKING:
@@ -32,7 +31,7 @@
             read=lambda: shell.tables.replica.counters,
         ),
         metrics.links_source(shell.links),
-        *gateway_measures.log_sources(handler),
+        *metrics.log_sources(handler),
     ]
 
 
--- a/bitternlever/fleet/members.py
+++ b/bitternlever/fleet/members.py
@@ -1,14 +1,14 @@
 """Who votes: replicas ask to be let in, and the leader replaces voters that are gone.
 
-A group that has fewer voters than the losses it must bear ask for takes in those that
-ask, first from availability zones with the fewest voters.
-
 A replica that is no member, or hears no leader, asks the nodes it knows; they pass it
 on to the leader. A voter whose node has come back with another disk is replaced by it
 at once: the old disk cannot return. A voter that is only silent is replaced once
 another replica has asked and the silence is longer than an ordinary restart takes.
 The change itself, one at a time and never without a quorum that bears another loss,
 is that of ``consensus.replacement``.
+
+A group that has fewer voters than the losses it must bear ask for takes in those that
+ask (``consensus.growth``), first from availability zones with the fewest voters.
 """
 
 from bitternlever.consensus import growth, replacement, tables as consensus_tables
--- a/bitternlever/gateway/context.py
+++ b/bitternlever/gateway/context.py
@@ -16,8 +16,7 @@
     ``stage_times`` are the numbers and durations of those that ended,
     ``staged_s`` and ``first_piece_s`` are when they were done and when the first piece
     of the answer came. ``sent`` is set once any byte of the request itself has left
-    for an upstream that did not say otherwise. ``rank`` orders stage work, ``priority``
-    is what an engine is told.
+    for an upstream that did not say otherwise. ``priority`` is what an engine is told.
     """
 
     arrived_s: float
@@ -32,7 +31,6 @@
     service: str
     workspace: catalog_tables.Workspace | None
     priority: int
-    rank: int
     catalog: catalog_tables.Catalog
     engine_zone: str = ""
     inputs: tuple[str, ...] = ()
--- a/bitternlever/gateway/measures.py
+++ b/bitternlever/gateway/measures.py
@@ -76,7 +76,7 @@
         ),
         connections_source(gateway.pool),
         metrics.links_source(gateway.links),
-        *log_sources(handler),
+        *metrics.log_sources(handler),
     ]
 
 
@@ -91,20 +91,6 @@
     )
 
 
-def log_sources(handler: bounded.BoundedHandler | None) -> list[metrics.Source]:
-    """Return the source of the counters of log lines, none without a handler."""
-    if handler is None:
-        return []
-    source = metrics.Source(
-        instrument="log",
-        description="Log lines that were left out or dropped.",
-        unit="1",
-        counts=True,
-        read=lambda: {"left_out": handler.left_out, "dropped": handler.dropped},
-    )
-    return [source]
-
-
 def _believed(gateway: "state.Gateway") -> dict[str, float]:
     tables = gateway.tables
     now = clocks.boot_time()
--- a/bitternlever/gateway/requests.py
+++ b/bitternlever/gateway/requests.py
@@ -240,7 +240,6 @@
             service=routes.choose_service(route, draw),
             workspace=workspace,
             priority=routes.effective_priority(route, workspace),
-            rank=routes.rank(route, workspace),
             catalog=catalog,
         ),
     )
--- a/bitternlever/gateway/stages.py
+++ b/bitternlever/gateway/stages.py
@@ -133,7 +133,7 @@
         stage=stage.number,
         key=context.head.piece_key,
         pieces=[fleet.StagePiece(number, inputs) for number in range(count)],
-        priority=context.rank,
+        priority=routes.rank(context.route, workspace),
         depth=sum(bool(each) for each in results.handles.values()),
         objective_left_s=0.0,
         deadline_left_s=0.0,
--- a/bitternlever/gateway/sync.py
+++ b/bitternlever/gateway/sync.py
@@ -72,12 +72,11 @@
         control.hosts_revision = -1
     if answer.hosts is not None:
         control.hosts = answer.hosts
-        tables.hosts_from = []
         control.hosts_revision = answer.hosts_revision
     for other in answer.controls:
         known = tables.controls.setdefault(other, gateway_tables.Control(other))
         known.known_s = now
-    _put_hosts_together(tables, now)
+    _put_hosts_together(tables, now, listed_anew=answer.hosts is not None)
     for load in answer.loads:
         load_told(tables, now, load)
     if answer.current and _covers(tables, answer.catalog_version):
@@ -164,20 +163,25 @@
             del tables.controls[link]
 
 
-def _put_hosts_together(tables: gateway_tables.GatewayTables, now: float) -> None:
+def _put_hosts_together(
+    tables: gateway_tables.GatewayTables,
+    now: float,
+    *,
+    listed_anew: bool,
+) -> None:
     """List a host while any control process in touch lists it, by its newest word.
 
-    Nothing is done while the lists and who is in touch are as before.
+    Nothing is done while no list is new and the same processes are in touch.
     """
     in_touch = [
         control
         for control in tables.controls.values()
         if control.heard_s is not None and now - control.heard_s <= CONTROL_SILENT_S
     ]
-    sources = [(each.link, each.run, each.hosts_revision) for each in in_touch]
-    if sources == tables.hosts_from:
+    links = [control.link for control in in_touch]
+    if links == tables.in_touch and not listed_anew:
         return
-    tables.hosts_from = sources
+    tables.in_touch = links
     newest: dict[str, fleet.HostWord] = {}
     for control in in_touch:
         for word in control.hosts:
--- a/bitternlever/gateway/tables.py
+++ b/bitternlever/gateway/tables.py
@@ -44,9 +44,9 @@
     """Everything that an entry host knows.
 
     ``current_s`` is the newest time at which the catalog in force was known to be
-    the newest one; None before the first. ``hosts_from`` are the revisions (link, run,
-    number) of the lists that ``hosts`` was put together from. ``loads`` are what
-    batching hosts told last of their services, ``first_pieces`` estimates the time to a
+    the newest one; None before the first. ``in_touch`` are the links of the control
+    processes whose lists ``hosts`` was put together from. ``loads`` are what batching
+    hosts told last of their services, ``first_pieces`` estimates the time to a
     service's first piece of an answer.
     """
 
@@ -59,7 +59,7 @@
         default_factory=fleet_upstreams.Upstreams,
     )
     hosts: fleet_hosts.Hosts = dataclasses.field(default_factory=fleet_hosts.Hosts)
-    hosts_from: list[tuple[str, str, int]] = dataclasses.field(default_factory=list)
+    in_touch: list[str] = dataclasses.field(default_factory=list)
     health: dict[str, Health] = dataclasses.field(default_factory=dict)
     batchers: dict[str, batching_tables.Batcher] = dataclasses.field(
         default_factory=dict,
--- a/bitternlever/messages/fleet.py
+++ b/bitternlever/messages/fleet.py
@@ -53,9 +53,8 @@
 class HostBeat(msgspec.Struct, tag=True, frozen=True):
     """An entry host's heartbeat to each control process.
 
-    ``catalog_version`` is the version in force there; ``hosts_revision`` and
-    ``upstreams_revision`` are what it has from this control process's run. ``loads``
-    are of the services that it batches.
+    ``catalog_version`` is the version in force there; ``hosts_revision`` is what it has
+    from this control process's run. ``loads`` are of the services that it batches.
     """
 
     word: HostWord
--- a/bitternlever/telemetry/metrics.py
+++ b/bitternlever/telemetry/metrics.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 from bitternlever.conf import configuration
+from bitternlever.telemetry import bounded
 from bitternlever.transport import links
 
 MILLISECONDS_PER_SECOND = 1_000
@@ -49,6 +50,20 @@
     )
 
 
+def log_sources(handler: bounded.BoundedHandler | None) -> list[Source]:
+    """Return the source of the counters of log lines, none without a handler."""
+    if handler is None:
+        return []
+    source = Source(
+        instrument="log",
+        description="Log lines that were left out or dropped.",
+        unit="1",
+        counts=True,
+        read=lambda: {"left_out": handler.left_out, "dropped": handler.dropped},
+    )
+    return [source]
+
+
 def start(
     settings: configuration.CommonConfiguration,
     service: str,
--- a/tests/gateway/samples.py
+++ b/tests/gateway/samples.py
@@ -90,7 +90,6 @@
         "service": "plain",
         "workspace": None,
         "priority": of_route.priority,
-        "rank": of_route.priority,
         "catalog": catalog(),
     }
     fields.update(changes)
