Soak and stand-ins: share settings, config, heartbeat, resets and calls

- The bounds of a run stood in the settings text, in the plan and in the checks; the drain bound was in no settings at all though two comments said so.
Now standins/fleet.py names them and writes them (2.5 s as checked so far; the programs do not act on it).
- One way to reset a connection; the test of links uses the relay of the stand-ins.
- Constants say their unit and where they come from.
- A process that did not stop in time was started a second time beside itself, and the first was left behind; it is ended first now.

Assertions of the tests are unchanged.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -19,12 +19,17 @@
 
 EXIT_VIOLATION = 1
 EXIT_STOPPED = 143
+"""As a shell reports a process that SIGTERM has ended."""
+
 FIRST_NETWORK = 60
 """Loopback networks from here on are used by no test."""
 
 REGRESSIONS = pathlib.Path(__file__).with_name("regressions.txt")
 MAXIMUM_SEED = 1_000_000_000
+"""Short enough to be typed."""
+
 SHOWN_VIOLATIONS = 8
+"""One cause often breaks a promise for dozens of requests."""
 
 
 @cappa.command(name="sh scripts/soak")
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -11,12 +11,20 @@
 from soak import records as soak_records
 
 PAUSE_S = (0.02, 0.25)
+"""From a caller in a hurry to one whose connection idles between requests."""
+
 RECONNECT_PAUSE_S = 0.1
+"""So that a fleet without a host is not asked in a tight loop."""
+
 CONNECT_WITHIN_S = 1.0
+"""As the users' callers allow for a new connection."""
+
 GIVE_UP_S = 12.0
 """Far above the routes' timeout, so that a late answer is seen as one."""
 
 RECEIVE_BYTES = 65_536
+"""More than a whole answer."""
+
 PATHS = {"idempotent": "/read/x", "non_idempotent": "/write/x"}
 METHODS = {"idempotent": "GET", "non_idempotent": "POST"}
 
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -2,13 +2,8 @@
 
 import collections
 
-from soak import plan, records as soak_records
-
-REVOKE_S = 5.0
-"""As in the settings of the run."""
-
-DEADLINE_S = 4.0
-"""The timeout of the run's routes."""
+from soak import records as soak_records
+from standins import fleet as standin_fleet
 
 ANSWER_MARGIN_S = 1.0
 """For a caller beside other runs on one machine, until it notices an end."""
@@ -78,7 +73,7 @@
 
 
 def _answers_come_in_time(records: Records) -> list[str]:
-    latest_s = DEADLINE_S + ANSWER_MARGIN_S
+    latest_s = standin_fleet.ROUTE_TIMEOUT_S + ANSWER_MARGIN_S
     return [
         f"request {call.request} to {call.host} had no end within {latest_s} s"
         for call in records.calls
@@ -94,7 +89,7 @@
         f"end of {call.key}"
         for call in records.calls
         if (revoked_s := records.revoked.get(call.key)) is not None
-        if call.status == 200 and call.sent_s > revoked_s + REVOKE_S
+        if call.status == 200 and call.sent_s > revoked_s + standin_fleet.REVOKE_S
     ]
 
 
@@ -104,7 +99,8 @@
         f"{run.at_s - since_s:.2f} s after its drain was acknowledged"
         for run in records.runs
         for upstream, since_s, until_s in records.drained
-        if run.upstream == upstream and since_s + plan.DRAIN_S < run.at_s < until_s
+        if run.upstream == upstream
+        and since_s + standin_fleet.DRAIN_S < run.at_s < until_s
     ]
 
 
@@ -130,7 +126,7 @@
             found.append(f"{each.process} ended by itself with {each.code}")
         elif each.code != 0:
             found.append(f"{each.process} ended with {each.code} when told to stop")
-        elif each.took_s > plan.GRACE_S + ANSWER_MARGIN_S:
+        elif each.took_s > standin_fleet.GRACE_S + ANSWER_MARGIN_S:
             found.append(f"{each.process} took {each.took_s:.1f} s to stop")
     return found
 
--- a/soak/operator.py
+++ b/soak/operator.py
@@ -7,16 +7,19 @@
 
 import aiohttp
 
-from soak import plan, records as soak_records, upstreams as soak_upstreams
+from soak import http, plan, records as soak_records, upstreams as soak_upstreams
 from standins import fleet as standin_fleet
 
 INTERVAL_S = (0.3, 1.2)
-CALL_WITHIN_S = aiohttp.ClientTimeout(total=4.0)
+"""Several calls fall into each fault."""
+
+CALL_WITHIN_S = 4.0
 """Above the time in which control answers."""
 
-BEAT_WITHIN_S = aiohttp.ClientTimeout(total=1.0)
+BEAT_WITHIN_S = 1.0
 BEAT_AGAIN_S = 0.2
-ROUTE_TIMEOUT_MS = 4_000
+"""Below an upstream's interval, so that the next one is tried within it."""
+
 CONFIG_PATH = "/api/config"
 
 
@@ -48,16 +51,9 @@
     operator.version += 1
     version = operator.version
     ended = set(operator.ended)
-    body = _config(version, ended)
     sent_s = _now()
-    try:
-        async with operator.session.put(
-            _control(operator), data=body, timeout=CALL_WITHIN_S
-        ) as answer:
-            status = answer.status
-    except (OSError, aiohttp.ClientError, TimeoutError):
-        return False
-    if status != 200:
+    data = _config(version, ended)
+    if await _call(operator, "PUT", CONFIG_PATH, CALL_WITHIN_S, data) is None:
         return False
     operator.records.puts.append(soak_records.Put(version, sent_s, _now()))
     for key in ended:
@@ -77,66 +73,52 @@
 
 async def tell(operator: Operator, upstream: soak_upstreams.Upstream) -> bool:
     """Send one heartbeat to some control process; return whether it was taken."""
-    address = _control(operator, f"/api/instances/{upstream.name}")
-    word = json.dumps(soak_upstreams.heartbeat(upstream)).encode()
-    try:
-        async with operator.session.put(
-            address, data=word, timeout=BEAT_WITHIN_S
-        ) as answer:
-            return answer.status == 200
-    except (OSError, aiohttp.ClientError, TimeoutError):
-        return False
+    path = f"/api/instances/{upstream.name}"
+    word = soak_upstreams.heartbeat(upstream)
+    return await _call(operator, "PUT", path, BEAT_WITHIN_S, word) is not None
 
 
 async def _read(operator: Operator) -> None:
     sent_s = _now()
-    try:
-        async with operator.session.get(
-            _control(operator), timeout=CALL_WITHIN_S
-        ) as answer:
-            body = await answer.read()
-            status = answer.status
-    except (OSError, aiohttp.ClientError, TimeoutError):
-        return
-    if status != 200:
-        return
-    version = json.loads(body)["version"]
-    operator.records.reads.append(soak_records.Read(version, sent_s, _now()))
-
-
-def _control(operator: Operator, path: str = CONFIG_PATH) -> str:
+    body = await _call(operator, "GET", CONFIG_PATH, CALL_WITHIN_S)
+    if body is not None:
+        version = json.loads(body)["version"]
+        operator.records.reads.append(soak_records.Read(version, sent_s, _now()))
+
+
+async def _call(
+    operator: Operator,
+    method: str,
+    path: str,
+    within_s: float,
+    data: bytes | None = None,
+) -> bytes | None:
+    """Call some control process; return the body of a 200, None without one."""
     name = operator.source.choice(plan.CONTROLS)
-    return f"http://{operator.fleet.address(name, 0)}{path}"
+    url = f"http://{operator.fleet.address(name, 0)}{path}"
+    return await http.ask(operator.session, method, url, within_s, data=data)
 
 
 def _config(version: int, ended: set[str]) -> bytes:
     routes = [
-        {
-            "name": kind,
-            "host": "h.example",
-            "path_prefix": prefix,
-            "kind": kind,
-            "timeout_ms": ROUTE_TIMEOUT_MS,
-            "goal_ms": 500,
-            "priority": 1,
-            "service": "plain",
-            "max_attempts": attempts,
-        }
+        standin_fleet.route(
+            name=kind,
+            path_prefix=prefix,
+            kind=kind,
+            max_attempts=attempts,
+        )
         for kind, prefix, attempts in (
             ("idempotent", "/read/", 2),
             ("non_idempotent", "/write/", 1),
         )
     ]
     keys = [key for key in ("key-1", "key-2") if key not in ended]
-    return json.dumps(
-        {
-            "version": version,
-            "routes": routes,
-            "services": [{"name": "plain", "max_conns": 200}],
-            "limits": {},
-            "tenants": [{"name": "w", "api_keys": keys}],
-        }
-    ).encode()
+    return standin_fleet.config(
+        version,
+        routes=routes,
+        services=[{"name": "plain", "max_conns": 200}],
+        tenants=[{"name": "w", "api_keys": keys}],
+    )
 
 
 def _now() -> float:
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -4,6 +4,8 @@
 import enum
 import random
 
+from standins import fleet as standin_fleet
+
 CONTROLS = tuple(f"control-{letter}" for letter in "abcde")
 ENTRIES = tuple(f"entry-{letter}" for letter in "abc")
 UPSTREAMS = ("upstream-1", "upstream-2", "upstream-3")
@@ -12,13 +14,7 @@
 """Control hosts that may be lost at once, as the settings of the run say."""
 
 CATCH_UP_S = 6.0
-"""A control host counts as lost for so long after it is back."""
-
-DRAIN_S = 2.5
-"""As in the settings of the run: until an upstream that drains gets nothing new."""
-
-GRACE_S = 6.0
-"""As in the settings of the run: a process may take so long to stop."""
+"""A control host counts as lost for so long after it is back, as the users count."""
 
 FAULTS_END_S = 14.0
 """Faults begin within this time; the run goes on until all have recovered."""
@@ -29,6 +25,20 @@
 SERIES_SHARE = 0.3
 """Faults that come again soon, on the same target."""
 
+REVOKE_SHARE = 0.5
+"""Runs in which a key is revoked."""
+
+FAULTS = (8, 18)
+"""Drawn for a run: enough that most runs have some at upstreams, links and hosts."""
+
+LASTING_S = (0.3, 3.5)
+"""From what nobody notices to longer than a lease and every silence counted."""
+
+CONTROL_SHARE = 0.35
+LINK_SHARE = 0.2
+ENTRY_SHARE = 0.2
+"""Parts of the faults; what is left falls to upstreams."""
+
 
 class Kind(enum.Enum):
     """What is done to a process, to its link or to an upstream."""
@@ -77,16 +87,16 @@
     """
     source = random.Random(seed)
     faults: list[Fault] = []
-    for _ in range(source.randint(8, 18)):
+    for _ in range(source.randint(*FAULTS)):
         first = _fault(source)
         _add(faults, first)
         if source.random() < SERIES_SHARE:
-            later_s = first.at_s + lasting_s(first) + source.uniform(0.1, 1.5)
+            later_s = end_s(first) + source.uniform(0.1, 1.5)
             _add(faults, dataclasses.replace(first, at_s=later_s))
     if source.random() < HERD_SHARE:
         at_s = source.uniform(1.0, FAULTS_END_S)
         _add(faults, Fault(at_s, Kind.HERD, "", source.uniform(0.1, 0.9)))
-    if source.random() < 0.5:
+    if source.random() < REVOKE_SHARE:
         _add(faults, Fault(source.uniform(1.0, 8.0), Kind.REVOKE, "key-2", 0.0))
     return sorted(faults, key=lambda fault: fault.at_s)
 
@@ -98,30 +108,30 @@
         for fault in faults
         if fault.target in CONTROLS
         and fault.kind in CONTROL_LOSSES
-        and fault.at_s <= at_s <= fault.at_s + lasting_s(fault) + CATCH_UP_S
+        and fault.at_s <= at_s <= end_s(fault) + CATCH_UP_S
     }
 
 
-def lasting_s(fault: Fault) -> float:
-    """Return how long a fault's target is taken up at most."""
-    if fault.kind is Kind.TERMINATE:
-        return GRACE_S + fault.for_s
-    if fault.kind is Kind.UPSTREAM_DRAINS:
-        return DRAIN_S + fault.for_s
-    return fault.for_s
+def end_s(fault: Fault) -> float:
+    """Return until when a fault takes up its target at most."""
+    takes_s = {
+        Kind.TERMINATE: standin_fleet.GRACE_S,
+        Kind.UPSTREAM_DRAINS: standin_fleet.DRAIN_S,
+    }
+    return fault.at_s + (takes_s.get(fault.kind, 0.0) + fault.for_s)
 
 
 def _fault(source: random.Random) -> Fault:
     at_s = source.uniform(0.5, FAULTS_END_S)
-    for_s = source.uniform(0.3, 3.5)
+    for_s = source.uniform(*LASTING_S)
     place = source.random()
-    if place < 0.35:
+    if place < CONTROL_SHARE:
         kind = source.choice(CONTROL_LOSSES)
         return Fault(at_s, kind, source.choice(CONTROLS), for_s)
-    if place < 0.55:
+    if place < CONTROL_SHARE + LINK_SHARE:
         kind = source.choice(LINK_FAULTS)
         return Fault(at_s, kind, source.choice(CONTROLS + ENTRIES), for_s)
-    if place < 0.75:
+    if place < CONTROL_SHARE + LINK_SHARE + ENTRY_SHARE:
         kind = source.choice(ENTRY_FAULTS)
         return Fault(at_s, kind, source.choice(ENTRIES), for_s)
     kind = source.choice(UPSTREAM_FAULTS)
@@ -143,6 +153,4 @@
 
 
 def _overlap(first: Fault, second: Fault) -> bool:
-    return first.at_s < second.at_s + lasting_s(
-        second
-    ) and second.at_s < first.at_s + lasting_s(first)
+    return first.at_s < end_s(second) and second.at_s < end_s(first)
--- a/soak/upstreams.py
+++ b/soak/upstreams.py
@@ -6,14 +6,19 @@
 import random
 
 from soak import plan, records as soak_records
-from standins import platform_server
+from standins import fleet as standin_fleet, platform_server
 
 BEAT_INTERVAL_S = 1.2
 """As in the settings of the run's deployments."""
 
+SLOTS = 16
+"""More than the callers of a run."""
+
 ANSWER_S = (0.002, 0.03)
+"""A sound upstream answers within a small part of the route's objective."""
+
 SLOW_S = (0.3, 1.5)
-GARBAGE = b"\x00\x01 what is this\r\n\r\n"
+"""From below the route's objective to three times of it."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -44,18 +49,16 @@
     upstream.state = "ready"
 
 
-def heartbeat(upstream: Upstream) -> dict:
+def heartbeat(upstream: Upstream) -> bytes:
     """Return the next word of an upstream, as the platform writes it."""
     upstream.number += 1
-    return {
-        "service": "plain",
-        "address": upstream.server.address,
-        "zone": "a",
-        "slot_count": 16,
-        "state": upstream.state,
-        "call_seq": upstream.number,
-        "born": upstream.started_ms,
-    }
+    return standin_fleet.heartbeat(
+        upstream.server.address,
+        slot_count=SLOTS,
+        state=upstream.state,
+        call_seq=upstream.number,
+        born=upstream.started_ms,
+    )
 
 
 async def _behave(upstream: Upstream, server, received, writer) -> None:
@@ -82,8 +85,7 @@
         case plan.Kind.UPSTREAM_RESETS:
             await platform_server.cut(reset=True)(server, received, writer)
         case plan.Kind.UPSTREAM_GARBLES:
-            writer.write(GARBAGE)
-            await writer.drain()
+            await platform_server.garbage()(server, received, writer)
             raise ConnectionResetError
         case _:
             body = soak_records.body_of(request)
--- a/soak/world.py
+++ b/soak/world.py
@@ -1,7 +1,6 @@
 """One run: the processes, what stands between them, and the faults of its plan."""
 
 import asyncio
-import contextlib
 import dataclasses
 import json
 import pathlib
@@ -14,6 +13,7 @@
 
 from soak import (
     callers,
+    http,
     operator as soak_operator,
     plan,
     records as soak_records,
@@ -22,18 +22,32 @@
 from standins import fleet as standin_fleet, relay as standin_relay
 
 CALLERS = 6
+"""Two for each host, so that connections are shared unevenly."""
+
 READY_WITHIN_S = 20.0
+"""Ten times what a start takes on an idle machine."""
+
 RECOVER_S = 12.0
 """As the operators of the platform ask for after the last fault."""
 
 CALM_S = 3.0
+"""Some dozen requests of each caller, all of which have to be served."""
+
 EXIT_WITHIN_S = 15.0
+"""Above the grace period, after which a process is ended."""
+
 WATCH_INTERVAL_S = 0.1
-ASK_WITHIN_S = aiohttp.ClientTimeout(total=1.0)
+"""A process that has ended is missed for no longer than this."""
+
+ASK_WITHIN_S = 1.0
+"""As long as callers wait for a connection."""
+
 STALL_S = 0.3
 """Several times what the soak's own work takes; a part of the margin of the checks."""
 
 DELAY_S = 0.15
+"""Each way, so that a round trip stays below an election timeout."""
+
 CLOSING_S = 0.3
 """Until the ends of all connections are seen."""
 
@@ -206,7 +220,7 @@
     upstream.state = "draining"
     acknowledged = await soak_operator.tell(world.operator, upstream)
     since_s = _now()
-    await asyncio.sleep(plan.DRAIN_S + for_s)
+    await asyncio.sleep(standin_fleet.DRAIN_S + for_s)
     if acknowledged:
         world.records.drained.append((upstream.name, since_s, _now()))
     soak_upstreams.begin_anew(upstream)
@@ -271,6 +285,8 @@
     ended_s = _now()
     await asyncio.sleep(down_s)
     if world.fleet.processes.get(name) is process:
+        if code is None:
+            await asyncio.to_thread(world.fleet.kill, name)
         world.fleet.start(name, bootstrap=False)
     world.stopped.discard(name)
     _disturbed(world, name, ended_s)
@@ -303,27 +319,20 @@
     zone = world.source.choice(standin_fleet.ZONES)
     url = f"http://{world.fleet.address(asked, 3)}/api/resolve"
     question = {"name": "h.example", "region": "r", "zone": zone}
-    with contextlib.suppress(OSError, aiohttp.ClientError, TimeoutError):
-        async with world.session.get(
-            url, params=question, timeout=ASK_WITHIN_S
-        ) as answer:
-            if answer.status != 200:
-                return None
-            addresses = json.loads(await answer.read())["addrs"]
-            names = {world.fleet.address(name, 1): name for name in plan.ENTRIES}
-            known = [address for address in addresses if address in names]
-            if known:
-                address = world.source.choice(known)
-                return names[address], address
-    return None
+    body = await http.ask(world.session, "GET", url, ASK_WITHIN_S, params=question)
+    if body is None:
+        return None
+    names = {world.fleet.address(name, 1): name for name in plan.ENTRIES}
+    known = [address for address in json.loads(body)["addrs"] if address in names]
+    if not known:
+        return None
+    address = world.source.choice(known)
+    return names[address], address
 
 
 async def _is_ready(world: World, name: str) -> bool:
     url = f"http://{world.fleet.address(name, 2)}/api/ready"
-    with contextlib.suppress(OSError, aiohttp.ClientError, TimeoutError):
-        async with world.session.get(url, timeout=ASK_WITHIN_S) as answer:
-            return answer.status == 200
-    return False
+    return await http.ask(world.session, "GET", url, ASK_WITHIN_S) is not None
 
 
 def _disturbed(world: World, name: str, since_s: float) -> None:
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -27,6 +27,14 @@
 BOUND_OFFSET = 30
 """Added to a link's port where a relay listens at the link itself."""
 
+GRACE_S = 6.0
+REVOKE_S = 5.0
+DRAIN_S = 2.5
+"""Bounds that the settings of all processes ask for, those of the users' fleets."""
+
+ROUTE_TIMEOUT_S = 4.0
+"""The timeout of the config's routes."""
+
 
 @dataclasses.dataclass(slots=True)
 class Fleet:
@@ -86,7 +94,9 @@
             f"bootstrap = {str(bootstrap).lower()}\n{data}\n"
             f"[tolerate]\nmachines = {self.tolerated_losses}\n"
             f'[zones]\na = "r"\nb = "r"\nc = "r"\n[listen]\n{listen}\n'
-            "[bounds]\ngrace_s = 6\nstrict_revoke = true\nrevoke_ms = 5000\n"
+            f"[bounds]\ngrace_s = {GRACE_S}\nstrict_revoke = true\n"
+            f"revoke_ms = {REVOKE_S * 1_000:.0f}\n"
+            f"drain_ms = {DRAIN_S * 1_000:.0f}\n"
         )
 
     def start(self, name: str, **options) -> None:
@@ -195,22 +205,41 @@
             await asyncio.sleep(POLL_S)
 
 
-def config(version: int, **changes) -> bytes:
-    """Return a config with one plain route."""
-    route = {
+def heartbeat(address: str, **changes) -> bytes:
+    """Return a heartbeat of a ready upstream of the config's service."""
+    word = {
+        "service": "plain",
+        "address": address,
+        "zone": "a",
+        "slot_count": 4,
+        "state": "ready",
+        "call_seq": 1,
+        "born": 1_000,
+    }
+    return json.dumps({**word, **changes}).encode()
+
+
+def route(**changes) -> dict:
+    """Return a plain route of a config."""
+    plain = {
         "name": "r",
         "host": "h.example",
         "path_prefix": "/a/",
         "kind": "idempotent",
-        "timeout_ms": 4_000,
+        "timeout_ms": round(ROUTE_TIMEOUT_S * 1_000),
         "goal_ms": 500,
         "priority": 1,
         "service": "plain",
         "max_attempts": 2,
     }
+    return {**plain, **changes}
+
+
+def config(version: int, **changes) -> bytes:
+    """Return a config with one plain route."""
     whole = {
         "version": version,
-        "routes": [route],
+        "routes": [route()],
         "services": [{"name": "plain", "max_conns": 100}],
         "limits": {},
         "tenants": [{"name": "w", "api_keys": ["key"]}],
--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import contextlib
 import dataclasses
 import socket
 import struct
@@ -229,12 +230,19 @@
     return behave
 
 
+def abort(writer: asyncio.StreamWriter) -> None:
+    """Reset a connection."""
+    own_socket = writer.get_extra_info("socket")
+    if own_socket is not None:
+        linger = struct.pack("ii", 1, 0)
+        with contextlib.suppress(OSError):
+            own_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    writer.transport.abort()
+
+
 def _end(writer: asyncio.StreamWriter, *, reset: bool) -> None:
     if reset:
-        own_socket = writer.get_extra_info("socket")
-        linger = struct.pack("ii", 1, 0)
-        own_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-        writer.transport.abort()
+        abort(writer)
     else:
         writer.close()
     raise ConnectionResetError
--- a/standins/relay.py
+++ b/standins/relay.py
@@ -8,8 +8,8 @@
 import asyncio
 import contextlib
 import dataclasses
-import socket
-import struct
+
+from standins import platform_server
 
 CHUNK_BYTES = 65_536
 
@@ -76,7 +76,7 @@
     for connection in list(relay.connections):
         for writer in (connection.near, connection.far):
             if writer is not None:
-                _abort(writer)
+                platform_server.abort(writer)
 
 
 def close(relay: Relay) -> None:
@@ -116,13 +116,3 @@
                 writer.write(data)
                 await writer.drain()
         writer.close()
-
-
-def _abort(writer: asyncio.StreamWriter) -> None:
-    own_socket = writer.get_extra_info("socket")
-    if own_socket is None:
-        return
-    with contextlib.suppress(OSError):
-        linger = struct.pack("ii", 1, 0)
-        own_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-    writer.transport.abort()
--- a/tests/platform/test_processes.py
+++ b/tests/platform/test_processes.py
@@ -58,17 +58,7 @@
 
 def announce(fleet, server, number=1, state="ready"):
     """Send a server's heartbeat to a control process; return the status."""
-    body = json.dumps(
-        {
-            "service": "plain",
-            "address": server.address,
-            "zone": "a",
-            "slot_count": 4,
-            "state": state,
-            "call_seq": number,
-            "born": 1_000,
-        }
-    ).encode()
+    body = fleet_processes.heartbeat(server.address, call_seq=number, state=state)
     address = fleet.address("control-b", 0)
     return fleet_processes.ask("PUT", address, "/api/instances/u1", body)[0]
 
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -2,7 +2,8 @@
 
 import pytest
 
-from soak import checks, plan, records as soak_records
+from soak import checks, records as soak_records
+from standins import fleet as standin_fleet
 
 QUIET_S = 50.0
 
@@ -49,13 +50,13 @@
 
 def _revoked(records):
     records.revoked["key-1"] = 1.0
-    records.calls.append(served("late", 1.0 + checks.REVOKE_S + 0.1))
+    records.calls.append(served("late", 1.0 + standin_fleet.REVOKE_S + 0.1))
     records.runs.append(run("late", 7.0))
 
 
 def _drained(records):
     records.drained.append(("upstream-1", 10.0, 20.0))
-    records.runs.append(run("a", 10.0 + plan.DRAIN_S + 0.1))
+    records.runs.append(run("a", 10.0 + standin_fleet.DRAIN_S + 0.1))
 
 
 def _refused_and_run(records):
--- a/tests/soak/test_plan.py
+++ b/tests/soak/test_plan.py
@@ -31,7 +31,7 @@
         faults = plan.draw(seed)
         for place, first in enumerate(faults):
             for second in faults[place + 1 :]:
-                if second.at_s < first.at_s + plan.lasting_s(first):
+                if second.at_s < plan.end_s(first):
                     overlaps += 1
                     assert first.target != second.target
 
--- a/tests/transport/test_links.py
+++ b/tests/transport/test_links.py
@@ -1,7 +1,6 @@
 """Links carry messages, and are dialled anew when a peer acknowledges nothing."""
 
 import asyncio
-import contextlib
 import socket
 import time
 
@@ -10,6 +9,7 @@
 from bitternlever.conf import settings
 from bitternlever.messages import calls, fleet, frames
 from bitternlever.transport import links
+from standins import relay
 
 PATIENCE_S = 15.0
 
@@ -44,38 +44,11 @@
         return [each.message.count for each in self.received]
 
 
-class Relay:
-    """A TCP relay whose open connections can go silent while new ones work."""
-
-    def __init__(self, target_port):
-        self.target_port = target_port
-        self.port = free_port()
-        self.silenced = set()
-        self.connections = set()
-
-    async def start(self):
-        self.server = await asyncio.start_server(self.accept, "127.0.0.1", self.port)
-
-    def silence_open_connections(self):
-        self.silenced |= self.connections
-
-    async def accept(self, reader, writer):
-        name = writer.get_extra_info("peername")
-        self.connections.add(name)
-        out = await asyncio.open_connection("127.0.0.1", self.target_port)
-        with contextlib.suppress(ConnectionError):
-            await asyncio.gather(
-                self.pump(name, reader, out[1]),
-                self.pump(name, out[0], writer),
-            )
-        writer.close()
-        out[1].close()
-
-    async def pump(self, name, reader, writer):
-        while data := await reader.read(65_536):
-            if name not in self.silenced:
-                writer.write(data)
-        writer.close()
+async def relayed(process):
+    """Return a relay before a process, and the link of the relay."""
+    target = ("127.0.0.1", int(process.link.rpartition(":")[2]))
+    between = await relay.listen(target)
+    return between, f"tcp://127.0.0.1:{between.port}"
 
 
 async def until(condition):
@@ -119,20 +92,18 @@
 
 async def test_a_link_that_went_silent_is_dialled_anew(pair):
     first, second = pair
-    relay = Relay(int(second.link.rpartition(":")[2]))
-    await relay.start()
-    via_relay = f"tcp://127.0.0.1:{relay.port}"
-    first.send("entry-b", via_relay, 1)
+    between, link = await relayed(second)
+    first.send("entry-b", link, 1)
     await until(lambda: second.numbers() == [1])
     await until(lambda: first.links.peers["entry-b"].unacknowledged_since_s is None)
 
-    relay.silence_open_connections()
+    relay.silence(between)
     first.send("entry-b", None, 2)
     await until(lambda: first.links.redialled == 1)
     first.send("entry-b", None, 3)
 
     await until(lambda: 3 in second.numbers())
-    relay.server.close()
+    relay.close(between)
 
 
 async def test_a_peer_known_by_its_address_gets_its_name(pair):
@@ -163,14 +134,13 @@
 
 async def test_a_peer_that_started_again_is_dialled_at_once(pair):
     first, second = pair
-    relay = Relay(int(second.link.rpartition(":")[2]))
-    await relay.start()
-    first.send("entry-b", f"tcp://127.0.0.1:{relay.port}", 1)
+    between, link = await relayed(second)
+    first.send("entry-b", link, 1)
     await until(lambda: second.numbers() == [1])
     second.send("entry-a", first.link, 7)
     await until(lambda: first.numbers() == [7])
     await until(lambda: first.links.peers["entry-b"].unacknowledged_since_s is None)
-    relay.silence_open_connections()
+    relay.silence(between)
     first.send("entry-b", None, 2)
 
     second.links.incarnation = "2"
@@ -181,7 +151,7 @@
         first.send("entry-b", None, 3)
         while 3 not in second.numbers():
             await asyncio.sleep(0.01)
-    relay.server.close()
+    relay.close(between)
 
 
 async def _redialled_after(passed_s, message):
