Add failing tests for streams that look complete, or broken, and are not

The same class elsewhere fails here: framed streams, streams without an event, whole answers that are event streams, callers of HTTP/1.0 whose host stops. A sound stream is cut off for half of its last line end.

--- a/standins/scripted_upstream.py
+++ b/standins/scripted_upstream.py
@@ -161,14 +161,17 @@
     return behave
 
 
-def unframed(body: bytes = b"done", reset: bool = False) -> Behaviour:
+def unframed(
+    *pieces: bytes, reset: bool = False, lines: tuple[str, ...] = ()
+) -> Behaviour:
     """Answer without a length; the end of the connection ends the answer."""
 
     async def behave(upstream, received, writer):
-        writer.write(head(200, received, SEAL))
-        writer.write(body)
-        await writer.drain()
-        await asyncio.sleep(0.02)
+        writer.write(head(200, received, SEAL, *lines))
+        for piece in pieces or (b"done",):
+            writer.write(piece)
+            await writer.drain()
+            await asyncio.sleep(0.02)
         _end_connection(writer, reset=reset)
 
     return behave
--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -139,6 +139,80 @@
     assert answer.body == event(1) + event(2)
 
 
+@pytest.mark.parametrize("resumable", [False, True])
+async def test_a_framed_stream_that_ends_inside_an_event_is_not_complete(resumable):
+    server = await scripted_upstream.start(
+        "u1", scripted_upstream.stream(event(1), b"id: 2\ndata: ha")
+    )
+    async with running(server, resumable=resumable) as (_, port):
+        answer = await entry_host.call(port, entry_host.request())
+
+    assert not answer.whole
+
+
+@pytest.mark.parametrize(
+    "body", [b"", b": ping\n\n", b"\n"], ids=["nothing", "comment", "line end"]
+)
+async def test_an_unframed_stream_that_ends_before_its_first_event_is_not_complete(
+    body,
+):
+    server = await scripted_upstream.start("u1", scripted_upstream.unframed(body))
+    async with running(server) as (_, port):
+        answer = await entry_host.call(port, entry_host.request())
+
+    assert not answer.whole
+
+
+@pytest.mark.parametrize(
+    "rest", [b"\n", b"\n\n\n", b": bye\n"], ids=["half", "line ends", "comment"]
+)
+@pytest.mark.parametrize("resumable", [False, True])
+async def test_a_sound_stream_is_not_cut_off_for_line_ends_or_comments_behind_it(
+    rest, resumable
+):
+    """A line end of two bytes may also arrive in two parts."""
+    sound = b"id: 1\r\ndata: x\r\n\r"
+    server = await scripted_upstream.start(
+        "u1", scripted_upstream.unframed(sound, rest)
+    )
+    async with running(server, resumable=resumable) as (_, port):
+        answer = await entry_host.call(port, entry_host.request())
+
+    assert answer.whole
+    assert answer.body == sound + rest
+
+
+@pytest.mark.parametrize(
+    ("body", "whole"),
+    [(event(1), True), (b"data: ha", False)],
+    ids=["sound", "broken off"],
+)
+async def test_events_broken_off_in_a_whole_answer_are_not_complete(body, whole):
+    """A route that is not declared as a stream may have answers that are streams."""
+    kind = "Content-Type: text/event-stream; charset=utf-8"
+    server = await scripted_upstream.start(
+        "u1", scripted_upstream.unframed(body, lines=(kind,))
+    )
+    once = catalog_tables.Repeatability.ONCE
+    async with running(server, repeatability=once) as (_, port):
+        answer = await entry_host.call(port, entry_host.request())
+
+    assert (answer.status == 200) == whole
+
+
+async def test_a_caller_of_http_1_0_sees_the_end_of_its_host_as_a_reset():
+    server = await scripted_upstream.start(
+        "u1", scripted_upstream.stream(event(1), event(2), gap_s=1.5)
+    )
+    async with running(server) as (_, port):
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(entry_host.request().replace(b"HTTP/1.1", b"HTTP/1.0"))
+        await reader.readuntil(event(1))
+    with pytest.raises(ConnectionResetError):
+        await reader.read()
+    writer.close()
+
+
 async def test_a_caller_of_http_1_0_sees_a_broken_stream_as_a_reset():
     server = await scripted_upstream.start(
         "u1", scripted_upstream.stream(event(1), complete=False)
