Take an unframed stream without an event for a broken one

Callers got an empty success when an upstream ended its connection behind the head of a stream. Cause: only bytes of an unfinished event showed that a stream without a length had been broken off. Change: without framing, a stream that has had no event is broken off.

--- a/bitternlever/gateway/forward.py
+++ b/bitternlever/gateway/forward.py
@@ -497,6 +497,8 @@
             stream_watch.record_event(watch, clocks.boot_time())
     if splitter.incomplete and not exchange.has_framing(attempt.head):
         return Failure("the stream ended inside an event", True)
+    if splitter.events == 0 and not exchange.has_framing(attempt.head):
+        return Failure("the stream ended before its first event", True)
     if splitter.incomplete and resumable:
         await relay.response.write(bytes(splitter.incomplete))
     return None
