Do not cut off sound streams for line ends or comments behind their last event

Callers lost the end of a sound stream whose last line end of two bytes came in two parts, or behind which a comment stood. Cause: took any bytes behind the last complete event for the beginning of another. Evidence: four tests failing before. Change: only a line that is neither empty nor a comment is the beginning of an event.

--- a/bitternlever/gateway/event_stream.py
+++ b/bitternlever/gateway/event_stream.py
@@ -65,3 +65,11 @@
     def is_too_long(self) -> bool:
         """Return whether the incomplete event exceeds its bound."""
         return len(self.incomplete) > MAXIMUM_EVENT_BYTES
+
+    @property
+    def is_inside_event(self) -> bool:
+        """Return whether a line of an event has come without the event's end.
+
+        Line ends and comments behind the last event belong to none.
+        """
+        return LINE_OF_EVENT.search(self.incomplete) is not None
