Take a framed stream that ends inside an event for a broken one, too

Callers got a part of an event as the end of a complete stream if the upstream, or what stands before it, ended the framing properly. Cause: the framing was trusted over the events. Evidence: two tests failing before. Change: a stream that ends inside an event has been broken off, whatever its framing; one that may be resumed goes on elsewhere.

--- a/bitternlever/gateway/forward.py
+++ b/bitternlever/gateway/forward.py
@@ -495,7 +495,7 @@
             stream_watch.release(watch, clocks.boot_time())
         if splitter.events > events_before:
             stream_watch.record_event(watch, clocks.boot_time())
-    if splitter.is_inside_event and not exchange.has_framing(attempt.head):
+    if splitter.is_inside_event:
         return Failure("the stream ended inside an event", True)
     if splitter.events == 0 and not exchange.has_framing(attempt.head):
         return Failure("the stream ended before its first event", True)
