Do not pass on a broken event stream as a whole answer

Callers of a route that is not declared as a stream got a part of an event as a complete answer with a length. Cause: only answers of declared streams were followed by events. Ruled out: other unframed answers, whose end nothing but a reset distinguishes; JSON of stage calls, which does not decode when cut; the own interface, whose replies are JSON and whose streams have an end mark. Change: a whole success of the media type text/event-stream that ends inside an event is a failed attempt.

--- a/bitternlever/gateway/event_stream.py
+++ b/bitternlever/gateway/event_stream.py
@@ -18,6 +18,7 @@
 """The start of a line that is neither empty nor a comment."""
 
 ID_FIELD = b"id:"
+MEDIA_TYPE = b"text/event-stream"
 
 
 @dataclasses.dataclass(slots=True)
@@ -73,3 +74,12 @@
         Line ends and comments behind the last event belong to none.
         """
         return LINE_OF_EVENT.search(self.incomplete) is not None
+
+
+def is_broken_off(content_type: bytes | None, body: bytes) -> bool:
+    """Return whether a whole body is an event stream that ends inside an event."""
+    if not (content_type or b"").lower().startswith(MEDIA_TYPE):
+        return False
+    splitter = Splitter()
+    splitter.feed(body)
+    return splitter.is_inside_event
--- a/bitternlever/gateway/forward.py
+++ b/bitternlever/gateway/forward.py
@@ -417,6 +417,10 @@
         exchange.discard(attempt.connection)
         raise
     _release(gateway, attempt)
+    if succeeded and event_stream.is_broken_off(
+        attempt.head.get(b"content-type"), body
+    ):
+        return Failure("the stream ended inside an event", True)
     if relay.response is not None:
         return Failure(f"the stream cannot go on: status {status}", True)
     if status >= 500 and _may_run_again(context, attempt.upstream):
