Reset a caller of HTTP/1.0 whose stream ends with its host

Such a caller took a part of a stream for the whole when the host stopped while it wrote: nothing but a reset is an incomplete answer without a length. Cause: only streams that their upstream broke off were reset; a stopping host cancels the handler, and the server library closes the connection in the usual way. Change: forward.run cuts off any answer that it leaves unfinished, also by cancellation or an error, on the transport it began with: the request forgets its own when the host stops. Ruled out: the own interface, whose streams have an end mark.

--- a/bitternlever/gateway/forward.py
+++ b/bitternlever/gateway/forward.py
@@ -74,10 +74,14 @@
 
 @dataclasses.dataclass(slots=True)
 class Relay:
-    """The answer to the caller, as far as it has been relayed."""
+    """The answer to the caller, as far as it has been relayed.
+
+    ``transport`` is the caller's; the request forgets it when the host stops.
+    """
 
     request: web.BaseRequest
     on_first_piece: Callable[[], None]
+    transport: asyncio.Transport | None = None
     response: web.StreamResponse | None = None
     splitter: event_stream.Splitter = dataclasses.field(
         default_factory=event_stream.Splitter,
@@ -107,7 +111,22 @@
     on_first_piece: Callable[[], None],
 ) -> web.StreamResponse | gateway_context.Refusal | gateway_context.InputsLost:
     """Send a request until one answer is relayed; return the answer or a refusal."""
-    relay = Relay(request=request, on_first_piece=on_first_piece)
+    relay = Relay(
+        request=request, on_first_piece=on_first_piece, transport=request.transport
+    )
+    try:
+        return await _send_until_answered(gateway, context, relay)
+    except BaseException:
+        if relay.response is not None:
+            _cut_off(relay)
+        raise
+
+
+async def _send_until_answered(
+    gateway: state.Gateway,
+    context: gateway_context.Context,
+    relay: Relay,
+) -> web.StreamResponse | gateway_context.Refusal | gateway_context.InputsLost:
     failure = _no_upstream(gateway, context)
     for number in range(MAXIMUM_SENDS):
         now = clocks.boot_time()
@@ -222,7 +241,7 @@
             reason=failure.reason,
             last_event=relay.splitter.last_event_id,
         )
-        _cut_off(relay.request)
+        _cut_off(relay)
         return relay.response
     if context.sent:
         status = 504 if failure.status == 504 else 502
@@ -235,17 +254,17 @@
     return gateway_context.Refusal(503, failure.reason, retry_s)
 
 
-def _cut_off(request: web.BaseRequest) -> None:
+def _cut_off(relay: Relay) -> None:
     """Close a caller's connection so that the answer does not look complete.
 
     A caller of HTTP/1.0 gets no chunks: to it, only a reset is an incomplete answer.
     """
-    if request.transport is None:
+    if relay.transport is None:
         return
-    if request.version < http.HttpVersion11:
-        resets.reset(request.transport)
+    if relay.request.version < http.HttpVersion11:
+        resets.reset(relay.transport)
     else:
-        request.transport.close()
+        relay.transport.close()
 
 
 async def _attempt(
