Trust the framing of an answer that is not declared an event stream

Change: a framed answer is a broken stream only if it is declared an event stream; an unframed one on such a route always.

--- a/bitternlever/gateway/event_stream.py
+++ b/bitternlever/gateway/event_stream.py
@@ -76,9 +76,14 @@
         return LINE_OF_EVENT.search(self.incomplete) is not None
 
 
+def is_declared(content_type: bytes | None) -> bool:
+    """Return whether an answer of this media type is an event stream."""
+    return (content_type or b"").lower().startswith(MEDIA_TYPE)
+
+
 def is_broken_off(content_type: bytes | None, body: bytes) -> bool:
     """Return whether a whole body is an event stream that ends inside an event."""
-    if not (content_type or b"").lower().startswith(MEDIA_TYPE):
+    if not is_declared(content_type):
         return False
     splitter = Splitter()
     splitter.feed(body)
--- a/bitternlever/gateway/forward.py
+++ b/bitternlever/gateway/forward.py
@@ -518,9 +518,11 @@
             stream_watch.release(watch, clocks.boot_time())
         if splitter.events > events_before:
             stream_watch.record_event(watch, clocks.boot_time())
-    if splitter.is_inside_event:
+    framed = exchange.has_framing(attempt.head)
+    declared = event_stream.is_declared(attempt.head.get(b"content-type"))
+    if splitter.is_inside_event and (declared or not framed):
         return Failure("the stream ended inside an event", True)
-    if splitter.events == 0 and not exchange.has_framing(attempt.head):
+    if splitter.events == 0 and not framed:
         return Failure("the stream ended before its first event", True)
     if splitter.incomplete and resumable:
         await relay.response.write(bytes(splitter.incomplete))
