--- a/bitternlever/gateway/forward.py
+++ b/bitternlever/gateway/forward.py
@@ -59,6 +59,9 @@
 INPUTS_FETCHED_S = 0.05
 """An engine has fetched its inputs by then; several times what the links take."""
 
+MAXIMUM_LOGGED_PARTS = 8
+"""Prompts have fewer shared parts; bounds a log line."""
+
 logger = logging.getLogger(__name__)
 
 
@@ -77,6 +80,7 @@
     """The answer to the caller, as far as it has been relayed.
 
     ``transport`` is the caller's; the request forgets it when the host stops.
+    ``events_before`` is the number of events before the present attempt.
     """
 
     request: web.BaseRequest
@@ -86,6 +90,7 @@
     splitter: event_stream.Splitter = dataclasses.field(
         default_factory=event_stream.Splitter,
     )
+    events_before: int = 0
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -93,7 +98,8 @@
     """An attempt without an answer to relay; ``ran`` unless it certainly did not run.
 
     ``reused_connection`` is set if the connection had served other requests before: the
-    upstream itself may be healthy.
+    upstream itself may be healthy. ``lost`` is set if the upstream ended the connection
+    within its answer, as it does when it crashes.
     """
 
     reason: str
@@ -102,6 +108,7 @@
     retry_after_s: float | None = None
     inputs_lost: bool = False
     reused_connection: bool = False
+    lost: bool = False
 
 
 async def run(
@@ -144,7 +151,7 @@
             return outcome
         failure = outcome
         gateway.measures.attempts["failed"] += 1
-        _log_failure(context, upstream, failure)
+        _log_failure(context, relay, upstream, failure)
         if failure.inputs_lost or failure.reused_connection:
             context.tried.discard(upstream.upstream)
         if failure.inputs_lost and relay.response is None:
@@ -214,6 +221,7 @@
 
 def _log_failure(
     context: gateway_context.Context,
+    relay: Relay,
     upstream: fleet.UpstreamStatus,
     failure: Failure,
 ) -> None:
@@ -223,6 +231,9 @@
         upstream=upstream.upstream,
         attempt=context.attempts,
         ran=failure.ran,
+        lost=failure.lost,
+        events=relay.splitter.events - relay.events_before,
+        parts=[part.part for part in context.head.prompt[:MAXIMUM_LOGGED_PARTS]],
         reason=failure.reason,
     )
 
@@ -278,6 +289,7 @@
     tokens = context.head.prompt_tokens
     context.tried.add(upstream.upstream)
     context.attempts += 1
+    relay.events_before = relay.splitter.events
     gateway.measures.attempts["sent"] += 1
     placement.record_start(health, tokens)
     started_s = clocks.boot_time()
@@ -297,7 +309,9 @@
             gateway, upstream.upstream, error, context.head.request
         )
         placement.record_failure(health, clocks.boot_time())
-        return Failure(error.reason, error.sent, reused_connection=error.reused)
+        return Failure(
+            error.reason, error.sent, reused_connection=error.reused, lost=error.lost
+        )
     finally:
         placement.record_end(health, tokens)
     if isinstance(outcome, Failure):
@@ -439,7 +453,8 @@
     if succeeded and event_stream.is_broken_off(
         attempt.head.get(b"content-type"), body
     ):
-        return Failure("the stream ended inside an event", True)
+        lost = not exchange.has_framing(attempt.head)
+        return Failure("the stream ended inside an event", True, lost=lost)
     if relay.response is not None:
         return Failure(f"the stream cannot go on: status {status}", True)
     if status >= 500 and _may_run_again(context, attempt.upstream):
@@ -521,9 +536,9 @@
     framed = exchange.has_framing(attempt.head)
     declared = event_stream.is_declared(attempt.head.get(b"content-type"))
     if splitter.is_inside_event and (declared or not framed):
-        return Failure("the stream ended inside an event", True)
+        return Failure("the stream ended inside an event", True, lost=not framed)
     if splitter.events == 0 and not framed:
-        return Failure("the stream ended before its first event", True)
+        return Failure("the stream ended before its first event", True, lost=True)
     if splitter.incomplete and resumable:
         await relay.response.write(bytes(splitter.incomplete))
     return None
--- a/bitternlever/transport/exchange.py
+++ b/bitternlever/transport/exchange.py
@@ -64,7 +64,7 @@
 
     ``sent`` is False if no byte of the request was sent, ``reused`` is True if the
     connection had served an earlier exchange, ``exceeded`` if the upstream sent more
-    than a bound allows.
+    than a bound allows, ``lost`` if the connection ended at the upstream's side.
     """
 
     def __init__(
@@ -74,12 +74,14 @@
         sent: bool,
         reused: bool = False,
         exceeded: bool = False,
+        lost: bool = False,
     ):
         super().__init__(reason)
         self.reason = reason
         self.sent = sent
         self.reused = reused
         self.exceeded = exceeded
+        self.lost = lost
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -114,6 +116,7 @@
         self.waiter: asyncio.Future | None = None
         self.error: str | None = None
         self.at_eof = False
+        self.lost = False
         self.idle = True
         self.idle_until_s = 0.0
         self.last_used_s = clock()
@@ -154,6 +157,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         if self.error is None and (exc is not None or not self.at_eof):
             self.error = f"connection lost: {exc}"
+            self.lost = True
         self._wake_waiter()
 
     def abort(self, reason: str) -> None:
@@ -183,6 +187,7 @@
             sent=True,
             reused=self.reused,
             exceeded=self.exceeded,
+            lost=self.lost or self.at_eof,
         )
 
     def _wake_waiter(self) -> None:
