Refuse requests with prompt parts that crash upstreams

Callers lost their streams over and over: requests with one prompt part crashed one engine after the other, each taking all its requests along.

Cause: nothing in the system related crashes to what was in the prompts. A host counts failures by upstream, and an upstream that comes back is a new one.

Ruled out: deciding on each host alone (a host sees a fraction of the crashes); counting all requests that a crash takes along (sound parts are in many); the replicated log (a decision must not wait for a quorum, and is merged without one); a refusal for good (a wrong one must end by itself).

Change: hosts report requests that lose their upstream before the second event, with the shared parts of their prompts. Control processes quarantine a part that is in three such crashes of different upstreams and moments and in no answer, five for a part that was in an answer. Crashes that it explains don't count for others. Hosts refuse such requests at once and before each send; the record is on all hosts, all control processes and their disks, and lapses 300 s after the last request with it. One request after 60 s, and ever more rarely, may show that a part is sound; an answer anywhere shows it, too.

--- /dev/null
+++ b/bitternlever/fleet/crash_suspects.py
@@ -0,0 +1,278 @@
+"""Find the prompt parts that crash upstreams, from the reports of all hosts.
+
+A host reports each request that lost its upstream before its answer had really begun.
+Many requests lose theirs in one crash, but only a part that causes crashes is in
+several of them without ever being in an answer that goes on. Which of several such
+parts it is: the one in most crashes; if one more crash does not tell, the one in the
+fewest requests, then the last in the prompt, since parts in front are shared more
+widely. Crashes that a quarantined part explains don't count for others.
+
+Load pattern: requests with one part come at any host, no two alike in other respects.
+"""
+
+import dataclasses
+import math
+
+from bitternlever.fleet import quarantine
+from bitternlever.messages import fleet
+
+MINIMUM_CRASHES = 3
+"""Two may be a coincidence for a part that was never in an answer."""
+
+MINIMUM_CRASHES_OF_SOUND = 5
+MINIMUM_SPAN_S = 3.0
+"""For a part that was in an answer before; without another one for that long."""
+
+SAME_MOMENT_S = 0.1
+"""Crashes closer than this count once; a failing rack takes several upstreams along."""
+
+RETENTION_S = 120.0
+"""Time for which a crash counts."""
+
+TRIAL_INTERVAL_S = 60.0
+MAXIMUM_TRIAL_INTERVAL_S = 960.0
+"""One request is let through after the first time; it doubles up to the second."""
+
+ASKED_FOR_S = 2.0
+"""A trial goes to a host that had a request with the part within this time."""
+
+MAXIMUM_SUSPECTS = 2_000
+MAXIMUM_CRASHES = 16
+MAXIMUM_REQUESTS = 16
+MAXIMUM_LISTED = 64
+"""Bound memory and messages: parts, crashes of a part, requests of a crash."""
+
+
+@dataclasses.dataclass(slots=True)
+class Crash:
+    """The crash of an upstream, with the requests with a part that it took along."""
+
+    at_s: float
+    requests: set[str] = dataclasses.field(default_factory=set)
+
+
+@dataclasses.dataclass(slots=True)
+class Suspect:
+    """Crashes by start of an upstream, and the latest answer to a prompt with a part.
+
+    ``position`` is the last place in a prompt at which the part was.
+    """
+
+    crashes: dict[str, Crash] = dataclasses.field(default_factory=dict)
+    sound_s: float = -math.inf
+    position: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class Trials:
+    """When the next request with a quarantined part may pass, and how many have."""
+
+    next_s: float
+    granted: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class Evidence:
+    """Suspects and trials by part; times are on the local clock."""
+
+    suspects: dict[str, Suspect] = dataclasses.field(default_factory=dict)
+    trials: dict[str, Trials] = dataclasses.field(default_factory=dict)
+
+
+def record_crash(evidence: Evidence, now: float, report: fleet.PromptCrash) -> None:
+    """Record that a request lost its upstream before its answer had really begun."""
+    at_s = now - report.age_s
+    if now - at_s > RETENTION_S:
+        return
+    start = f"{report.upstream} {report.started_ms}"
+    for position, (part, sound_age_s) in enumerate(report.parts):
+        suspect = _suspect(evidence, now, part)
+        if suspect is None:
+            continue
+        suspect.position = max(suspect.position, position)
+        if sound_age_s is not None:
+            suspect.sound_s = max(suspect.sound_s, now - sound_age_s)
+        crash = suspect.crashes.get(start)
+        if crash is None:
+            crash = suspect.crashes[start] = Crash(at_s)
+            if len(suspect.crashes) > MAXIMUM_CRASHES:
+                del suspect.crashes[next(iter(suspect.crashes))]
+        if len(crash.requests) < MAXIMUM_REQUESTS:
+            crash.requests.add(report.request)
+
+
+def record_sound(
+    evidence: Evidence,
+    records: quarantine.Records,
+    now: float,
+    report: fleet.SoundPart,
+) -> bool:
+    """Record an answer to a prompt with a part; return whether this releases it."""
+    sound_s = now - report.age_s
+    suspect = evidence.suspects.get(report.part)
+    if suspect is not None:
+        suspect.sound_s = max(suspect.sound_s, sound_s)
+    record = records.get(report.part)
+    if record is None or not record.quarantined:
+        return False
+    if suspect is None:
+        convicted = sound_s <= record.changed_s
+    else:
+        explained = _explained(evidence, records, now, besides=report.part)
+        convicted = _is_convicted(suspect, _crash_times(suspect, explained))
+    if convicted:
+        return False
+    forget(evidence, report.part)
+    return quarantine.change(records, now, report.part, quarantined=False)
+
+
+def forget(evidence: Evidence, part: str) -> None:
+    """Drop the evidence against a part that was released."""
+    evidence.suspects.pop(part, None)
+    evidence.trials.pop(part, None)
+
+
+def quarantine_convicted(
+    evidence: Evidence, records: quarantine.Records, now: float
+) -> list[str]:
+    """Quarantine the parts that crash upstreams; return the new ones."""
+    _remove_expired(evidence, now)
+    changed = []
+    while True:
+        part = _most_suspected(evidence, records, now)
+        if part is None:
+            return changed
+        quarantine.change(records, now, part, quarantined=True)
+        changed.append(part)
+
+
+def _most_suspected(
+    evidence: Evidence, records: quarantine.Records, now: float
+) -> str | None:
+    """Return the part to quarantine next; wait for one more crash if several may be."""
+    explained = _explained(evidence, records, now)
+    convicted = []
+    for part, suspect in evidence.suspects.items():
+        times = _crash_times(suspect, explained)
+        if quarantine.is_quarantined(records, now, part):
+            continue
+        if _is_convicted(suspect, times):
+            convicted.append((len(times), *_specificity(suspect), part))
+    convicted.sort(reverse=True)
+    if not convicted:
+        return None
+    count, *_, part = convicted[0]
+    undecided = len(convicted) > 1 and convicted[1][0] == count
+    return None if undecided and count == MINIMUM_CRASHES else part
+
+
+def listed_suspects(evidence: Evidence) -> list[str]:
+    """Return the parts of which hosts should report answers."""
+    several = [
+        part for part, suspect in evidence.suspects.items() if len(suspect.crashes) > 1
+    ]
+    return several[:MAXIMUM_LISTED]
+
+
+def grant_trials(
+    evidence: Evidence,
+    records: quarantine.Records,
+    now: float,
+    asked_for: list[fleet.PromptPart],
+    *,
+    leads: bool,
+) -> list[str]:
+    """Return the parts with which one request at a host may pass.
+
+    ``asked_for`` are the host's records. Only the leader grants trials; the time until
+    one starts again while another process leads.
+    """
+    for part in list(evidence.trials):
+        if not quarantine.is_quarantined(records, now, part):
+            del evidence.trials[part]
+    granted = []
+    for reported in asked_for:
+        if not quarantine.is_quarantined(records, now, reported.part):
+            continue
+        trials = evidence.trials.get(reported.part)
+        if trials is None or not leads:
+            evidence.trials[reported.part] = Trials(now + TRIAL_INTERVAL_S)
+            continue
+        age_s = reported.seen_age_s
+        if now < trials.next_s or age_s is None or age_s > ASKED_FOR_S:
+            continue
+        trials.granted += 1
+        interval_s = TRIAL_INTERVAL_S * 2**trials.granted
+        trials.next_s = now + min(MAXIMUM_TRIAL_INTERVAL_S, interval_s)
+        granted.append(reported.part)
+    return granted
+
+
+def _suspect(evidence: Evidence, now: float, part: str) -> Suspect | None:
+    suspect = evidence.suspects.get(part)
+    if suspect is None:
+        if len(part) > quarantine.MAXIMUM_PART_LENGTH:
+            return None
+        if len(evidence.suspects) >= MAXIMUM_SUSPECTS:
+            _remove_expired(evidence, now)
+        if len(evidence.suspects) >= MAXIMUM_SUSPECTS:
+            del evidence.suspects[_least_suspected(evidence)]
+        suspect = evidence.suspects[part] = Suspect()
+    return suspect
+
+
+def _least_suspected(evidence: Evidence) -> str:
+    """Return the part with the fewest crashes, the oldest of several."""
+    suspects = evidence.suspects
+    return min(suspects, key=lambda part: len(suspects[part].crashes))
+
+
+def _remove_expired(evidence: Evidence, now: float) -> None:
+    for part, suspect in list(evidence.suspects.items()):
+        for start, crash in list(suspect.crashes.items()):
+            if now - crash.at_s > RETENTION_S:
+                del suspect.crashes[start]
+        if not suspect.crashes:
+            del evidence.suspects[part]
+
+
+def _explained(
+    evidence: Evidence,
+    records: quarantine.Records,
+    now: float,
+    besides: str | None = None,
+) -> set[str]:
+    """Return the starts of upstreams that quarantined parts have crashed."""
+    return {
+        start
+        for part, suspect in evidence.suspects.items()
+        if part != besides and quarantine.is_quarantined(records, now, part)
+        for start in suspect.crashes
+    }
+
+
+def _crash_times(suspect: Suspect, explained: set[str]) -> list[float]:
+    """Return the moments of unexplained crashes since the last answer."""
+    moments: list[float] = []
+    for at_s in sorted(
+        crash.at_s
+        for start, crash in suspect.crashes.items()
+        if start not in explained and crash.at_s > suspect.sound_s
+    ):
+        if not moments or at_s - moments[-1] >= SAME_MOMENT_S:
+            moments.append(at_s)
+    return moments
+
+
+def _is_convicted(suspect: Suspect, times: list[float]) -> bool:
+    if suspect.sound_s == -math.inf:
+        return len(times) >= MINIMUM_CRASHES
+    if len(times) < MINIMUM_CRASHES_OF_SOUND:
+        return False
+    return times[-1] - times[0] >= MINIMUM_SPAN_S
+
+
+def _specificity(suspect: Suspect) -> tuple[int, int]:
+    """Return an order of parts with equally many crashes; the highest is to blame."""
+    requests = set().union(*(crash.requests for crash in suspect.crashes.values()))
+    return -len(requests), suspect.position
--- a/bitternlever/fleet/feed.py
+++ b/bitternlever/fleet/feed.py
@@ -11,7 +11,14 @@
 
 from bitternlever.consensus import reads
 from bitternlever.core import ticks
-from bitternlever.fleet import hosts, pauses, tables as fleet_tables, upstreams
+from bitternlever.fleet import (
+    crash_suspects,
+    hosts,
+    pauses,
+    quarantine,
+    tables as fleet_tables,
+    upstreams,
+)
 from bitternlever.messages import fleet, frames
 
 REFRESH_INTERVAL_S = 0.8
@@ -45,6 +52,7 @@
         handle_upstream_status(tables, now, status)
     for pause in heartbeat.pauses:
         pauses.merge(tables.pauses, now, pause)
+    _handle_prompt_parts(tables, now, heartbeat)
     subscriber = _register_subscriber(tables, now, heartbeat)
     replica = tables.replica
     current = reads.ready(replica) and reads.lease_valid(replica, now)
@@ -61,6 +69,15 @@
         controls=fleet_tables.control_links(tables),
         hosts_revision=directory.revision,
         hosts=None if has_current_hosts else list(directory.listed),
+        quarantine=quarantine.current(tables.refused_parts, now),
+        suspects=crash_suspects.listed_suspects(tables.crash_evidence),
+        trials=crash_suspects.grant_trials(
+            tables.crash_evidence,
+            tables.refused_parts,
+            now,
+            heartbeat.quarantine,
+            leads=fleet_tables.is_leader(tables),
+        ),
     )
     if fleet_tables.is_leader(tables):
         answer = msgspec.structs.replace(
@@ -114,6 +131,29 @@
     tables.refreshed_upstreams.add(status.upstream)
 
 
+def _handle_prompt_parts(
+    tables: fleet_tables.FleetTables, now: float, heartbeat: fleet.HostHeartbeat
+) -> None:
+    """Merge what a host knows of prompt parts, and judge them again."""
+    evidence, records = tables.crash_evidence, tables.refused_parts
+    for part in heartbeat.quarantine:
+        if quarantine.merge(records, now, part, authoritative=False):
+            tables.changed_parts.add(part.part)
+            if not records[part.part].quarantined:
+                crash_suspects.forget(evidence, part.part)
+        if part.seen_age_s is not None:
+            quarantine.renew(records, part.part, now - part.seen_age_s)
+    for crash in heartbeat.crashes:
+        crash_suspects.record_crash(evidence, now, crash)
+    for sound in heartbeat.sound:
+        if crash_suspects.record_sound(evidence, records, now, sound):
+            tables.changed_parts.add(sound.part)
+    if heartbeat.crashes or heartbeat.sound:
+        tables.changed_parts.update(
+            crash_suspects.quarantine_convicted(evidence, records, now)
+        )
+
+
 def _current_loads(
     tables: fleet_tables.FleetTables, now: float
 ) -> list[fleet.ServiceLoad]:
--- a/bitternlever/fleet/measures.py
+++ b/bitternlever/fleet/measures.py
@@ -51,6 +51,10 @@
         "disk_failed": float(replica.disk.failed is not None),
         "voters": 0 if replica.membership is None else len(replica.membership.voters),
     }
+    values["crash_suspects"] = len(tables.crash_evidence.suspects)
+    values["parts_refused"] = sum(
+        record.quarantined for record in tables.refused_parts.values()
+    )
     for entry in tables.upstreams.entries.values():
         name = f"upstreams_{entry.status.state.value}"
         values[name] = values.get(name, 0) + 1
--- a/bitternlever/fleet/shell.py
+++ b/bitternlever/fleet/shell.py
@@ -15,9 +15,9 @@
 
 from bitternlever.conf import fleet as fleet_settings
 from bitternlever.core import clocks, reloading, runner
-from bitternlever.fleet import measures, tables as fleet_tables, tick
+from bitternlever.fleet import measures, quarantine, tables as fleet_tables, tick
 from bitternlever.messages import consensus, fleet, frames
-from bitternlever.storage import store, writer as storage_writer
+from bitternlever.storage import quarantine_file, store, writer as storage_writer
 from bitternlever.telemetry import events, exposition, logs
 from bitternlever.transport import links as transport_links
 
@@ -30,6 +30,9 @@
 REOPEN_DELAY_S = 0.5
 """Retry interval after a full or failing disk."""
 
+SAVE_RETRY_S = 2.0
+"""Retry interval of the file with the quarantined prompt parts."""
+
 EXIT_OK = 0
 EXIT_BROKEN_INVARIANT = 70
 EXIT_STORE_REFUSED = 74
@@ -39,7 +42,11 @@
 
 @dataclasses.dataclass(slots=True)
 class Shell:
-    """I/O objects and pending calls around the core of one control process."""
+    """I/O objects and pending calls around the core of one control process.
+
+    ``saving`` writes the quarantined prompt parts, ``save_again`` is set if they have
+    changed since it began.
+    """
 
     settings: fleet_settings.FleetConfiguration
     tables: fleet_tables.FleetTables
@@ -51,6 +58,8 @@
     next_call_id: int = 0
     led_term: int | None = None
     version: int | None = None
+    saving: asyncio.Task | None = None
+    save_again: bool = False
 
 
 ApiFactory = Callable[[Shell], Callable[[web.BaseRequest], Any]]
@@ -168,7 +177,7 @@
         events.STORE_REFUSED.log(logger, reason=str(loaded.err()))
         return None
     restored = loaded.ok()
-    return fleet_tables.create(
+    tables = fleet_tables.create(
         fleet_tables.FleetSettings(
             link=settings.link,
             zone=settings.zone,
@@ -181,6 +190,21 @@
         restored,
         seed=int.from_bytes(os.urandom(8), "big"),
     )
+    _restore_quarantine(settings, tables)
+    return tables
+
+
+def _restore_quarantine(
+    settings: fleet_settings.FleetConfiguration, tables: fleet_tables.FleetTables
+) -> None:
+    stored = quarantine_file.load(settings.data_folder)
+    if stored.is_err():
+        events.QUARANTINE_FILE_FAILED.log(logger, reason=stored.err())
+        return
+    for part in stored.ok():
+        quarantine.merge(
+            tables.refused_parts, clocks.boot_time(), part, authoritative=False
+        )
 
 
 def _start_writer(shell: Shell, on_event: Callable[[Any], None]) -> None:
@@ -211,6 +235,9 @@
     previous = shell.tables
     tables.upstreams = previous.upstreams
     tables.hosts = previous.hosts
+    tables.refused_parts = previous.refused_parts
+    tables.crash_evidence = previous.crash_evidence
+    tables.changed_parts = previous.changed_parts
     tables.subscribers = previous.subscribers
     tables.join_candidates = previous.join_candidates
     tables.stop_at_s = previous.stop_at_s
@@ -226,7 +253,7 @@
 
 
 def _log_changes(shell: Shell) -> None:
-    """Log changes of leadership and of the committed catalog."""
+    """Log changes of leadership, of the committed catalog and of prompt parts."""
     replica = shell.tables.replica
     term = replica.term if fleet_tables.is_leader(shell.tables) else None
     if term != shell.led_term:
@@ -239,6 +266,40 @@
         events.CATALOG_COMMITTED.log(
             logger, version=version, index=replica.applied_index
         )
+    if shell.tables.changed_parts:
+        _log_parts(shell.tables)
+        _save_quarantine(shell)
+
+
+def _log_parts(tables: fleet_tables.FleetTables) -> None:
+    for part in sorted(tables.changed_parts):
+        record = tables.refused_parts.get(part)
+        if record is None or not record.quarantined:
+            events.PART_ALLOWED.log(logger, part=part)
+            continue
+        suspect = tables.crash_evidence.suspects.get(part)
+        crashes = [] if suspect is None else list(suspect.crashes)
+        events.PART_REFUSED.log(logger, part=part, crashes=crashes)
+    tables.changed_parts.clear()
+
+
+def _save_quarantine(shell: Shell) -> None:
+    """Write the quarantined parts to disk in the background."""
+    shell.save_again = True
+    if shell.saving is None or shell.saving.done():
+        shell.saving = asyncio.ensure_future(_save_until_current(shell))
+
+
+async def _save_until_current(shell: Shell) -> None:
+    while shell.save_again:
+        shell.save_again = False
+        parts = quarantine.current(shell.tables.refused_parts, clocks.boot_time())
+        folder = shell.settings.data_folder
+        saved = await asyncio.to_thread(quarantine_file.save, folder, parts)
+        if saved.is_err():
+            events.QUARANTINE_FILE_FAILED.log(logger, reason=saved.err())
+            shell.save_again = True
+            await asyncio.sleep(SAVE_RETRY_S)
 
 
 def _deliver(shell: Shell, message: Any) -> None:
--- a/bitternlever/fleet/tables.py
+++ b/bitternlever/fleet/tables.py
@@ -6,8 +6,10 @@
 from bitternlever.catalog import machine
 from bitternlever.consensus import replica, tables as consensus_tables
 from bitternlever.fleet import (
+    crash_suspects,
     hosts as fleet_hosts,
     pauses as fleet_pauses,
+    quarantine,
     upstreams as fleet_upstreams,
 )
 from bitternlever.messages import consensus, fleet
@@ -121,7 +123,8 @@
     of this node and of nodes that have requested to join. ``changed_upstreams`` and
     ``refreshed_upstreams`` are those whose status changed, or was only confirmed, since
     it was last sent to the subscribers. ``pauses`` are those that upstreams asked hosts
-    for, by upstream.
+    for, by upstream. ``crash_evidence`` and ``refused_parts`` are about prompt parts;
+    ``changed_parts`` are those whose state has changed and was not logged yet.
     """
 
     settings: FleetSettings
@@ -137,6 +140,11 @@
     join_candidates: dict[str, JoinCandidate] = dataclasses.field(default_factory=dict)
     loads: dict[str, ReportedLoad] = dataclasses.field(default_factory=dict)
     pauses: dict[str, fleet_pauses.Pause] = dataclasses.field(default_factory=dict)
+    crash_evidence: crash_suspects.Evidence = dataclasses.field(
+        default_factory=crash_suspects.Evidence
+    )
+    refused_parts: quarantine.Records = dataclasses.field(default_factory=dict)
+    changed_parts: set[str] = dataclasses.field(default_factory=set)
     zones: dict[str, str] = dataclasses.field(default_factory=dict)
     subscribers: dict[str, Subscriber] = dataclasses.field(default_factory=dict)
     changed_upstreams: set[str] = dataclasses.field(default_factory=set)
--- a/bitternlever/gateway/forward.py
+++ b/bitternlever/gateway/forward.py
@@ -23,6 +23,7 @@
     event_stream,
     notices,
     placement,
+    prompt_parts,
     state,
     stream_watch,
     sync,
@@ -59,6 +60,8 @@
 INPUTS_FETCHED_S = 0.05
 """An engine has fetched its inputs by then; several times what the links take."""
 
+PART_REFUSED = "a part of the prompt crashes upstreams"
+
 MAXIMUM_LOGGED_PARTS = 8
 """Prompts have fewer shared parts; bounds a log line."""
 
@@ -136,15 +139,10 @@
 ) -> web.StreamResponse | gateway_context.Refusal | gateway_context.InputsLost:
     failure = _no_upstream(gateway, context)
     for number in range(MAXIMUM_SENDS):
-        now = clocks.boot_time()
-        if context.deadline_s - now < MINIMUM_TIME_LEFT_S:
-            status = 504 if context.sent else 503
-            failure = Failure("the time is over", context.sent, status)
-            break
-        upstream = choose(gateway, context, now)
-        if upstream is None:
-            break
-        if number > 0 and not _may_retry(gateway, context, now):
+        upstream = _next_upstream(gateway, context, number)
+        if isinstance(upstream, Failure):
+            failure = upstream
+        if not isinstance(upstream, fleet.UpstreamStatus):
             break
         outcome = await _attempt(gateway, context, relay, upstream)
         if not isinstance(outcome, Failure):
@@ -156,11 +154,59 @@
             context.tried.discard(upstream.upstream)
         if failure.inputs_lost and relay.response is None:
             return gateway_context.InputsLost(failure.reason)
-        if failure.ran and not _may_run_again(context, upstream):
+        is_suspected = _record_crash(gateway, context, relay, upstream, failure)
+        if failure.ran and (is_suspected or not _may_run_again(context, upstream)):
             break
     return _give_up(gateway, relay, context, failure)
 
 
+def _next_upstream(
+    gateway: state.Gateway, context: gateway_context.Context, number: int
+) -> fleet.UpstreamStatus | Failure | None:
+    """Return the upstream of the next attempt, or the failure of a request without one.
+
+    Return None if the previous failure counts.
+    """
+    now = clocks.boot_time()
+    if context.deadline_s - now < MINIMUM_TIME_LEFT_S:
+        status = 504 if context.sent else 503
+        return Failure("the time is over", context.sent, status)
+    upstream = choose(gateway, context, now)
+    if upstream is None:
+        return None
+    parts = gateway.tables.prompt_parts
+    refused_s = prompt_parts.refused_for_s(parts, now, context.head, sending=True)
+    if refused_s is not None:
+        return Failure(PART_REFUSED, context.sent, 503, refused_s)
+    if number > 0 and not _may_retry(gateway, context, now):
+        return None
+    return upstream
+
+
+def _record_crash(
+    gateway: state.Gateway,
+    context: gateway_context.Context,
+    relay: Relay,
+    upstream: fleet.UpstreamStatus,
+    failure: Failure,
+) -> bool:
+    """Report a request that may have crashed its upstream.
+
+    Return whether a part of its prompt is suspected, so that it must not run again.
+    """
+    if not (failure.lost and failure.ran) or _has_begun(relay):
+        return False
+    parts = gateway.tables.prompt_parts
+    prompt_parts.record_crash(parts, clocks.boot_time(), context.head, upstream)
+    return prompt_parts.is_suspected(parts, context.head)
+
+
+def _has_begun(relay: Relay) -> bool:
+    """Return whether the answer of the present attempt has gone beyond its start."""
+    events_of_attempt = relay.splitter.events - relay.events_before
+    return events_of_attempt >= prompt_parts.BEGUN_EVENTS
+
+
 def choose(
     gateway: state.Gateway,
     context: gateway_context.Context,
@@ -257,11 +303,11 @@
     if context.sent:
         status = 504 if failure.status == 504 else 502
         return gateway_context.Refusal(status, failure.reason)
-    retry_s = FULL_RETRY_S if failure.retry_after_s is None else failure.retry_after_s
-    now = clocks.boot_time()
-    pause_s = sync.all_paused_for_s(gateway.tables, now, context.service)
-    if pause_s is not None:
-        retry_s = pause_s
+    retry_s = failure.retry_after_s
+    if retry_s is None:
+        now = clocks.boot_time()
+        pause_s = sync.all_paused_for_s(gateway.tables, now, context.service)
+        retry_s = FULL_RETRY_S if pause_s is None else pause_s
     return gateway_context.Refusal(503, failure.reason, retry_s)
 
 
@@ -318,9 +364,17 @@
         placement.record_failure(health, clocks.boot_time())
     else:
         placement.record_success(health, clocks.boot_time() - started_s)
+        if 200 <= outcome.status < 300:
+            _record_sound(gateway, context)
     return outcome
 
 
+def _record_sound(gateway: state.Gateway, context: gateway_context.Context) -> None:
+    prompt_parts.record_sound(
+        gateway.tables.prompt_parts, clocks.boot_time(), context.head
+    )
+
+
 async def _send(
     gateway: state.Gateway,
     context: gateway_context.Context,
@@ -493,7 +547,7 @@
     limit_s = routes.caller_wait_limit_s(context.route)
     watch = stream_watch.start(attempt.connection, limit_s, clocks.boot_time())
     try:
-        failure = await _relay_events(context, relay, attempt, watch)
+        failure = await _relay_events(gateway, context, relay, attempt, watch)
     finally:
         stream_watch.stop(watch)
     if failure is not None:
@@ -505,6 +559,7 @@
 
 
 async def _relay_events(
+    gateway: state.Gateway,
     context: gateway_context.Context,
     relay: Relay,
     attempt: Attempt,
@@ -513,6 +568,7 @@
     """Relay the body of a stream; return the failure of one that is not complete."""
     splitter = relay.splitter
     resumable = context.route.resumable
+    begun = False
     while True:
         piece = await exchange.read_chunk(attempt.connection)
         if piece is None:
@@ -533,12 +589,21 @@
             stream_watch.release(watch, clocks.boot_time())
         if splitter.events > events_before:
             stream_watch.record_event(watch, clocks.boot_time())
-    framed = exchange.has_framing(attempt.head)
-    declared = event_stream.is_declared(attempt.head.get(b"content-type"))
+        if not begun and _has_begun(relay):
+            begun = True
+            _record_sound(gateway, context)
+    failure = _incomplete(splitter, attempt.head)
+    if failure is None and splitter.incomplete and resumable:
+        await relay.response.write(bytes(splitter.incomplete))
+    return failure
+
+
+def _incomplete(splitter: event_stream.Splitter, head: exchange.Head) -> Failure | None:
+    """Return the failure of a stream that has ended but is not complete."""
+    framed = exchange.has_framing(head)
+    declared = event_stream.is_declared(head.get(b"content-type"))
     if splitter.is_inside_event and (declared or not framed):
         return Failure("the stream ended inside an event", True, lost=not framed)
     if splitter.events == 0 and not framed:
         return Failure("the stream ended before its first event", True, lost=True)
-    if splitter.incomplete and resumable:
-        await relay.response.write(bytes(splitter.incomplete))
     return None
--- a/bitternlever/gateway/measures.py
+++ b/bitternlever/gateway/measures.py
@@ -116,6 +116,9 @@
         values[name] = values.get(name, 0) + 1
     values["upstreams_paused"] = len(tables.pauses)
     values["pause_hints"] = len(tables.pause_hints)
+    values["parts_refused"] = sum(
+        record.quarantined for record in tables.prompt_parts.records.values()
+    )
     for service, queue in tables.batchers.items():
         values[f"waiting.{service}"] = sum(
             len(work.waiting) for work in queue.works.values()
--- a/bitternlever/gateway/requests.py
+++ b/bitternlever/gateway/requests.py
@@ -16,6 +16,7 @@
     drains,
     forward,
     measures,
+    prompt_parts,
     schedule,
     stages,
     state,
@@ -72,6 +73,12 @@
         reason = "the host stops before the request's deadline"
         refusal = gateway_context.Refusal(503, reason, STALE_RETRY_S)
         return _refuse(gateway, request, context, refusal)
+    refused_s = prompt_parts.refused_for_s(
+        gateway.tables.prompt_parts, arrived_s, context.head, sending=False
+    )
+    if refused_s is not None:
+        refusal = gateway_context.Refusal(503, forward.PART_REFUSED, refused_s)
+        return _refuse(gateway, request, context, refusal)
     body = await _read_body(gateway, request, context.catalog.limits)
     if body.is_err():
         return _refuse(gateway, request, context, body.err())
--- a/bitternlever/gateway/shell.py
+++ b/bitternlever/gateway/shell.py
@@ -160,7 +160,8 @@
     now = clocks.boot_time()
     match message:
         case fleet.HostHeartbeatReply():
-            sync.handle_heartbeat_reply(gateway.tables, now, link, message)
+            parts = sync.handle_heartbeat_reply(gateway.tables, now, link, message)
+            _log_prompt_parts(gateway, parts)
             _become_ready(gateway, now)
         case fleet.CatalogPushed():
             _apply_catalog(gateway, message)
@@ -170,6 +171,13 @@
             batching.receive(gateway, now, link, message)
 
 
+def _log_prompt_parts(gateway: state.Gateway, parts: list[str]) -> None:
+    for part in parts:
+        quarantined = gateway.tables.prompt_parts.records[part].quarantined
+        event = events.PART_REFUSED if quarantined else events.PART_ALLOWED
+        event.log(logger, part=part)
+
+
 def _apply_catalog(gateway: state.Gateway, message: fleet.CatalogPushed) -> None:
     current = gateway.tables.catalog
     if current is not None and message.version <= current.version:
--- a/bitternlever/gateway/sync.py
+++ b/bitternlever/gateway/sync.py
@@ -11,8 +11,8 @@
 import msgspec
 
 from bitternlever.catalog import tables as catalog_tables
-from bitternlever.fleet import pauses as fleet_pauses, upstreams
-from bitternlever.gateway import tables as gateway_tables
+from bitternlever.fleet import pauses as fleet_pauses, quarantine, upstreams
+from bitternlever.gateway import prompt_parts, tables as gateway_tables
 from bitternlever.messages import fleet
 
 HEARTBEAT_INTERVAL_S = 0.25
@@ -43,6 +43,9 @@
     _update_controls(tables, now)
     version = None if tables.catalog is None else tables.catalog.version
     pauses = fleet_pauses.current(tables.pauses, now)
+    parts = tables.prompt_parts
+    quarantined = quarantine.current(parts.records, now)
+    sound = prompt_parts.sound_reports(parts, now)
     return [
         (
             control.link,
@@ -55,6 +58,11 @@
                 loads=loads,
                 ended=_ends_to_report(tables, control),
                 pauses=pauses,
+                crashes=prompt_parts.crashes_since(
+                    parts, now, control.reported_until_s
+                ),
+                quarantine=quarantined,
+                sound=sound,
             ),
         )
         for control in tables.controls.values()
@@ -66,18 +74,21 @@
     now: float,
     link: str,
     reply: fleet.HostHeartbeatReply,
-) -> None:
-    """Handle a control process's reply to a heartbeat."""
+) -> list[str]:
+    """Handle a control process's reply to a heartbeat.
+
+    Return the prompt parts that are refused, or no longer refused, from now on.
+    """
     control = tables.controls.get(link)
     if control is None:
-        return
+        return []
     control.last_seen_s = now
     if reply.control_incarnation != control.incarnation:
         control.incarnation = reply.control_incarnation
         control.hosts_revision = -1
-        control.ends_reported_until_s = -math.inf
+        control.reported_until_s = -math.inf
     else:
-        control.ends_reported_until_s = max(control.ends_reported_until_s, reply.sent_s)
+        control.reported_until_s = max(control.reported_until_s, reply.sent_s)
     if reply.hosts is not None:
         control.hosts = reply.hosts
         control.hosts_revision = reply.hosts_revision
@@ -93,6 +104,7 @@
         fleet_pauses.merge(tables.pause_hints, now, pause)
     if reply.current and _has_version(tables, reply.catalog_version):
         tables.catalog_current_s = max(tables.catalog_current_s or 0.0, reply.sent_s)
+    return prompt_parts.handle_reply(tables.prompt_parts, now, reply)
 
 
 def record_load(
@@ -211,7 +223,7 @@
     A restarted one may know none. Otherwise only those are unknown to it that this host
     learned from an upstream's answer.
     """
-    since_s = control.ends_reported_until_s
+    since_s = control.reported_until_s
     return upstreams.ended_since(
         tables.upstreams, since_s, leaving_only=since_s > -math.inf
     )
--- a/bitternlever/gateway/tables.py
+++ b/bitternlever/gateway/tables.py
@@ -10,6 +10,7 @@
     pauses as fleet_pauses,
     upstreams as fleet_upstreams,
 )
+from bitternlever.gateway import prompt_parts as gateway_prompt_parts
 from bitternlever.messages import fleet
 
 
@@ -18,8 +19,9 @@
     """A control process as seen by this host; times are on the boot clock.
 
     ``last_seen_s`` is the time of its last reply, ``last_listed_s`` when it was last
-    among the seeds or listed in a reply. ``ends_reported_until_s`` is the latest time
-    until which all ends of upstreams known here were reported to this incarnation.
+    among the seeds or listed in a reply. ``reported_until_s`` is the latest time
+    until which all ends of upstreams and crashes known here were reported to this
+    incarnation.
     """
 
     link: str
@@ -28,7 +30,7 @@
     hosts: list[fleet.HostAnnouncement] = dataclasses.field(default_factory=list)
     last_seen_s: float | None = None
     last_listed_s: float = 0.0
-    ends_reported_until_s: float = -math.inf
+    reported_until_s: float = -math.inf
 
 
 @dataclasses.dataclass(slots=True)
@@ -61,7 +63,7 @@
     are the last reports of batching hosts on their services, ``first_pieces`` estimates
     of the time to the first piece of a service's answer. ``pauses`` are those that
     upstreams asked this host for and ``pause_hints`` those that they asked any host
-    for, both by upstream.
+    for, both by upstream. ``prompt_parts`` are those that may crash upstreams.
     """
 
     announcement: fleet.HostAnnouncement
@@ -87,3 +89,6 @@
     )
     pauses: dict[str, fleet_pauses.Pause] = dataclasses.field(default_factory=dict)
     pause_hints: dict[str, fleet_pauses.Pause] = dataclasses.field(default_factory=dict)
+    prompt_parts: gateway_prompt_parts.PromptParts = dataclasses.field(
+        default_factory=gateway_prompt_parts.PromptParts
+    )
--- a/bitternlever/messages/fleet.py
+++ b/bitternlever/messages/fleet.py
@@ -93,6 +93,40 @@
     age_s: float
 
 
+class PromptPart(msgspec.Struct, frozen=True, array_like=True):
+    """Whether requests with a part in their prompt are refused.
+
+    They are with an odd ``revision``. ``left_s`` is the time until the record lapses
+    unless such requests come, ``seen_age_s`` the time since one came to the sender.
+    """
+
+    part: str
+    revision: int
+    left_s: float
+    seen_age_s: float | None = None
+
+
+class PromptCrash(msgspec.Struct, frozen=True, array_like=True):
+    """A request that lost its upstream before its answer had really begun.
+
+    ``parts`` are those of its prompt that others may share, in order, each with the
+    time since the sender last saw an answer to a prompt with it.
+    """
+
+    request: str
+    upstream: str
+    started_ms: int
+    parts: list[tuple[str, float | None]]
+    age_s: float
+
+
+class SoundPart(msgspec.Struct, frozen=True, array_like=True):
+    """A suspected part of a prompt, and the time since an answer to such a prompt."""
+
+    part: str
+    age_s: float
+
+
 class HostHeartbeat(msgspec.Struct, tag="HostBeat", frozen=True):
     """Heartbeat of an entry host, sent to each control process.
 
@@ -100,7 +134,8 @@
     revision of the newest host list that it received from the control process
     incarnation ``control_incarnation``. ``loads`` covers the services whose calls it
     batches. ``ended`` lists upstreams that this incarnation of control may not know to
-    have ended, ``pauses`` those that asked this host for a pause.
+    have ended, ``pauses`` those that asked this host for a pause. ``crashes`` are new
+    to this incarnation of control; ``sound`` answers its list of suspects.
     """
 
     announcement: HostAnnouncement = msgspec.field(name="word")
@@ -111,6 +146,9 @@
     loads: list[ServiceLoad] = []
     ended: list[UpstreamStatus] = []
     pauses: list[UpstreamPause] = []
+    crashes: list[PromptCrash] = []
+    quarantine: list[PromptPart] = []
+    sound: list[SoundPart] = []
 
 
 class HostHeartbeatReply(msgspec.Struct, tag="HostBeatAnswer", frozen=True):
@@ -120,7 +158,8 @@
     then the newest acknowledged version at a time after the heartbeat was sent.
     ``hosts`` is omitted if the host already has that revision. A leader also forwards
     the ``loads`` that batching hosts reported and the ``pauses`` that hosts were asked
-    for.
+    for. ``suspects`` are the prompt parts of which the host should report answers,
+    ``trials`` those with which it may let one request pass.
     """
 
     sent_s: float
@@ -132,6 +171,9 @@
     hosts: list[HostAnnouncement] | None = None
     loads: list[ServiceLoad] = []
     pauses: list[UpstreamPause] = []
+    quarantine: list[PromptPart] = []
+    suspects: list[str] = []
+    trials: list[str] = []
 
 
 class CatalogPushed(msgspec.Struct, tag=True, frozen=True):
--- a/bitternlever/telemetry/events.py
+++ b/bitternlever/telemetry/events.py
@@ -225,6 +225,24 @@
     logging.INFO,
     "A stage upstream could not be told to free results that are no longer needed.",
 )
+PART_REFUSED = register(
+    411,
+    "part-refused",
+    logging.WARNING,
+    "Requests with a part in their prompt are refused: it crashes upstreams.",
+)
+PART_ALLOWED = register(
+    412,
+    "part-allowed",
+    logging.INFO,
+    "Requests with a part in their prompt are no longer refused.",
+)
+QUARANTINE_FILE_FAILED = register(
+    413,
+    "quarantine-file-failed",
+    logging.WARNING,
+    "The file with the quarantined prompt parts cannot be read or written.",
+)
 REQUEST_ADMITTED = register(
     602,
     "request-admitted",
--- /dev/null
+++ b/tests/gateway/test_prompt_parts.py
@@ -0,0 +1,214 @@
+"""What an entry host makes of prompt parts that crash upstreams."""
+
+import pytest
+
+from bitternlever.catalog import tables as catalog_tables
+from bitternlever.fleet import quarantine
+from bitternlever.gateway import dialect, prompt_parts
+from bitternlever.messages import fleet
+from standins import scripted_upstream
+from tests.gateway import entry_host, samples
+
+NOW = 1_000.0
+DEADLY = "deadbeef"
+EVENTS = (b"id: 1\ndata: x\n\n", b"id: 2\ndata: x\n\n", b"id: 3\ndata: x\n\n")
+
+
+def head(*parts, request="id"):
+    prompt = tuple(dialect.PromptPart(part, 100) for part in parts)
+    return samples.head(prompt=prompt, request=request)
+
+
+def reply(**changes) -> fleet.HostHeartbeatReply:
+    fields = {
+        "sent_s": 0.0,
+        "control_incarnation": "1",
+        "current": True,
+        "catalog_version": 1,
+        "controls": [],
+        "hosts_revision": 0,
+        **changes,
+    }
+    return fleet.HostHeartbeatReply(**fields)
+
+
+def quarantined(*names) -> prompt_parts.PromptParts:
+    parts = prompt_parts.PromptParts()
+    records = [fleet.PromptPart(name, 1, 100.0) for name in names]
+    assert prompt_parts.handle_reply(parts, NOW, reply(quarantine=records)) == [*names]
+    return parts
+
+
+def refused_for_s(parts, now, *names, sending=False):
+    return prompt_parts.refused_for_s(parts, now, head(*names), sending=sending)
+
+
+def test_a_request_is_refused_for_any_part_but_the_last():
+    parts = quarantined(DEADLY)
+
+    assert refused_for_s(parts, NOW, DEADLY, "own") == quarantine.LAPSE_S
+    assert refused_for_s(parts, NOW, "a", DEADLY, "own") == quarantine.LAPSE_S
+    assert refused_for_s(parts, NOW, "a", "b", DEADLY) is None
+    assert refused_for_s(parts, NOW, "a", "b", "own") is None
+    assert refused_for_s(parts, NOW) is None
+
+
+def test_a_refused_request_is_reported_and_renews_the_quarantine():
+    parts = quarantined(DEADLY)
+    refused_for_s(parts, NOW + 50.0, DEADLY, "own")
+
+    (record,) = quarantine.current(parts.records, NOW + 60.0)
+    assert record == fleet.PromptPart(DEADLY, 1, quarantine.LAPSE_S - 10.0, 10.0)
+
+
+def test_one_request_uses_up_a_trial_when_it_is_sent():
+    parts = quarantined(DEADLY)
+    prompt_parts.handle_reply(parts, NOW, reply(trials=[DEADLY]))
+
+    assert refused_for_s(parts, NOW, DEADLY, "own") is None
+    assert refused_for_s(parts, NOW, DEADLY, "own", sending=True) is None
+    assert refused_for_s(parts, NOW, DEADLY, "own", sending=True) is not None
+    assert refused_for_s(parts, NOW, DEADLY, "own") is not None
+
+
+def test_a_trial_that_is_not_used_in_time_is_void():
+    parts = quarantined(DEADLY)
+    prompt_parts.handle_reply(parts, NOW, reply(trials=[DEADLY]))
+
+    late_s = NOW + prompt_parts.TRIAL_GRANT_S
+    assert refused_for_s(parts, late_s, DEADLY, "own", sending=True) is not None
+
+
+def test_crashes_are_reported_with_the_last_answers_until_they_are_old():
+    parts = prompt_parts.PromptParts()
+    upstream = samples.upstream_status("u1", started_ms=7)
+    prompt_parts.record_sound(parts, NOW - 1.0, head("a", "own"))
+    prompt_parts.record_crash(parts, NOW, head("a", "b", "own", request="r"), upstream)
+    prompt_parts.record_crash(parts, NOW, head("own"), upstream)
+
+    (report,) = prompt_parts.crashes_since(parts, NOW + 2.0, NOW - 0.1)
+    assert report == fleet.PromptCrash(
+        request="r",
+        upstream="u1",
+        started_ms=7,
+        parts=[("a", 3.0), ("b", None)],
+        age_s=2.0,
+    )
+    assert prompt_parts.crashes_since(parts, NOW + 2.0, NOW) == []
+    late_s = NOW + prompt_parts.CRASH_RETENTION_S + 1.0
+    assert prompt_parts.crashes_since(parts, late_s, 0.0) == []
+
+
+def test_answers_are_reported_for_suspects_only():
+    parts = quarantined("c")
+    prompt_parts.record_sound(parts, NOW, head("a", "b", "c", "own"))
+    prompt_parts.handle_reply(parts, NOW, reply(suspects=["a", "x"]))
+
+    reports = prompt_parts.sound_reports(parts, NOW + 1.0)
+    assert sorted(report.part for report in reports) == ["a", "c"]
+    assert {report.age_s for report in reports} == {1.0}
+    late_s = NOW + prompt_parts.SOUND_RETENTION_S + 1.0
+    assert prompt_parts.sound_reports(parts, late_s) == []
+
+
+def test_what_is_kept_is_bounded():
+    parts = prompt_parts.PromptParts()
+    upstream = samples.upstream_status("u1")
+    for number in range(prompt_parts.MAXIMUM_SOUND_PARTS + 99):
+        names = [f"{number} {place}" for place in range(99)]
+        prompt_parts.record_sound(parts, NOW, head(*names))
+        prompt_parts.record_crash(parts, NOW, head(*names), upstream)
+
+    assert len(parts.sound) == prompt_parts.MAXIMUM_SOUND_PARTS
+    assert len(parts.crashes) == prompt_parts.MAXIMUM_CRASHES
+    assert len(parts.crashes[0].parts) == prompt_parts.MAXIMUM_PARTS
+
+
+def catalog(**changes):
+    stream = catalog_tables.Repeatability.STREAM
+    return samples.catalog(
+        routes={"h.example": [samples.route(repeatability=stream, **changes)]}
+    )
+
+
+def request(*parts):
+    prompt = ",".join(f"{part}:100" for part in parts)
+    return entry_host.request(X_Bitternlever_Prompt_Prefix=prompt)
+
+
+@pytest.mark.parametrize(
+    ("behaviour", "crashed", "sound"),
+    [
+        (scripted_upstream.stream(complete=False), True, False),
+        (scripted_upstream.stream(EVENTS[0], complete=False, reset=True), True, False),
+        (scripted_upstream.close(), True, False),
+        (scripted_upstream.unframed(EVENTS[0], b"id: 2"), True, False),
+        (scripted_upstream.stream(*EVENTS, complete=False), False, True),
+        (scripted_upstream.stream(EVENTS[0]), False, True),
+        (scripted_upstream.answer(500), False, False),
+        (scripted_upstream.refuse(), False, False),
+        (scripted_upstream.garbage(), False, False),
+    ],
+    ids=[
+        "no event",
+        "one event",
+        "no head",
+        "unframed",
+        "begun",
+        "complete",
+        "error",
+        "not run",
+        "no HTTP",
+    ],
+)
+async def test_only_what_ends_with_its_connection_before_it_has_begun_is_a_crash(
+    behaviour, crashed, sound
+):
+    server = await scripted_upstream.start("u1", behaviour)
+    status = samples.upstream_status("u1", address=server.address)
+    async with entry_host.running(catalog(), status) as (gateway, port):
+        await entry_host.call(port, request("a", "b", "own"))
+        parts = gateway.tables.prompt_parts
+
+    assert [crash.parts for crash in parts.crashes] == [("a", "b")] * crashed
+    assert list(parts.sound) == ["a", "b"] * sound
+
+
+async def test_a_refused_request_reaches_no_upstream_and_learns_when_to_retry():
+    server = await scripted_upstream.start("u1", scripted_upstream.stream(*EVENTS))
+    status = samples.upstream_status("u1", address=server.address)
+    async with entry_host.running(catalog(), status) as (gateway, port):
+        quarantine.change(
+            gateway.tables.prompt_parts.records,
+            gateway.pool.clock(),
+            DEADLY,
+            quarantined=True,
+        )
+        refused = await entry_host.call(port, request("a", DEADLY, "own"))
+        served = await entry_host.call(port, request("a", "b", "own"))
+
+    assert refused.status == 503
+    assert float(refused.headers["retry-after"]) > 200.0
+    assert served.status == 200
+    assert len(server.received) == 1
+
+
+async def test_a_request_with_a_suspected_part_crashes_one_upstream_only():
+    servers = [
+        await scripted_upstream.start(name, scripted_upstream.stream(complete=False))
+        for name in ("u1", "u2")
+    ]
+    statuses = [
+        samples.upstream_status(server.name, address=server.address)
+        for server in servers
+    ]
+    resumable = catalog(resumable=True, maximum_attempts=2)
+    async with entry_host.running(resumable, *statuses) as (gateway, port):
+        gateway.tables.prompt_parts.suspects = frozenset({DEADLY})
+        await entry_host.call(port, request("a", DEADLY, "own"))
+        assert sum(len(server.received) for server in servers) == 1
+
+        gateway.tables.prompt_parts.suspects = frozenset({"b"})
+        gateway.tables.prompt_parts.sound["b"] = 0.0
+        await entry_host.call(port, request("a", "b", "own"))
+        assert sum(len(server.received) for server in servers) == 3
