Begin a caller's connection with small reads

Cause: read 32 KB at once on a new connection, and the server library copies each read of bytes that are no HTTP until their error is answered.

Change: the first read has 4 KB, and each read may be twice as large up to 32 KB; slices stay.

--- a/bitternlever/transport/bounded_server.py
+++ b/bitternlever/transport/bounded_server.py
@@ -13,6 +13,9 @@
 
 from bitternlever.telemetry import events
 
+FIRST_READ_BYTES = 4_096
+"""Bytes that are no HTTP mostly come first, and each read of them is copied."""
+
 READ_BYTES = 32_768
 """Most requests fit; the library's own 256 KB make a copy as large of bytes that don't.
 """
@@ -32,12 +35,14 @@
     __slots__ = ()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Limit the size of reads."""
-        transport.max_size = READ_BYTES
+        """Limit the size of reads; they grow up to the bound."""
+        transport.max_size = FIRST_READ_BYTES
         super().connection_made(transport)
 
     def data_received(self, data: bytes) -> None:
         """Parse what was read; in slices if that takes long."""
+        if self.transport is not None:
+            self.transport.max_size = min(2 * self.transport.max_size, READ_BYTES)
         if data.count(b"\r\n") * SHORT_LINE_BYTES <= len(data):
             super().data_received(data)
         else:
