Judge prompt parts only when something new is known, and ask only for answers that matter

Each heartbeat of each host judged all suspects again, and each host reported answers for all parts in two crashes for two minutes: at 200 hosts 800 judgements a second in control and a kilobyte more in each heartbeat, after any two ordinary crashes. By reading, not measured.

Change: control judges after a new report or 5 s; hosts report answers only for parts with two unexplained crashes since their last answer.

--- a/bitternlever/fleet/crash_suspects.py
+++ b/bitternlever/fleet/crash_suspects.py
@@ -19,6 +19,9 @@
 MINIMUM_CRASHES = 3
 """Two may be a coincidence for a part that was never in an answer."""
 
+MINIMUM_DOUBTFUL_CRASHES = 2
+"""From here on, hosts are asked for answers to prompts with the part."""
+
 MINIMUM_CRASHES_OF_SOUND = 5
 MINIMUM_SPAN_S = 3.0
 """For a part that was in an answer before; without another one for that long."""
@@ -36,6 +39,9 @@
 ASKED_FOR_S = 2.0
 """A trial goes to a host that had a request with the part within this time."""
 
+JUDGE_INTERVAL_S = 5.0
+"""Old crashes stop counting with this delay, if no new ones are reported."""
+
 MAXIMUM_SUSPECTS = 2_000
 MAXIMUM_CRASHES = 16
 MAXIMUM_REQUESTS = 16
@@ -73,10 +79,17 @@
 
 @dataclasses.dataclass(slots=True)
 class Evidence:
-    """Suspects and trials by part; times are on the local clock."""
+    """Suspects and trials by part; times are on the local clock.
+
+    ``doubtful`` are the parts of which hosts should report answers. ``outdated`` is set
+    if something was reported since ``judged_s``, when all parts were last judged.
+    """
 
     suspects: dict[str, Suspect] = dataclasses.field(default_factory=dict)
     trials: dict[str, Trials] = dataclasses.field(default_factory=dict)
+    doubtful: list[str] = dataclasses.field(default_factory=list)
+    outdated: bool = False
+    judged_s: float = -math.inf
 
 
 def record_crash(evidence: Evidence, now: float, report: fleet.PromptCrash) -> None:
@@ -84,6 +97,7 @@
     at_s = now - report.age_s
     if now - at_s > RETENTION_S:
         return
+    evidence.outdated = True
     start = f"{report.upstream} {report.started_ms}"
     for position, (part, sound_age_s) in enumerate(report.parts):
         suspect = _suspect(evidence, now, part)
@@ -111,7 +125,10 @@
     sound_s = now - report.age_s
     suspect = evidence.suspects.get(report.part)
     if suspect is not None:
-        suspect.sound_s = max(suspect.sound_s, sound_s)
+        if sound_s - suspect.sound_s < SAME_MOMENT_S:
+            return False
+        suspect.sound_s = sound_s
+        evidence.outdated = True
     record = records.get(report.part)
     if record is None or not record.quarantined:
         return False
@@ -132,11 +149,24 @@
     evidence.trials.pop(part, None)
 
 
-def quarantine_convicted(
-    evidence: Evidence, records: quarantine.Records, now: float
-) -> list[str]:
+def judge(evidence: Evidence, records: quarantine.Records, now: float) -> list[str]:
     """Quarantine the parts that crash upstreams; return the new ones."""
+    if not evidence.suspects:
+        evidence.doubtful = []
+        return []
+    if not evidence.outdated and now - evidence.judged_s < JUDGE_INTERVAL_S:
+        return []
+    evidence.outdated = False
+    evidence.judged_s = now
     _remove_expired(evidence, now)
+    changed = _quarantine_convicted(evidence, records, now)
+    evidence.doubtful = _doubtful(evidence, records, now)
+    return changed
+
+
+def _quarantine_convicted(
+    evidence: Evidence, records: quarantine.Records, now: float
+) -> list[str]:
     changed = []
     while True:
         part = _most_suspected(evidence, records, now)
@@ -166,12 +196,16 @@
     return None if undecided and count == MINIMUM_CRASHES else part
 
 
-def listed_suspects(evidence: Evidence) -> list[str]:
-    """Return the parts of which hosts should report answers."""
-    several = [
-        part for part, suspect in evidence.suspects.items() if len(suspect.crashes) > 1
+def _doubtful(evidence: Evidence, records: quarantine.Records, now: float) -> list[str]:
+    """Return the parts with several unexplained crashes since their last answer."""
+    explained = _explained(evidence, records, now)
+    doubtful = [
+        part
+        for part, suspect in evidence.suspects.items()
+        if len(_crash_times(suspect, explained)) >= MINIMUM_DOUBTFUL_CRASHES
+        and not quarantine.is_quarantined(records, now, part)
     ]
-    return several[:MAXIMUM_LISTED]
+    return doubtful[:MAXIMUM_LISTED]
 
 
 def grant_trials(
--- a/bitternlever/fleet/feed.py
+++ b/bitternlever/fleet/feed.py
@@ -70,7 +70,7 @@
         hosts_revision=directory.revision,
         hosts=None if has_current_hosts else list(directory.listed),
         quarantine=quarantine.current(tables.refused_parts, now),
-        suspects=crash_suspects.listed_suspects(tables.crash_evidence),
+        suspects=tables.crash_evidence.doubtful,
         trials=crash_suspects.grant_trials(
             tables.crash_evidence,
             tables.refused_parts,
@@ -148,10 +148,7 @@
     for sound in heartbeat.sound:
         if crash_suspects.record_sound(evidence, records, now, sound):
             tables.changed_parts.add(sound.part)
-    if heartbeat.crashes or heartbeat.sound:
-        tables.changed_parts.update(
-            crash_suspects.quarantine_convicted(evidence, records, now)
-        )
+    tables.changed_parts.update(crash_suspects.judge(evidence, records, now))
 
 
 def _current_loads(
--- a/tests/fleet/test_crash_suspects.py
+++ b/tests/fleet/test_crash_suspects.py
@@ -48,9 +48,7 @@
 
     def judge(self):
         """Return the parts that are quarantined now."""
-        return crash_suspects.quarantine_convicted(
-            self.evidence, self.records, self.now
-        )
+        return crash_suspects.judge(self.evidence, self.records, self.now)
 
     @property
     def quarantined(self):
@@ -200,6 +198,33 @@
     assert system.records["a"].revision == 3
 
 
+def test_hosts_are_asked_only_for_answers_that_matter():
+    """Every host sends what it is asked for with each heartbeat."""
+    system = Fleet()
+    system.crash([SHARED, "a"], [SHARED, "b"])
+    assert system.evidence.doubtful == []
+
+    system.crash([SHARED, "a"], [SHARED, "c"])
+    assert system.evidence.doubtful == [SHARED, "a"]
+
+    system.sound(SHARED)
+    assert system.evidence.doubtful == ["a"]
+    system.crash([SHARED, "a"])
+    assert system.quarantined == {"a"}
+    assert system.evidence.doubtful == []
+
+
+def test_doubts_end_without_further_reports():
+    system = Fleet()
+    system.crash(["a"])
+    system.crash(["a"])
+    assert system.evidence.doubtful == ["a"]
+
+    system.now += crash_suspects.RETENTION_S
+    system.judge()
+    assert system.evidence.doubtful == []
+
+
 def test_old_crashes_do_not_count():
     system = Fleet()
     system.crash(["a"])
@@ -266,7 +291,7 @@
     assert len(suspect.crashes) == crash_suspects.MAXIMUM_CRASHES
     requests = {len(crash.requests) for crash in suspect.crashes.values()}
     assert requests == {crash_suspects.MAXIMUM_REQUESTS}
-    assert len(crash_suspects.listed_suspects(system.evidence)) == 1
+    assert system.evidence.doubtful == []
 
     system.crash(["x" * 1_000])
     assert "x" * 1_000 not in system.evidence.suspects
--- a/tests/fleet/test_feed.py
+++ b/tests/fleet/test_feed.py
@@ -128,3 +128,86 @@
     assert (hint.upstream, hint.started_ms) == ("u1", 1_000)
     assert 1.49 < hint.left_s < 1.51
     assert 0.59 < hint.age_s < 0.61
+
+
+def prompt_crash(number: int) -> fleet.PromptCrash:
+    """Return a host's report of a request that lost its upstream."""
+    return fleet.PromptCrash(
+        request=f"r{number}",
+        upstream=f"u{number}",
+        started_ms=0,
+        parts=[("shared", 0.4), (f"doc{number}", None), ("deadbeef", None)],
+        age_s=0.1,
+    )
+
+
+def send_crashes(system, tables, count: int) -> None:
+    """Report crashes, each at another host."""
+    for number in range(count):
+        system.now += 0.5
+        crashes = [prompt_crash(number)]
+        send_heartbeat(system, tables, host=f"h{number}", crashes=crashes)
+
+
+def test_a_part_in_crashes_that_different_hosts_saw_is_refused_by_all():
+    system, tables = cluster_with_leader()
+    send_crashes(system, tables, 2)
+    assert send_heartbeat(system, tables, host="one").quarantine == []
+
+    send_crashes(system, tables, 3)
+
+    (part,) = send_heartbeat(system, tables, host="one").quarantine
+    assert (part.part, part.revision) == ("deadbeef", 1)
+    assert tables.changed_parts == {"deadbeef"}
+
+
+def test_control_without_a_leader_tells_hosts_which_parts_are_refused():
+    system, leader = cluster_with_leader()
+    other = next(
+        node.tables for node in system.nodes.values() if node.tables is not leader
+    )
+    send_crashes(system, other, 3)
+
+    assert len(send_heartbeat(system, other, host="one").quarantine) == 1
+
+
+def test_a_new_control_process_learns_refused_parts_and_their_release_from_hosts():
+    system, tables = cluster_with_leader()
+    known = fleet.PromptPart("deadbeef", 1, 200.0)
+    (part,) = send_heartbeat(system, tables, quarantine=[known]).quarantine
+    assert (part.part, part.revision) == ("deadbeef", 1)
+
+    released = fleet.PromptPart("deadbeef", 2, 200.0)
+    (part,) = send_heartbeat(system, tables, quarantine=[released]).quarantine
+    assert part.revision == 2
+    (part,) = send_heartbeat(system, tables, quarantine=[known]).quarantine
+    assert part.revision == 2
+
+
+def test_a_release_elsewhere_drops_the_evidence():
+    system, tables = cluster_with_leader()
+    send_crashes(system, tables, 3)
+    released = fleet.PromptPart("deadbeef", 2, 200.0)
+    send_heartbeat(system, tables, quarantine=[released])
+
+    (part,) = send_heartbeat(system, tables, host="two").quarantine
+    assert part.revision == 2
+
+
+def test_a_refused_request_at_one_host_renews_the_record_for_all():
+    system, tables = cluster_with_leader()
+    send_crashes(system, tables, 3)
+    system.now += 100.0
+    seen = fleet.PromptPart("deadbeef", 1, 200.0, 0.5)
+    (part,) = send_heartbeat(system, tables, quarantine=[seen]).quarantine
+
+    assert part.left_s == 299.5
+
+
+def test_an_answer_at_any_host_ends_a_wrong_refusal():
+    system, tables = cluster_with_leader()
+    send_crashes(system, tables, 3)
+    sound = [fleet.SoundPart("deadbeef", 0.05)]
+    reply = send_heartbeat(system, tables, host="two", sound=sound)
+
+    assert [part.revision for part in reply.quarantine] == [2]
--- a/tests/gateway/test_prompt_parts.py
+++ b/tests/gateway/test_prompt_parts.py
@@ -4,7 +4,7 @@
 
 from bitternlever.catalog import tables as catalog_tables
 from bitternlever.fleet import quarantine
-from bitternlever.gateway import dialect, prompt_parts
+from bitternlever.gateway import dialect, prompt_parts, sync, tables as gateway_tables
 from bitternlever.messages import fleet
 from standins import scripted_upstream
 from tests.gateway import entry_host, samples
@@ -212,3 +212,21 @@
         gateway.tables.prompt_parts.sound["b"] = 0.0
         await entry_host.call(port, request("a", "b", "own"))
         assert sum(len(server.received) for server in servers) == 3
+
+
+def test_crashes_are_sent_to_a_control_process_until_it_answers():
+    tables = gateway_tables.GatewayTables(
+        announcement=samples.host_announcement(), seeds=("tcp://c:1",)
+    )
+    upstream = samples.upstream_status("u1")
+    prompt_parts.record_crash(tables.prompt_parts, NOW, head("a", "own"), upstream)
+
+    def crashes_sent(now):
+        ((_, beat),) = sync.heartbeats(tables, now, fleet.HostState.READY, [])
+        return len(beat.crashes)
+
+    assert [crashes_sent(NOW + 0.1), crashes_sent(NOW + 0.2)] == [1, 1]
+    for incarnation, answered in (("1", 1), ("1", 0), ("2", 1)):
+        answer = reply(sent_s=NOW + 0.2, control_incarnation=incarnation)
+        sync.handle_heartbeat_reply(tables, NOW + 0.3, "tcp://c:1", answer)
+        assert crashes_sent(NOW + 0.4) == answered
