Use a trial only for a request that is sent, and drop unused ones

Found by reading the change. A request with two quarantined parts used up the trial of one and was refused for the other; unused trials stayed; a record that another one displaced within the same reply made the host fail to log it. The tests over processes share their steps.

--- a/bitternlever/gateway/prompt_parts.py
+++ b/bitternlever/gateway/prompt_parts.py
@@ -78,6 +78,7 @@
     if not parts.records:
         return None
     refused_s = None
+    on_trial = []
     for part in shared(head):
         if not quarantine.is_quarantined(parts.records, now, part):
             continue
@@ -85,10 +86,12 @@
         record.seen_s = now
         quarantine.renew(parts.records, part, now)
         if now < parts.trials.get(part, now):
-            if sending:
-                del parts.trials[part]
-            continue
-        refused_s = max(refused_s or 0.0, record.lapses_s - now)
+            on_trial.append(part)
+        else:
+            refused_s = max(refused_s or 0.0, record.lapses_s - now)
+    if sending and refused_s is None:
+        for part in on_trial:
+            del parts.trials[part]
     return refused_s
 
 
@@ -160,6 +163,10 @@
     """Take over what control knows; return the parts whose state has changed."""
     if reply.suspects or parts.suspects:
         parts.suspects = frozenset(reply.suspects)
+    if reply.trials:
+        parts.trials = {
+            part: until_s for part, until_s in parts.trials.items() if now < until_s
+        }
     for part in reply.trials:
         parts.trials[part] = now + TRIAL_GRANT_S
     return [
--- a/bitternlever/gateway/shell.py
+++ b/bitternlever/gateway/shell.py
@@ -173,8 +173,9 @@
 
 def _log_prompt_parts(gateway: state.Gateway, parts: list[str]) -> None:
     for part in parts:
-        quarantined = gateway.tables.prompt_parts.records[part].quarantined
-        event = events.PART_REFUSED if quarantined else events.PART_ALLOWED
+        record = gateway.tables.prompt_parts.records.get(part)
+        refused = record is not None and record.quarantined
+        event = events.PART_REFUSED if refused else events.PART_ALLOWED
         event.log(logger, part=part)
 
 
--- a/tests/gateway/test_prompt_parts.py
+++ b/tests/gateway/test_prompt_parts.py
@@ -71,6 +71,23 @@
     assert refused_for_s(parts, NOW, DEADLY, "own") is not None
 
 
+def test_a_request_that_is_refused_for_another_part_leaves_the_trial_unused():
+    parts = quarantined(DEADLY, "other")
+    prompt_parts.handle_reply(parts, NOW, reply(trials=[DEADLY]))
+
+    assert refused_for_s(parts, NOW, DEADLY, "other", "own", sending=True) is not None
+    assert refused_for_s(parts, NOW, DEADLY, "own", sending=True) is None
+
+
+def test_unused_trials_are_dropped():
+    parts = quarantined(DEADLY)
+    for number in range(9):
+        now = NOW + number * prompt_parts.TRIAL_GRANT_S
+        prompt_parts.handle_reply(parts, now, reply(trials=[f"part{number}"]))
+
+    assert list(parts.trials) == ["part8"]
+
+
 def test_a_trial_that_is_not_used_in_time_is_void():
     parts = quarantined(DEADLY)
     prompt_parts.handle_reply(parts, NOW, reply(trials=[DEADLY]))
--- a/tests/platform/test_crashing_prompts.py
+++ b/tests/platform/test_crashing_prompts.py
@@ -196,6 +196,33 @@
     assert sum(late) >= len(late) / 2
 
 
+async def crash_until_known(traffic) -> None:
+    """Send deadly requests until all hosts must know, then wait for their ends."""
+    deadly = asyncio.ensure_future(traffic.send_deadly())
+    await asyncio.sleep(CRASHES * 0.4 + CONTACT_S + 1.0)
+    deadly.cancel()
+    await asyncio.sleep(1.0)
+
+
+async def restart(fleet, names) -> None:
+    """Kill processes at once, start them again and wait until the hosts are in touch."""
+    for name in names:
+        fleet.kill(name)
+    for name in names:
+        fleet.start(name, bootstrap=False)
+    for host in HOSTS:
+        await fleet_processes.wait_until(processes.ready(fleet, host))
+    await asyncio.sleep(2.0)
+
+
+async def new_arrivals(upstreams, traffic) -> int:
+    """Return how many of some more deadly requests reach an upstream."""
+    before = len(upstreams.arrivals_s)
+    traffic.start(traffic.send_deadly(gap_s=0.2))
+    await asyncio.sleep(3.0)
+    return len(upstreams.arrivals_s) - before
+
+
 @pytest.mark.parametrize(
     "restarted",
     [("entry-a",), CONTROLS, (*CONTROLS, *HOSTS)],
@@ -205,42 +232,20 @@
     tmp_path, restarted
 ):
     async with running(tmp_path, 42) as (fleet, upstreams, traffic):
-        deadly = asyncio.ensure_future(traffic.send_deadly())
-        await asyncio.sleep(CRASHES * 0.4 + CONTACT_S + 1.0)
-        deadly.cancel()
-        await asyncio.sleep(1.0)
-        for name in restarted:
-            fleet.kill(name)
-        for name in restarted:
-            fleet.start(name, bootstrap=False)
-        for host in HOSTS:
-            await fleet_processes.wait_until(processes.ready(fleet, host))
-        await asyncio.sleep(2.0)
-        before = len(upstreams.arrivals_s)
-        traffic.start(traffic.send_deadly(gap_s=0.2))
-        await asyncio.sleep(3.0)
+        await crash_until_known(traffic)
+        await restart(fleet, restarted)
 
-        assert len(upstreams.arrivals_s) == before
+        assert await new_arrivals(upstreams, traffic) == 0
 
 
 async def test_a_new_disk_and_new_hosts_learn_which_parts_crash_upstreams(tmp_path):
+    """The file on the new disk is written from what hosts know."""
     async with running(tmp_path, 43) as (fleet, upstreams, traffic):
-        deadly = asyncio.ensure_future(traffic.send_deadly())
-        await asyncio.sleep(CRASHES * 0.4 + CONTACT_S + 1.0)
-        deadly.cancel()
+        await crash_until_known(traffic)
         fleet.kill("control-a")
         shutil.rmtree(tmp_path / "control-a")
         fleet.start("control-a", bootstrap=False)
         await asyncio.sleep(2.0)
-        for name in ("control-b", "control-c", *HOSTS):
-            fleet.kill(name)
-        for name in ("control-b", "control-c", *HOSTS):
-            fleet.start(name, bootstrap=False)
-        for host in HOSTS:
-            await fleet_processes.wait_until(processes.ready(fleet, host))
-        await asyncio.sleep(2.0)
-        before = len(upstreams.arrivals_s)
-        traffic.start(traffic.send_deadly(gap_s=0.2))
-        await asyncio.sleep(3.0)
+        await restart(fleet, ("control-b", "control-c", *HOSTS))
 
-        assert len(upstreams.arrivals_s) == before
+        assert await new_arrivals(upstreams, traffic) == 0
