--- a/tests/platform/test_crashing_prompts.py
+++ b/tests/platform/test_crashing_prompts.py
@@ -205,7 +205,7 @@
 
 
 async def restart(fleet, names) -> None:
-    """Kill processes at once, start them again and wait until the hosts are in touch."""
+    """Kill processes at once and start them; return when the hosts are in touch."""
     for name in names:
         fleet.kill(name)
     for name in names:
