--- a/tests/gateway/test_prompt_parts.py
+++ b/tests/gateway/test_prompt_parts.py
@@ -1,5 +1,7 @@
 """What an entry host makes of prompt parts that crash upstreams."""
 
+import asyncio
+
 import pytest
 
 from bitternlever.catalog import tables as catalog_tables
@@ -247,3 +249,28 @@
         answer = reply(sent_s=NOW + 0.2, control_incarnation=incarnation)
         sync.handle_heartbeat_reply(tables, NOW + 0.3, "tcp://c:1", answer)
         assert crashes_sent(NOW + 0.4) == answered
+
+
+async def test_a_part_that_is_quarantined_meanwhile_is_not_sent_again():
+    slow = scripted_upstream.answer(
+        503, b"", delay_s=0.3, lines=(scripted_upstream.NOT_RUN,)
+    )
+    servers = [await scripted_upstream.start(name, slow) for name in ("u1", "u2")]
+    statuses = [
+        samples.upstream_status(server.name, address=server.address)
+        for server in servers
+    ]
+    async with entry_host.running(catalog(), *statuses) as (gateway, port):
+        call = asyncio.ensure_future(entry_host.call(port, request("a", DEADLY, "own")))
+        await asyncio.sleep(0.1)
+        quarantine.change(
+            gateway.tables.prompt_parts.records,
+            gateway.pool.clock(),
+            DEADLY,
+            quarantined=True,
+        )
+        answer = await call
+
+    assert answer.status == 503
+    assert float(answer.headers["retry-after"]) > 200.0
+    assert sum(len(server.received) for server in servers) == 1
