Count a report to control only if its heartbeat was sent after a restart was known

Crashes that prompts caused are reported in the same way, and were lost in the same way.

Cause: heartbeats that wait while a control process is down were sent without the ends that its previous incarnation had confirmed. The answer to the first one made the host send all again, but the answer to the second counted as a confirmation of that.

Change: an answer counts from the time on at which the host knows the incarnation.

--- a/bitternlever/gateway/sync.py
+++ b/bitternlever/gateway/sync.py
@@ -87,7 +87,8 @@
         control.incarnation = reply.control_incarnation
         control.hosts_revision = -1
         control.reported_until_s = -math.inf
-    else:
+        control.incarnation_known_s = now
+    elif reply.sent_s > control.incarnation_known_s:
         control.reported_until_s = max(control.reported_until_s, reply.sent_s)
     if reply.hosts is not None:
         control.hosts = reply.hosts
--- a/bitternlever/gateway/tables.py
+++ b/bitternlever/gateway/tables.py
@@ -21,7 +21,7 @@
     ``last_seen_s`` is the time of its last reply, ``last_listed_s`` when it was last
     among the seeds or listed in a reply. ``reported_until_s`` is the latest time
     until which all ends of upstreams and crashes known here were reported to this
-    incarnation.
+    incarnation, which this host has known since ``incarnation_known_s``.
     """
 
     link: str
@@ -31,6 +31,7 @@
     last_seen_s: float | None = None
     last_listed_s: float = 0.0
     reported_until_s: float = -math.inf
+    incarnation_known_s: float = -math.inf
 
 
 @dataclasses.dataclass(slots=True)
--- a/tests/gateway/test_prompt_parts.py
+++ b/tests/gateway/test_prompt_parts.py
@@ -5,7 +5,7 @@
 import pytest
 
 from bitternlever.catalog import tables as catalog_tables
-from bitternlever.fleet import quarantine
+from bitternlever.fleet import quarantine, upstreams as fleet_upstreams
 from bitternlever.gateway import dialect, prompt_parts, sync, tables as gateway_tables
 from bitternlever.messages import fleet
 from standins import scripted_upstream
@@ -245,10 +245,12 @@
         return len(beat.crashes)
 
     assert [crashes_sent(NOW + 0.1), crashes_sent(NOW + 0.2)] == [1, 1]
-    for incarnation, answered in (("1", 1), ("1", 0), ("2", 1)):
-        answer = reply(sent_s=NOW + 0.2, control_incarnation=incarnation)
-        sync.handle_heartbeat_reply(tables, NOW + 0.3, "tcp://c:1", answer)
-        assert crashes_sent(NOW + 0.4) == answered
+    sent_s = NOW + 0.2
+    for incarnation, still_sent in (("1", 1), ("1", 0), ("2", 1), ("2", 0)):
+        answer = reply(sent_s=sent_s, control_incarnation=incarnation)
+        sync.handle_heartbeat_reply(tables, sent_s + 0.1, "tcp://c:1", answer)
+        sent_s += 0.2
+        assert crashes_sent(sent_s) == still_sent
 
 
 async def test_a_part_that_is_quarantined_meanwhile_is_not_sent_again():
@@ -274,3 +276,40 @@
     assert answer.status == 503
     assert float(answer.headers["retry-after"]) > 200.0
     assert sum(len(server.received) for server in servers) == 1
+
+
+def test_late_answers_of_a_restarted_control_process_do_not_count_as_reports():
+    """Heartbeats that waited while it was down were sent without the known ends."""
+    tables = gateway_tables.GatewayTables(
+        announcement=samples.host_announcement(), seeds=("tcp://c:1",)
+    )
+
+    def send(now):
+        ((_, beat),) = sync.heartbeats(tables, now, fleet.HostState.READY, [])
+        return beat
+
+    def answer(now, sent_s, incarnation):
+        message = reply(sent_s=sent_s, control_incarnation=incarnation)
+        sync.handle_heartbeat_reply(tables, now, "tcp://c:1", message)
+
+    send(NOW)
+    answer(NOW, NOW, "1")
+    update = fleet.UpstreamStatusUpdate(statuses=[samples.upstream_status("u1")])
+    sync.merge_upstream_statuses(tables, NOW + 0.1, update)
+    fleet_upstreams.mark_leaving(tables.upstreams, NOW + 0.1, "u1")
+    upstream = samples.upstream_status("u2")
+    prompt_parts.record_crash(
+        tables.prompt_parts, NOW + 0.1, head("a", "own"), upstream
+    )
+    assert len(send(NOW + 0.2).ended) == 1
+    answer(NOW + 0.25, NOW + 0.2, "1")
+    for sent_s in (NOW + 0.3, NOW + 0.6):
+        assert send(sent_s).ended == []
+    for sent_s in (NOW + 0.3, NOW + 0.6):
+        answer(NOW + 0.8, sent_s, "2")
+
+    beat = send(NOW + 0.9)
+    assert [status.upstream for status in beat.ended] == ["u1"]
+    assert len(beat.crashes) == 1
+    answer(NOW + 1.0, NOW + 0.9, "2")
+    assert (send(NOW + 1.1).ended, send(NOW + 1.2).crashes) == ([], [])
