Bound the names of prompt parts and request ids that a host keeps and reports

Found by reading the change: callers choose both, up to the size of a head. A host kept 4,096 names of parts that were in answers, and sent up to 128 request ids and 2,048 names in each heartbeat until control had answered one, and eight names in a log line.

Change: parts with names above 128 characters are not followed, as control does already; 64 characters of a request's id are reported. The test fails on the code before.

--- a/bitternlever/gateway/forward.py
+++ b/bitternlever/gateway/forward.py
@@ -279,7 +279,7 @@
         ran=failure.ran,
         lost=failure.lost,
         events=relay.splitter.events - relay.events_before,
-        parts=[part.part for part in context.head.prompt[:MAXIMUM_LOGGED_PARTS]],
+        parts=prompt_parts.shared(context.head)[:MAXIMUM_LOGGED_PARTS],
         reason=failure.reason,
     )
 
--- a/bitternlever/gateway/prompt_parts.py
+++ b/bitternlever/gateway/prompt_parts.py
@@ -16,6 +16,9 @@
 MAXIMUM_PARTS = 16
 """Parts of one prompt that are followed; known prompts have up to five."""
 
+MAXIMUM_REQUEST_LENGTH = 64
+"""The rest of a request's id is not reported; callers may send any length."""
+
 BEGUN_EVENTS = 2
 """With this many events the answer has begun, and its upstream has survived it."""
 
@@ -60,8 +63,15 @@
 
 
 def shared(head: dialect.RequestHead) -> tuple[str, ...]:
-    """Return the parts of a prompt that other requests may have, too."""
-    return tuple(part.part for part in head.prompt[:-1][:MAXIMUM_PARTS])
+    """Return the parts of a prompt that other requests may have, too.
+
+    Those with longer names than are followed are left out.
+    """
+    return tuple(
+        part.part
+        for part in head.prompt[:-1][:MAXIMUM_PARTS]
+        if len(part.part) <= quarantine.MAXIMUM_PART_LENGTH
+    )
 
 
 def refused_for_s(
@@ -122,8 +132,9 @@
     """Record that a request lost its upstream before its answer had really begun."""
     followed = shared(head)
     if followed:
+        request = head.request[:MAXIMUM_REQUEST_LENGTH]
         parts.crashes.append(
-            Crash(head.request, upstream.upstream, upstream.started_ms, followed, now)
+            Crash(request, upstream.upstream, upstream.started_ms, followed, now)
         )
 
 
--- a/tests/gateway/test_prompt_parts.py
+++ b/tests/gateway/test_prompt_parts.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import msgspec
 import pytest
 
 from bitternlever.catalog import tables as catalog_tables
@@ -143,6 +144,22 @@
     assert len(parts.crashes[0].parts) == prompt_parts.MAXIMUM_PARTS
 
 
+def test_long_names_from_callers_neither_fill_the_memory_nor_the_heartbeats():
+    parts = prompt_parts.PromptParts()
+    upstream = samples.upstream_status("u1")
+    long = "x" * 16_000
+    names = [f"{place}{long}" for place in range(9)]
+    for number in range(50):
+        prompt = head(*names, "short", "own", request=f"{number}{long}")
+        prompt_parts.record_sound(parts, NOW, prompt)
+        prompt_parts.record_crash(parts, NOW, prompt, upstream)
+
+    assert list(parts.sound) == ["short"]
+    reports = prompt_parts.crashes_since(parts, NOW, 0.0)
+    assert [part for part, _ in reports[0].parts] == ["short"]
+    assert len(msgspec.msgpack.encode(reports)) < 10_000
+
+
 def catalog(**changes):
     stream = catalog_tables.Repeatability.STREAM
     return samples.catalog(
