Log and count the rate limits that upstreams name in their answers

Without it, neither logs nor metrics distinguish the hypotheses on the exceeded limits. The host records each limit with the start that named it, and logs its changes; nothing is decided by it yet. A failure without the header does not end a limit: a server that refuses a connection's request early may not add it.

--- a/bitternlever/gateway/dialect.py
+++ b/bitternlever/gateway/dialect.py
@@ -66,7 +66,9 @@
     upstream reports that it did not run the request, ``inputs_lost`` if it did not
     because results of earlier stages are gone. ``leaving`` is set if the upstream that
     answered will end soon and wants no new work; ``instance`` is its id if the answer
-    names it.
+    names it. ``rate_limit`` is the number of requests per second that the upstream
+    takes from all hosts together, None if it names none; ``rate_limit_fault`` shows a
+    value that cannot be read.
     """
 
     request: str | None
@@ -76,6 +78,8 @@
     inputs_lost: bool
     leaving: bool = False
     instance: str | None = None
+    rate_limit: float | None = None
+    rate_limit_fault: str = ""
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/bitternlever/gateway/measures.py
+++ b/bitternlever/gateway/measures.py
@@ -73,7 +73,9 @@
         counter_source("batches", "Calls to stage upstreams and their pieces.", "1"),
         counter_source("latencies", "Latencies in buckets, and their sums.", "s"),
         counter_source(
-            "notices", "Notices of upstreams: leaving, pauses, bounds exceeded.", "1"
+            "notices",
+            "Notices of upstreams: leaving, pauses, limits, bounds exceeded.",
+            "1",
         ),
         metrics.Source(
             instrument="entry.state",
@@ -116,6 +118,9 @@
         values[name] = values.get(name, 0) + 1
     values["upstreams_paused"] = len(tables.pauses)
     values["pause_hints"] = len(tables.pause_hints)
+    values["upstreams_limited"] = sum(
+        limit.per_s is not None for limit in tables.rate_limits.values()
+    )
     values["parts_refused"] = sum(
         record.quarantined for record in tables.prompt_parts.records.values()
     )
--- a/bitternlever/gateway/notices.py
+++ b/bitternlever/gateway/notices.py
@@ -1,19 +1,25 @@
 """What upstreams say about themselves in the head of any answer.
 
 An upstream that is leaving says so in all its answers, and gets no new work from then
-on. One that turns work away with status 503 may ask this host for a pause. Both hold
-for one start of the upstream.
+on. One that turns work away with status 503 may ask this host for a pause. One in need
+names a rate limit in all its answers, for as long as it holds. All of these concern one
+start of the upstream.
 """
 
 import logging
 
 from bitternlever.core import clocks
-from bitternlever.fleet import pauses as fleet_pauses, upstreams as fleet_upstreams
+from bitternlever.fleet import (
+    pauses as fleet_pauses,
+    rate_limits,
+    upstreams as fleet_upstreams,
+)
 from bitternlever.gateway import dialect as gateway_dialect, state
 from bitternlever.telemetry import events
 from bitternlever.transport import exchange, retry_after
 
 UNAVAILABLE_STATUS = 503
+FIRST_FAILED_STATUS = 400
 
 logger = logging.getLogger(__name__)
 
@@ -31,7 +37,7 @@
     the address; ``request`` is the caller's request, if the call was for one.
     """
     answer = gateway.dialect.read_answer(head.status, head.headers)
-    if not answer.leaving and head.status != UNAVAILABLE_STATUS:
+    if not (_has_notice(head, answer) or gateway.tables.rate_limits):
         return answer
     upstream = _source(gateway, address, expected, answer)
     entry = gateway.tables.upstreams.entries.get(upstream or "")
@@ -42,9 +48,19 @@
         _handle_leaving(gateway, now, entry, request)
     if head.status == UNAVAILABLE_STATUS:
         _handle_pause(gateway, now, entry, head, request)
+    _handle_rate_limit(gateway, now, entry, head, answer, request)
     return answer
 
 
+def _has_notice(head: exchange.Head, answer: gateway_dialect.AnswerHead) -> bool:
+    return bool(
+        answer.leaving
+        or head.status == UNAVAILABLE_STATUS
+        or answer.rate_limit is not None
+        or answer.rate_limit_fault
+    )
+
+
 def handle_failed_exchange(
     gateway: state.Gateway,
     upstream: str,
@@ -139,3 +155,41 @@
         status.started_ms,
         asked.seconds,
     )
+
+
+def _handle_rate_limit(
+    gateway: state.Gateway,
+    now: float,
+    entry: fleet_upstreams.Entry,
+    head: exchange.Head,
+    answer: gateway_dialect.AnswerHead,
+    request: str | None,
+) -> None:
+    """Record the limit of an answer; a failure without one does not end a limit."""
+    status = entry.status
+    if answer.rate_limit_fault:
+        gateway.measures.notices["limit_faulty"] += 1
+        events.RATE_LIMIT_FAULTY.log(
+            logger,
+            upstream=status.upstream,
+            request=request,
+            fault=answer.rate_limit_fault,
+        )
+        return
+    if answer.rate_limit is None and head.status >= FIRST_FAILED_STATUS:
+        return
+    if rate_limits.observe(
+        gateway.tables.rate_limits,
+        now,
+        status.upstream,
+        status.started_ms,
+        answer.rate_limit,
+    ):
+        gateway.measures.notices["limit"] += 1
+        events.UPSTREAM_LIMITED.log(
+            logger,
+            upstream=status.upstream,
+            started_ms=status.started_ms,
+            request=request,
+            per_s=answer.rate_limit,
+        )
--- a/bitternlever/gateway/tables.py
+++ b/bitternlever/gateway/tables.py
@@ -8,6 +8,7 @@
 from bitternlever.fleet import (
     hosts as fleet_hosts,
     pauses as fleet_pauses,
+    rate_limits as fleet_rate_limits,
     upstreams as fleet_upstreams,
 )
 from bitternlever.gateway import prompt_parts as gateway_prompt_parts
@@ -64,7 +65,8 @@
     are the last reports of batching hosts on their services, ``first_pieces`` estimates
     of the time to the first piece of a service's answer. ``pauses`` are those that
     upstreams asked this host for and ``pause_hints`` those that they asked any host
-    for, both by upstream. ``prompt_parts`` are those that may crash upstreams.
+    for, both by upstream. ``rate_limits`` are those that upstreams name in their
+    answers. ``prompt_parts`` are those that may crash upstreams.
     """
 
     announcement: fleet.HostAnnouncement
@@ -90,6 +92,7 @@
     )
     pauses: dict[str, fleet_pauses.Pause] = dataclasses.field(default_factory=dict)
     pause_hints: dict[str, fleet_pauses.Pause] = dataclasses.field(default_factory=dict)
+    rate_limits: fleet_rate_limits.RateLimits = dataclasses.field(default_factory=dict)
     prompt_parts: gateway_prompt_parts.PromptParts = dataclasses.field(
         default_factory=gateway_prompt_parts.PromptParts
     )
--- a/bitternlever/platform/headers.py
+++ b/bitternlever/platform/headers.py
@@ -1,5 +1,7 @@
 """Decode and encode the headers of requests and answers."""
 
+import math
+
 from bitternlever.gateway import dialect
 
 MILLISECONDS_PER_SECOND = 1_000
@@ -19,6 +21,8 @@
 INSTANCE = b"x-bitternlever-instance-id"
 LEAVING = b"server-leaving"
 NOT_LEAVING = (b"", b"0")
+RATE_LIMIT = b"server-limit"
+MAXIMUM_SHOWN_BYTES = 32
 LAST_EVENT = b"last-event-id"
 AUTHORIZATION = b"authorization"
 MISDIRECTED_STATUS = 421
@@ -111,6 +115,7 @@
         for name, value in headers
         if name.lower() == LEAVING
     )
+    rate_limit, rate_limit_fault = _rate_limit(headers)
     return dialect.AnswerHead(
         request=None if request is None else _text(request),
         signed=SIGNATURE in values,
@@ -119,6 +124,8 @@
         inputs_lost=status == INPUTS_LOST_STATUS and NOT_RUN in values,
         leaving=leaving,
         instance=None if instance is None else _text(instance),
+        rate_limit=rate_limit,
+        rate_limit_fault=rate_limit_fault,
     )
 
 
@@ -158,6 +165,22 @@
     return tuple(parts)
 
 
+def _rate_limit(headers: dialect.RawHeaders) -> tuple[float | None, str]:
+    """Return the lowest limit that an answer names, and a value that is no limit."""
+    limits = []
+    for name, value in headers:
+        if name.lower() != RATE_LIMIT:
+            continue
+        try:
+            limit = float(value)
+        except ValueError:
+            limit = math.nan
+        if not 0 <= limit < math.inf:
+            return None, _text(value[:MAXIMUM_SHOWN_BYTES]) or "empty"
+        limits.append(limit)
+    return min(limits, default=None), ""
+
+
 def _numbers(value: bytes) -> tuple[int, ...]:
     """Decode a comma-separated list of whole numbers; empty if it is malformed."""
     parts = [part.strip() for part in value.split(b",")] if value else []
--- a/bitternlever/telemetry/events.py
+++ b/bitternlever/telemetry/events.py
@@ -243,6 +243,18 @@
     logging.WARNING,
     "The file with the quarantined prompt parts cannot be read or written.",
 )
+UPSTREAM_LIMITED = register(
+    414,
+    "upstream-limited",
+    logging.INFO,
+    "The rate limit that an upstream names in its answers has changed.",
+)
+RATE_LIMIT_FAULTY = register(
+    415,
+    "rate-limit-faulty",
+    logging.WARNING,
+    "An upstream named a rate limit that is no number.",
+)
 REQUEST_ADMITTED = register(
     602,
     "request-admitted",
--- a/tests/gateway/test_notices.py
+++ b/tests/gateway/test_notices.py
@@ -276,3 +276,60 @@
     assert refused.retry_after_s > 5.0
     assert took_s < 0.2
     assert len(paused.received) == 1
+
+
+def limit(per_s) -> str:
+    return f"Server-Limit: {per_s}"
+
+
+def limits_of(gateway) -> dict[str, float | None]:
+    return {name: limit.per_s for name, limit in gateway.tables.rate_limits.items()}
+
+
+async def test_a_rate_limit_holds_until_an_answer_names_none():
+    limited = await scripted_upstream.start(
+        "u1",
+        answer(200, SEAL, limit("7.5")),
+        answer(503, NOT_RUN),
+        answer(200, SEAL),
+    )
+    catalog = with_route(maximum_attempts=1)
+    async with entry_host.running(catalog, status_of(limited)) as (gateway, port):
+        known = []
+        for _ in range(3):
+            await asyncio.sleep(0.15)
+            await ask_often(port, 1)
+            known.append(limits_of(gateway))
+
+        assert gateway.measures.notices["limit"] == 2
+    assert known == [{"u1": 7.5}, {"u1": 7.5}, {"u1": None}]
+
+
+async def test_the_lowest_of_several_rate_limits_holds():
+    server = await scripted_upstream.start("u1", answer(200, SEAL, limit(3), limit(2)))
+    async with entry_host.running(with_route(), status_of(server)) as (gateway, port):
+        await ask_often(port, 1)
+
+        assert limits_of(gateway) == {"u1": 2.0}
+
+
+@pytest.mark.parametrize("value", ["", "many", "-1", "nan", "inf", "9" * 400])
+async def test_a_faulty_rate_limit_changes_nothing(value):
+    server = await scripted_upstream.start(
+        "u1", answer(200, SEAL, limit(100)), answer(200, SEAL, limit(value))
+    )
+    async with entry_host.running(with_route(), status_of(server)) as (gateway, port):
+        answers = await ask_often(port, 2)
+
+        assert gateway.measures.notices["limit_faulty"] == 1
+        assert limits_of(gateway) == {"u1": 100.0}
+    assert [answer.status for answer in answers] == [200, 200]
+
+
+async def test_a_stage_upstream_names_its_rate_limit_in_answers_to_calls():
+    server = await scripted_upstream.start("s1", stage_upstream(limit(50)))
+    status = status_of(server, service="encode")
+    async with entry_host.running(stage_catalog(), status) as (gateway, _):
+        await run_works(gateway, 1)
+
+        assert limits_of(gateway) == {"s1": 50.0}
