--- /dev/null
+++ b/tests/platform/test_rate_limits.py
@@ -0,0 +1,235 @@
+"""All hosts together keep the rate limit that an upstream names in its answers."""
+
+import asyncio
+import contextlib
+import dataclasses
+import itertools
+import json
+import time
+
+import pytest
+
+from standins import fleet as fleet_processes, scripted_upstream
+from tests.gateway import entry_host
+from tests.platform import test_processes as processes
+
+CONTACT_S = 3.0
+"""The time within which hosts in touch know what the fleet knows."""
+
+WINDOW_S = 4.0
+RATIO = 1.5
+SLACK = 5
+"""A limited upstream gets no more than this in any window."""
+
+HOSTS = tuple(f"entry-{letter}" for letter in "abcd")
+CONTROLS = tuple(f"control-{zone}" for zone in fleet_processes.ZONES)
+HEARTBEAT_S = 0.5
+
+
+@dataclasses.dataclass(slots=True)
+class Upstream:
+    """An upstream that names ``limit`` in its answers, and when requests arrived."""
+
+    name: str
+    limit: float | None = None
+    arrivals_s: list[float] = dataclasses.field(default_factory=list)
+    server: scripted_upstream.ScriptedUpstream | None = None
+
+    async def behave(self, server, received, writer):
+        """Answer a request or a stage call."""
+        self.arrivals_s.append(time.monotonic())
+        lines = [scripted_upstream.SEAL]
+        if self.limit is not None:
+            lines.append(f"Server-Limit: {self.limit}")
+        body = b"done"
+        if received.line.startswith("POST /api/stage-run"):
+            items = json.loads(received.body)["items"]
+            made = [{"handle": f"{server.address}/{item['id']}"} for item in items]
+            body = json.dumps({"items": made}).encode()
+        answer = scripted_upstream.answer(200, body, 0.01, tuple(lines))
+        await answer(server, received, writer)
+
+
+async def announce(fleet, upstream, service) -> None:
+    """Send heartbeats of an upstream to a control process that takes them."""
+    for number in itertools.count(1):
+        body = fleet_processes.heartbeat(
+            upstream.server.address, service=service, call_seq=number, slot_count=20
+        )
+        path = f"/api/instances/{upstream.name}"
+        for control in CONTROLS:
+            address = fleet.address(control, 0)
+            status, _ = await asyncio.to_thread(
+                fleet_processes.send_request, "PUT", address, path, body
+            )
+            if status == 200:
+                break
+        await asyncio.sleep(HEARTBEAT_S)
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Outcome:
+    """The answer to one request, and when it was sent and answered."""
+
+    sent_s: float
+    took_s: float
+    status: int
+    retry_after_s: float | None
+
+
+@dataclasses.dataclass(slots=True)
+class System:
+    """A fleet, its upstreams and the outcomes of the requests."""
+
+    fleet: fleet_processes.Fleet
+    upstreams: list[Upstream]
+    outcomes: list[Outcome] = dataclasses.field(default_factory=list)
+    tasks: set[asyncio.Task] = dataclasses.field(default_factory=set)
+
+    def start(self, coroutine):
+        """Run a coroutine until the end of the test."""
+        task = asyncio.ensure_future(coroutine)
+        self.tasks.add(task)
+        return task
+
+    async def send(self, per_s: float, for_s: float, hosts=HOSTS, **headers) -> None:
+        """Send requests to the hosts in turn at a fixed rate."""
+        ends_s = time.monotonic() + for_s
+        for number in itertools.count():
+            if time.monotonic() >= ends_s:
+                break
+            self.start(self._ask(hosts[number % len(hosts)], **headers))
+            await asyncio.sleep(1.0 / per_s)
+
+    async def _ask(self, host, **headers) -> None:
+        sent_s = time.monotonic()
+        fields = {"X_Bitternlever_Deadline_Ms": "3000", **headers}
+        data = entry_host.request(identity=f"n{sent_s}", **fields)
+        address, _, port = self.fleet.address(host, 1).rpartition(":")
+        try:
+            reader, writer = await asyncio.open_connection(address, int(port))
+            writer.write(data)
+            async with asyncio.timeout(4.0):
+                answer = await entry_host.read_answer(reader)
+            writer.close()
+        except (OSError, IndexError, TimeoutError):
+            return
+        retry_after = answer.headers.get("retry-after")
+        self.outcomes.append(
+            Outcome(
+                sent_s,
+                time.monotonic() - sent_s,
+                answer.status,
+                None if retry_after is None else float(retry_after),
+            )
+        )
+
+
+@contextlib.asynccontextmanager
+async def running(tmp_path, network, upstreams, service="plain", **config):
+    """Run four hosts, three control processes and upstreams of one service."""
+    fleet = fleet_processes.create(tmp_path, network)
+    system = System(fleet, upstreams)
+    try:
+        for name in (*CONTROLS, *HOSTS):
+            fleet.start(name)
+        await fleet_processes.wait_until(processes.put(fleet, 1, **config))
+        for upstream in upstreams:
+            upstream.server = await scripted_upstream.start(
+                upstream.name, upstream.behave
+            )
+            system.start(announce(fleet, upstream, service))
+        for host in HOSTS:
+            await fleet_processes.wait_until(processes.ready(fleet, host))
+        await asyncio.sleep(1.0)
+        yield system
+    finally:
+        for task in system.tasks:
+            task.cancel()
+        await asyncio.gather(*system.tasks, return_exceptions=True)
+        fleet_processes.end(fleet)
+
+
+def worst_window(upstream: Upstream, from_s: float) -> int:
+    """Return the most arrivals in any window that begins after a time."""
+    arrivals = [arrived_s for arrived_s in upstream.arrivals_s if arrived_s >= from_s]
+    return max(
+        (
+            sum(start_s <= other_s < start_s + WINDOW_S for other_s in arrivals)
+            for start_s in arrivals
+        ),
+        default=0,
+    )
+
+
+def allowed(limit: float) -> float:
+    return RATIO * WINDOW_S * limit + SLACK
+
+
+@pytest.mark.parametrize("limit", [0.25, 1.0, 4.0])
+async def test_hosts_together_keep_the_limit_of_an_upstream(tmp_path, limit):
+    limited, other = Upstream("u1", limit), Upstream("u2")
+    async with running(tmp_path, 44, [limited, other]) as system:
+        started_s = time.monotonic()
+        await system.send(per_s=16.0, for_s=13.0)
+        await asyncio.sleep(0.5)
+
+    assert worst_window(limited, started_s + CONTACT_S) <= allowed(limit)
+    assert len(system.outcomes) > 150
+    assert {outcome.status for outcome in system.outcomes} == {200}
+
+
+async def test_callers_are_refused_at_once_while_all_upstreams_are_at_their_limits(
+    tmp_path,
+):
+    limits = (1.0, 2.0)
+    upstreams = [Upstream(f"u{limit}", limit) for limit in limits]
+    async with running(tmp_path, 45, upstreams) as system:
+        started_s = time.monotonic()
+        await system.send(per_s=24.0, for_s=13.0)
+        await asyncio.sleep(0.5)
+
+    for upstream in upstreams:
+        assert worst_window(upstream, started_s + CONTACT_S) <= allowed(upstream.limit)
+    late = [
+        outcome for outcome in system.outcomes if outcome.sent_s > started_s + CONTACT_S
+    ]
+    refused = [outcome for outcome in late if outcome.status == 503]
+    served = [outcome for outcome in late if outcome.status == 200]
+    assert len(refused) + len(served) == len(late)
+    assert all(outcome.took_s < 0.5 for outcome in refused)
+    assert all(outcome.retry_after_s > 0 for outcome in refused)
+    assert len(served) >= 0.5 * sum(limits) * (13.0 - CONTACT_S)
+
+
+async def test_calls_to_a_stage_upstream_keep_its_limit(tmp_path):
+    limited = Upstream("s1", 1.0)
+    capacity = {
+        "slot_count": 1,
+        "queue": 2,
+        "batch": 2,
+        "call_ms": 20,
+        "item_ms": 1,
+        "room_mb": 10,
+        "handle_s": 4.0,
+        "link_mbps": 1_000,
+    }
+    stage = {"service": "encode", "after": [], "bytes": 1_000}
+    config = {
+        "routes": [fleet_processes.route(stages=[stage])],
+        "services": [
+            {"name": "plain", "max_conns": 100},
+            {"name": "encode", "max_conns": 100, "pieces": capacity},
+        ],
+    }
+    async with running(tmp_path, 46, [limited], "encode", **config) as system:
+        plain = Upstream("u1", server=await scripted_upstream.start("u1"))
+        system.start(announce(system.fleet, plain, "plain"))
+        await asyncio.sleep(1.0)
+        started_s = time.monotonic()
+        headers = {"X_Bitternlever_Pieces": "1", "X_Bitternlever_Piece_Key": "k"}
+        await system.send(per_s=8.0, for_s=11.0, **headers)
+        await asyncio.sleep(0.5)
+
+    assert worst_window(limited, started_s + CONTACT_S) <= allowed(limited.limit)
+    assert sum(outcome.status == 200 for outcome in system.outcomes) >= 8
