Keep the rate limits of upstreams on all hosts together

Callers saw nothing.

Cause: nothing read the limit. The class of fault: a statement of an upstream that concerns all hosts had no place in the fleet's knowledge, and no part for each host.

A host reports the limits that it sees change to every control process, which sends all hosts what it knows; the latest answer of the latest start counts. Calls to stage services come from the host that batches them, which has a bucket for the whole limit; frees of results count, too, and are collected. If no upstream of a service takes a request, it is refused at once, before its stages; refused callers return one after the other at the rate of the limits. Plain upstreams get their share as long as they are not much slower, since only an answer shows that a limit has ended.

Ruled out: a token from control for each request (a central call); equal buckets for all hosts (with 60 hosts 60 requests at once); each host's random choice by its part of the demand (4 expected requests are 12 or more about once in a thousand windows).

--- a/bitternlever/batching/batcher.py
+++ b/bitternlever/batching/batcher.py
@@ -100,7 +100,7 @@
         return _refused(work, "the backlog is longer than the deadline", wait_s)
     pause_s = _shortest_requested_pause_s(batcher, now)
     if message.depth == 0 and now + pause_s + cost_s > work.objective_s and pause_s > 0:
-        return _refused(work, "all upstreams ask for a pause", pause_s)
+        return _refused(work, "no upstream takes a call in time", pause_s)
     batcher.works[message.work] = work
     return None
 
@@ -179,7 +179,10 @@
     capacity = batcher.capacity
     full_s = full_call_s(capacity)
     return sum(
-        capacity.batch / (full_s * upstream.slowness)
+        min(
+            capacity.batch / (full_s * upstream.slowness),
+            capacity.batch * upstream.calls_per_s,
+        )
         for upstream in batcher.upstreams.values()
     )
 
--- a/bitternlever/batching/tables.py
+++ b/bitternlever/batching/tables.py
@@ -1,6 +1,7 @@
 """The queue of one stage service on the host that batches it."""
 
 import dataclasses
+import math
 
 from bitternlever.batching import estimates
 from bitternlever.catalog import tables as catalog_tables
@@ -47,8 +48,9 @@
 
     ``slowness`` is the ratio of actual to declared call duration. ``foreign_bytes`` is
     memory occupied by results unknown to this host, as estimated at
-    ``foreign_estimated_s``. ``requested_pause_until_s`` is when the pause ends that it
-    asked for. ``recent_handles`` are those of its last answers in their order, with the
+    ``foreign_estimated_s``. Until ``requested_pause_until_s`` it takes no call, because
+    it asked for a pause or because of its rate limit, which allows ``calls_per_s``.
+    ``recent_handles`` are those of its last answers in their order, with the
     piece that each was produced for.
     """
 
@@ -59,6 +61,7 @@
     busy_until_s: float = 0.0
     paused_until_s: float = 0.0
     requested_pause_until_s: float = 0.0
+    calls_per_s: float = math.inf
     slowness: float = 1.0
     failures: int = 0
     reserved_bytes: int = 0
--- a/bitternlever/catalog/routes.py
+++ b/bitternlever/catalog/routes.py
@@ -34,6 +34,16 @@
     return route.targets[-1].service
 
 
+def has_target(catalog: tables.Catalog, service: str) -> bool:
+    """Return whether requests of some route go to a service."""
+    return any(
+        target.service == service
+        for host_routes in catalog.routes.values()
+        for route in host_routes
+        for target in route.targets
+    )
+
+
 def final_stages(route: tables.Route) -> list[tables.Stage]:
     """Return the stages whose results no other stage of the route needs."""
     followed = {number for stage in route.stages for number in stage.after}
--- a/bitternlever/fleet/feed.py
+++ b/bitternlever/fleet/feed.py
@@ -4,7 +4,8 @@
 again to a host whose heartbeat shows an older version. A changed upstream status is
 sent in the tick in which it arrives; unchanged statuses are refreshed at intervals.
 Hosts report the upstreams that they know to have ended, so that a restarted control
-process does not offer them again, and those that asked for a pause.
+process does not offer them again, those that asked for a pause, and the rate limits
+that they name.
 """
 
 import msgspec
@@ -16,6 +17,7 @@
     hosts,
     pauses,
     quarantine,
+    rate_limits,
     tables as fleet_tables,
     upstreams,
 )
@@ -52,6 +54,8 @@
         handle_upstream_status(tables, now, status)
     for pause in heartbeat.pauses:
         pauses.merge(tables.pauses, now, pause)
+    for limit in heartbeat.rate_limits:
+        rate_limits.merge(tables.rate_limits, now, limit)
     _handle_prompt_parts(tables, now, heartbeat)
     subscriber = _register_subscriber(tables, now, heartbeat)
     replica = tables.replica
@@ -78,6 +82,7 @@
             heartbeat.quarantine,
             leads=fleet_tables.is_leader(tables),
         ),
+        rate_limits=rate_limits.changed_since(tables.rate_limits, now),
     )
     if fleet_tables.is_leader(tables):
         answer = msgspec.structs.replace(
@@ -115,6 +120,7 @@
         )
         tables.refreshed_upstreams.clear()
         upstreams.remove_expired(tables.upstreams, now)
+        rate_limits.remove_ended(tables.rate_limits, now, tables.upstreams)
     outbox.wake(tables.next_refresh_s)
 
 
--- a/bitternlever/fleet/measures.py
+++ b/bitternlever/fleet/measures.py
@@ -51,6 +51,9 @@
         "disk_failed": float(replica.disk.failed is not None),
         "voters": 0 if replica.membership is None else len(replica.membership.voters),
     }
+    values["upstreams_limited"] = sum(
+        limit.per_s is not None for limit in tables.rate_limits.values()
+    )
     values["crash_suspects"] = len(tables.crash_evidence.suspects)
     values["parts_refused"] = sum(
         record.quarantined for record in tables.refused_parts.values()
--- a/bitternlever/fleet/rate_limits.py
+++ b/bitternlever/fleet/rate_limits.py
@@ -1,13 +1,24 @@
 """Rate limits that upstreams name in their answers, as known to a process.
 
 A limit holds for all hosts together and for one start of an upstream, until an answer
-of that start names another one or none.
+of that start names another one or none. Hosts report the changes that they see to
+control, which sends all hosts what it knows; the latest answer counts.
 """
 
 import dataclasses
+import math
+
+from bitternlever.fleet import upstreams
+from bitternlever.messages import fleet
 
 MAXIMUM_LIMITS = 1_024
-"""Bounds memory; seventeen times the engines of the largest known deployment."""
+"""Bounds memory and the size of heartbeats, to about 50 KB."""
+
+ENDED_RETENTION_S = 600.0
+"""A process that was cut off for less learns that a limit has ended."""
+
+UNKNOWN_RETENTION_S = 60.0
+"""Limits may be known earlier than their upstreams, or kept longer."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -50,6 +61,53 @@
     return True
 
 
+def merge(known: RateLimits, now: float, reported: fleet.UpstreamRateLimit) -> bool:
+    """Record another process's knowledge; return whether that is a change.
+
+    The last answer of the latest start counts.
+    """
+    observed_s = now - reported.age_s
+    limit = known.get(reported.upstream)
+    merged = RateLimit(reported.started_ms, reported.per_s, observed_s, now)
+    if limit is None or limit.started_ms < reported.started_ms:
+        return _add(known, reported.upstream, merged)
+    if limit.started_ms > reported.started_ms or limit.observed_s >= observed_s:
+        return False
+    if limit.per_s == reported.per_s:
+        limit.observed_s = observed_s
+        return False
+    known[reported.upstream] = merged
+    return True
+
+
+def changed_since(
+    known: RateLimits, now: float, since_s: float = -math.inf
+) -> list[fleet.UpstreamRateLimit]:
+    """Return the limits that this process learned of after a local time."""
+    return [
+        fleet.UpstreamRateLimit(
+            upstream=upstream,
+            started_ms=limit.started_ms,
+            per_s=limit.per_s,
+            age_s=max(0.0, now - limit.observed_s),
+        )
+        for upstream, limit in known.items()
+        if limit.changed_s > since_s
+    ]
+
+
+def remove_ended(known: RateLimits, now: float, table: upstreams.UpstreamTable) -> None:
+    """Drop limits that ended long ago, or whose upstream is not ready."""
+    for upstream, limit in list(known.items()):
+        is_kept = limit.per_s is not None and _is_ready(table, upstream)
+        retention_s = ENDED_RETENTION_S
+        if not _is_ready(table, upstream):
+            retention_s = UNKNOWN_RETENTION_S
+        age_s = now - max(limit.observed_s, limit.changed_s)
+        if not is_kept and age_s > retention_s:
+            del known[upstream]
+
+
 def per_s(known: RateLimits, upstream: str, started_ms: int) -> float | None:
     """Return the limit of a start in requests per second, None if it has none."""
     limit = known.get(upstream)
@@ -58,6 +116,11 @@
     return limit.per_s
 
 
+def _is_ready(table: upstreams.UpstreamTable, upstream: str) -> bool:
+    entry = table.entries.get(upstream)
+    return entry is not None and entry.status.state is fleet.UpstreamState.READY
+
+
 def _add(known: RateLimits, upstream: str, limit: RateLimit) -> bool:
     """Store a limit unless there are too many; return whether it was stored."""
     if upstream not in known and len(known) >= MAXIMUM_LIMITS:
--- a/bitternlever/fleet/shell.py
+++ b/bitternlever/fleet/shell.py
@@ -235,6 +235,7 @@
     previous = shell.tables
     tables.upstreams = previous.upstreams
     tables.hosts = previous.hosts
+    tables.rate_limits = previous.rate_limits
     tables.refused_parts = previous.refused_parts
     tables.crash_evidence = previous.crash_evidence
     tables.changed_parts = previous.changed_parts
--- a/bitternlever/fleet/tables.py
+++ b/bitternlever/fleet/tables.py
@@ -10,6 +10,7 @@
     hosts as fleet_hosts,
     pauses as fleet_pauses,
     quarantine,
+    rate_limits as fleet_rate_limits,
     upstreams as fleet_upstreams,
 )
 from bitternlever.messages import consensus, fleet
@@ -123,8 +124,9 @@
     of this node and of nodes that have requested to join. ``changed_upstreams`` and
     ``refreshed_upstreams`` are those whose status changed, or was only confirmed, since
     it was last sent to the subscribers. ``pauses`` are those that upstreams asked hosts
-    for, by upstream. ``crash_evidence`` and ``refused_parts`` are about prompt parts;
-    ``changed_parts`` are those whose state has changed and was not logged yet.
+    for, ``rate_limits`` those that upstreams name. ``crash_evidence`` and
+    ``refused_parts`` are about prompt parts; ``changed_parts`` are those whose state
+    has changed and was not logged yet.
     """
 
     settings: FleetSettings
@@ -140,6 +142,7 @@
     join_candidates: dict[str, JoinCandidate] = dataclasses.field(default_factory=dict)
     loads: dict[str, ReportedLoad] = dataclasses.field(default_factory=dict)
     pauses: dict[str, fleet_pauses.Pause] = dataclasses.field(default_factory=dict)
+    rate_limits: fleet_rate_limits.RateLimits = dataclasses.field(default_factory=dict)
     crash_evidence: crash_suspects.Evidence = dataclasses.field(
         default_factory=crash_suspects.Evidence
     )
--- a/bitternlever/gateway/batching.py
+++ b/bitternlever/gateway/batching.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import logging
+import math
 from collections.abc import Callable
 from typing import Any
 
@@ -17,6 +18,7 @@
 from bitternlever.gateway import (
     dialect as gateway_dialect,
     notices,
+    rate_shares,
     state,
     sync,
 )
@@ -46,6 +48,9 @@
 FREE_TIMEOUT_S = 1.0
 """Results not freed within this time expire by themselves a few seconds later."""
 
+CALLS_PER_FREE = 4.0
+"""A limited upstream gets at most every fourth call to free results."""
+
 STAGE_CONNECTION_IDLE_S = 30.0
 """Stage calls are repeatable, so connections are reused up to their idle limit."""
 
@@ -227,8 +232,11 @@
         {upstream.upstream: (upstream.address, upstream.zone) for upstream in usable},
     )
     for upstream in usable:
-        until_s = sync.pause_ends_s(gateway.tables, now, upstream)
-        queue.upstreams[upstream.upstream].requested_pause_until_s = until_s or now
+        pause_s = sync.pause_ends_s(gateway.tables, now, upstream)
+        opens_s = rate_shares.call_opens_s(gateway.tables, now, upstream)
+        seen = queue.upstreams[upstream.upstream]
+        seen.requested_pause_until_s = max(pause_s or now, opens_s or now)
+        seen.calls_per_s = rate_shares.calls_per_s(gateway.tables, now, upstream)
 
 
 def _pump_now(gateway: state.Gateway) -> None:
@@ -250,10 +258,17 @@
         state.run_in_background(gateway, _send_free(gateway, address, handles))
     for call in batcher.dispatch(queue, now):
         items = [_item(queue, item, now) for item in call.items]
+        _take_call(gateway, now, call.upstream.upstream_id)
         _notify_started(gateway, queue, call)
         state.run_in_background(gateway, _call(gateway, queue, call, items))
 
 
+def _take_call(gateway: state.Gateway, now: float, upstream: str) -> None:
+    entry = gateway.tables.upstreams.entries.get(upstream)
+    if entry is not None:
+        rate_shares.take_call(gateway.tables, now, entry.status)
+
+
 def _notify_started(
     gateway: state.Gateway,
     queue: batching_tables.Batcher,
@@ -432,7 +447,8 @@
 async def _send_free(gateway: state.Gateway, address: str, handles: list[str]) -> None:
     """Free results at their producer, after a pause that it asked for.
 
-    Results at an upstream that has ended or is leaving end with it.
+    Results at an upstream that has ended or is leaving end with it. Calls to free
+    results count towards a rate limit.
     """
     holder = fleet_upstreams.holder(gateway.tables.upstreams, address)
     entry = gateway.tables.upstreams.entries.get(holder or "")
@@ -443,9 +459,43 @@
         until_s = sync.pause_ends_s(gateway.tables, now, entry.status)
         if until_s is not None:
             await asyncio.sleep(until_s - now)
+        handles = await _collect_within_limit(gateway, entry.status, handles)
+        if not handles:
+            return
     request = gateway.dialect.stage_free(address, handles)
     try:
         async with asyncio.timeout(FREE_TIMEOUT_S):
             await _exchange(gateway, address, None, request, _fault_of_freeing)
     except (TimeoutError, exchange.ExchangeError) as error:
         events.RESULTS_NOT_FREED.log(logger, address=address, reason=str(error))
+
+
+async def _collect_within_limit(
+    gateway: state.Gateway, upstream: fleet.UpstreamStatus, handles: list[str]
+) -> list[str]:
+    """Return the results to free in one call, now or as soon as a limit allows it.
+
+    Return none if another call will free them, or if they expire earlier.
+    """
+    per_s = rate_shares.calls_per_s(gateway.tables, clocks.boot_time(), upstream)
+    if per_s == math.inf:
+        return handles
+    collected = gateway.batching.collected_handles
+    if upstream.address in collected:
+        collected[upstream.address].extend(handles)
+        return []
+    collected[upstream.address] = handles = list(handles)
+    interval_s = CALLS_PER_FREE / per_s
+    queue = gateway.tables.batchers.get(upstream.service)
+    try:
+        if queue is None or interval_s > queue.capacity.result_ttl_s:
+            reason = "they expire before the rate limit allows a call"
+            events.RESULTS_NOT_FREED.log(
+                logger, address=upstream.address, reason=reason
+            )
+            return []
+        await asyncio.sleep(interval_s)
+    finally:
+        del collected[upstream.address]
+    rate_shares.take_call(gateway.tables, clocks.boot_time(), upstream)
+    return handles
--- a/bitternlever/gateway/forward.py
+++ b/bitternlever/gateway/forward.py
@@ -24,6 +24,7 @@
     notices,
     placement,
     prompt_parts,
+    rate_shares,
     state,
     stream_watch,
     sync,
@@ -137,7 +138,7 @@
     context: gateway_context.Context,
     relay: Relay,
 ) -> web.StreamResponse | gateway_context.Refusal | gateway_context.InputsLost:
-    failure = _no_upstream(gateway, context)
+    failure = None
     for number in range(MAXIMUM_SENDS):
         upstream = _next_upstream(gateway, context, number)
         if isinstance(upstream, Failure):
@@ -157,6 +158,7 @@
         is_suspected = _record_crash(gateway, context, relay, upstream, failure)
         if failure.ran and (is_suspected or not _may_run_again(context, upstream)):
             break
+    failure = failure or _no_upstream(gateway, context)
     return _give_up(gateway, relay, context, failure)
 
 
@@ -223,9 +225,9 @@
 def _no_upstream(gateway: state.Gateway, context: gateway_context.Context) -> Failure:
     """Return the failure of a request for which no upstream is usable."""
     now = clocks.boot_time()
-    pause_s = sync.all_paused_for_s(gateway.tables, now, context.service)
-    if pause_s is not None:
-        return Failure("all upstreams ask for a pause", False, 503, pause_s)
+    closed = sync.closed(gateway.tables, now, context.service)
+    if closed is not None:
+        return Failure(closed.reason, False, 503, closed.retry_after_s)
     return Failure("no upstream is there", False, 503, NO_UPSTREAM_RETRY_S)
 
 
@@ -306,8 +308,8 @@
     retry_s = failure.retry_after_s
     if retry_s is None:
         now = clocks.boot_time()
-        pause_s = sync.all_paused_for_s(gateway.tables, now, context.service)
-        retry_s = FULL_RETRY_S if pause_s is None else pause_s
+        closed = sync.closed(gateway.tables, now, context.service)
+        retry_s = FULL_RETRY_S if closed is None else closed.retry_after_s
     return gateway_context.Refusal(503, failure.reason, retry_s)
 
 
@@ -337,6 +339,7 @@
     context.attempts += 1
     relay.events_before = relay.splitter.events
     gateway.measures.attempts["sent"] += 1
+    rate_shares.take_request(gateway.tables, clocks.boot_time(), upstream)
     placement.record_start(health, tokens)
     started_s = clocks.boot_time()
     attempt = None
--- a/bitternlever/gateway/placement.py
+++ b/bitternlever/gateway/placement.py
@@ -4,10 +4,12 @@
 selected by those parts within a bound on their load. Plain upstreams are equivalent
 until one becomes slow or fails some of its calls: the one with the lowest predicted
 delay gets the request, and one that keeps failing is paused, twice as long each time.
+One with a rate limit gets its share even if another is a little faster: only its
+answers show when the limit ends.
 """
 
 from bitternlever.fleet import pauses as fleet_pauses
-from bitternlever.gateway import dialect, tables as gateway_tables
+from bitternlever.gateway import dialect, rate_shares, tables as gateway_tables
 from bitternlever.messages import fleet
 from bitternlever.routing import affinity
 
@@ -26,6 +28,9 @@
 LATENCY_WEIGHT = 0.2
 """Weight of the newest sample in an upstream's mean latency."""
 
+DUE_FACTOR = 2.0
+"""A limited upstream gets its share unless it is predicted to be this much slower."""
+
 MINIMUM_LATENCY_S = 0.005
 """Differences in latency below this are due to the requests, not to the upstreams."""
 
@@ -70,11 +75,17 @@
             for name, upstream in candidates.items()
         }
         return candidates[affinity.ranked_within_load_bound(prompt_key, loads)[0]]
-    name = min(
-        candidates,
-        key=lambda upstream_id: _predicted_s(tables, now, candidates[upstream_id]),
-    )
-    return candidates[name]
+    predicted = {
+        name: _predicted_s(tables, now, upstream)
+        for name, upstream in candidates.items()
+    }
+    bound_s = DUE_FACTOR * min(predicted.values())[0]
+    due = {
+        name
+        for name, upstream in candidates.items()
+        if predicted[name][0] <= bound_s and rate_shares.is_due(tables, now, upstream)
+    }
+    return candidates[min(due or candidates, key=predicted.__getitem__)]
 
 
 def prompt_key(head: dialect.RequestHead) -> str:
--- a/bitternlever/gateway/requests.py
+++ b/bitternlever/gateway/requests.py
@@ -132,10 +132,11 @@
     """Run the stages, then forward the request; repeat both if results were lost."""
     if not context.route.stages:
         return await forward.run(gateway, request, context, lambda: None)
-    pause_s = sync.all_paused_for_s(gateway.tables, context.arrived_s, context.service)
-    if pause_s is not None and pause_s > schedule.stages_s(context):
-        reason = "all upstreams ask for a pause"
-        return gateway_context.Refusal(503, reason, pause_s)
+    closed = sync.closed(
+        gateway.tables, context.arrived_s, context.service, schedule.stages_s(context)
+    )
+    if closed is not None:
+        return gateway_context.Refusal(503, closed.reason, closed.retry_after_s)
     retry_after_s = schedule.admission_retry_after_s(
         gateway.tables, context, context.arrived_s
     )
@@ -164,13 +165,17 @@
 ) -> web.StreamResponse | gateway_context.Refusal | gateway_context.InputsLost:
     context.stage_round += 1
     results = stages.Results()
+    awaiting = gateway.tables.rate_shares.awaiting
     try:
+        awaiting[context.service] += 1
         try:
             async with asyncio.timeout(_stage_time_left_s(context)):
                 outcome = await stages.run(gateway, context, results)
         except TimeoutError:
             reason = "the stages are not done in time"
             return gateway_context.Refusal(503, reason, LOST_RETRY_S)
+        finally:
+            awaiting[context.service] -= 1
         if outcome.is_err():
             refusal = outcome.err()
             if refusal.lost_input:
--- a/bitternlever/gateway/state.py
+++ b/bitternlever/gateway/state.py
@@ -20,13 +20,18 @@
 
 @dataclasses.dataclass(slots=True)
 class Batching:
-    """Reply queues of work sent to batching hosts, and answers to work done here."""
+    """Reply queues of work sent to batching hosts, and answers to work done here.
+
+    ``collected_handles`` are results that wait to be freed at limited upstreams, by
+    address.
+    """
 
     waiting: dict[str, asyncio.Queue] = dataclasses.field(default_factory=dict)
     answered: collections.OrderedDict = dataclasses.field(
         default_factory=collections.OrderedDict,
     )
     pump_scheduled: bool = False
+    collected_handles: dict[str, list[str]] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(slots=True)
--- a/bitternlever/gateway/sync.py
+++ b/bitternlever/gateway/sync.py
@@ -6,13 +6,19 @@
 slow link makes the catalog look fresher than it is.
 """
 
+import dataclasses
 import math
 
 import msgspec
 
 from bitternlever.catalog import tables as catalog_tables
-from bitternlever.fleet import pauses as fleet_pauses, quarantine, upstreams
-from bitternlever.gateway import prompt_parts, tables as gateway_tables
+from bitternlever.fleet import (
+    pauses as fleet_pauses,
+    quarantine,
+    rate_limits,
+    upstreams,
+)
+from bitternlever.gateway import prompt_parts, rate_shares, tables as gateway_tables
 from bitternlever.messages import fleet
 
 HEARTBEAT_INTERVAL_S = 0.25
@@ -28,6 +34,14 @@
 """Five heartbeat intervals; an upstream that is silent for longer has ended."""
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Closed:
+    """Why no upstream takes a request now, and when a caller should return."""
+
+    reason: str
+    retry_after_s: float
+
+
 def heartbeats(
     tables: gateway_tables.GatewayTables,
     now: float,
@@ -43,6 +57,7 @@
     _update_controls(tables, now)
     version = None if tables.catalog is None else tables.catalog.version
     pauses = fleet_pauses.current(tables.pauses, now)
+    rate_shares.remove_ended(tables, now)
     parts = tables.prompt_parts
     quarantined = quarantine.current(parts.records, now)
     sound = prompt_parts.sound_reports(parts, now)
@@ -63,6 +78,9 @@
                 ),
                 quarantine=quarantined,
                 sound=sound,
+                rate_limits=rate_limits.changed_since(
+                    tables.rate_limits, now, control.reported_until_s
+                ),
             ),
         )
         for control in tables.controls.values()
@@ -103,6 +121,8 @@
         record_load(tables, now, load)
     for pause in reply.pauses:
         fleet_pauses.merge(tables.pause_hints, now, pause)
+    for limit in reply.rate_limits:
+        rate_limits.merge(tables.rate_limits, now, limit)
     if reply.current and _has_version(tables, reply.catalog_version):
         tables.catalog_current_s = max(tables.catalog_current_s or 0.0, reply.sent_s)
     return prompt_parts.handle_reply(tables.prompt_parts, now, reply)
@@ -183,30 +203,52 @@
     now: float,
     service: str,
 ) -> list[fleet.UpstreamStatus]:
-    """Return the usable upstreams of a service that asked this host for no pause."""
+    """Return the usable upstreams of a service that take a request from this host.
+
+    They asked it for no pause, and it has a token if they name a rate limit.
+    """
     return [
         upstream
         for upstream in usable_upstreams(tables, now, service)
         if pause_ends_s(tables, now, upstream) is None
+        and (rate_shares.request_opens_s(tables, now, upstream) or now) <= now
     ]
 
 
-def all_paused_for_s(
+def closed(
     tables: gateway_tables.GatewayTables,
     now: float,
     service: str,
-) -> float | None:
-    """Return the time until the first upstream of a service takes work again.
+    in_s: float = 0.0,
+) -> Closed | None:
+    """Return why no upstream of a service will take a request, None if one will.
 
-    Return None unless all usable upstreams asked this host for a pause.
+    The request will be sent ``in_s`` later, after those that already await that.
     """
-    ends = [
-        pause_ends_s(tables, now, upstream)
-        for upstream in usable_upstreams(tables, now, service)
+    usable = usable_upstreams(tables, now, service)
+    pauses_s = [pause_ends_s(tables, now, upstream) for upstream in usable]
+    unpaused = [
+        upstream
+        for upstream, pause_s in zip(usable, pauses_s, strict=True)
+        if pause_s is None or pause_s <= now + in_s
     ]
-    if not ends or None in ends:
+    if not usable:
+        return None
+    if not unpaused:
+        return Closed("all upstreams ask for a pause", min(pauses_s) - now)
+    tokens = [
+        rate_shares.request_tokens(tables, now, upstream, now + in_s)
+        for upstream in unpaused
+    ]
+    if None in tokens:
+        return None
+    needed = 1.0
+    if in_s > 0:
+        needed += tables.rate_shares.awaiting[service]
+    if sum(map(math.floor, tokens)) >= needed:
         return None
-    return min(ends) - now
+    retry_s = rate_shares.return_after_s(tables, now, service, unpaused)
+    return Closed("all upstreams are at their rate limits", retry_s)
 
 
 def catalog_age_s(tables: gateway_tables.GatewayTables, now: float) -> float | None:
--- a/bitternlever/gateway/tables.py
+++ b/bitternlever/gateway/tables.py
@@ -1,5 +1,6 @@
 """Tables of an entry host: catalog, upstreams, other hosts and control processes."""
 
+import collections
 import dataclasses
 import math
 
@@ -54,6 +55,37 @@
     reported_s: float
 
 
+@dataclasses.dataclass(slots=True)
+class TokenBucket:
+    """This host's share of the rate limit of a start; each request takes a token.
+
+    ``basis`` is what the rate ``per_s`` and the ``depth`` were derived from.
+    """
+
+    started_ms: int
+    level: float
+    refilled_s: float
+    per_s: float = 0.0
+    depth: float = 0.0
+    basis: tuple = ()
+
+
+@dataclasses.dataclass(slots=True)
+class RateShares:
+    """Buckets for requests and for stage calls, by upstream.
+
+    By service, ``returns_s`` is when the next caller that is refused may return, and
+    ``awaiting`` counts the requests that will be sent after their stages.
+    """
+
+    requests: dict[str, TokenBucket] = dataclasses.field(default_factory=dict)
+    calls: dict[str, TokenBucket] = dataclasses.field(default_factory=dict)
+    returns_s: dict[str, float] = dataclasses.field(default_factory=dict)
+    awaiting: collections.Counter = dataclasses.field(
+        default_factory=collections.Counter
+    )
+
+
 @dataclasses.dataclass(slots=True)
 class GatewayTables:
     """The tables of an entry host.
@@ -66,7 +98,8 @@
     of the time to the first piece of a service's answer. ``pauses`` are those that
     upstreams asked this host for and ``pause_hints`` those that they asked any host
     for, both by upstream. ``rate_limits`` are those that upstreams name in their
-    answers. ``prompt_parts`` are those that may crash upstreams.
+    answers, and ``rate_shares`` this host's parts of them. ``prompt_parts`` are those
+    that may crash upstreams.
     """
 
     announcement: fleet.HostAnnouncement
@@ -93,6 +126,7 @@
     pauses: dict[str, fleet_pauses.Pause] = dataclasses.field(default_factory=dict)
     pause_hints: dict[str, fleet_pauses.Pause] = dataclasses.field(default_factory=dict)
     rate_limits: fleet_rate_limits.RateLimits = dataclasses.field(default_factory=dict)
+    rate_shares: RateShares = dataclasses.field(default_factory=RateShares)
     prompt_parts: gateway_prompt_parts.PromptParts = dataclasses.field(
         default_factory=gateway_prompt_parts.PromptParts
     )
--- a/bitternlever/messages/fleet.py
+++ b/bitternlever/messages/fleet.py
@@ -93,6 +93,19 @@
     age_s: float
 
 
+class UpstreamRateLimit(msgspec.Struct, frozen=True, array_like=True):
+    """The requests per second that a start of an upstream takes from all hosts.
+
+    ``per_s`` is None if it no longer names a limit. ``age_s`` is the time since it last
+    said so, when the message was sent.
+    """
+
+    upstream: str
+    started_ms: int
+    per_s: float | None
+    age_s: float
+
+
 class PromptPart(msgspec.Struct, frozen=True, array_like=True):
     """Whether requests with a part in their prompt are refused.
 
@@ -136,6 +149,7 @@
     batches. ``ended`` lists upstreams that this incarnation of control may not know to
     have ended, ``pauses`` those that asked this host for a pause. ``crashes`` are new
     to this incarnation of control; ``sound`` answers its list of suspects.
+    ``rate_limits`` are those of upstreams that have changed since it last replied.
     """
 
     announcement: HostAnnouncement = msgspec.field(name="word")
@@ -149,6 +163,7 @@
     crashes: list[PromptCrash] = []
     quarantine: list[PromptPart] = []
     sound: list[SoundPart] = []
+    rate_limits: list[UpstreamRateLimit] = []
 
 
 class HostHeartbeatReply(msgspec.Struct, tag="HostBeatAnswer", frozen=True):
@@ -159,7 +174,8 @@
     ``hosts`` is omitted if the host already has that revision. A leader also forwards
     the ``loads`` that batching hosts reported and the ``pauses`` that hosts were asked
     for. ``suspects`` are the prompt parts of which the host should report answers,
-    ``trials`` those with which it may let one request pass.
+    ``trials`` those with which it may let one request pass. ``rate_limits`` are all
+    that the control process knows.
     """
 
     sent_s: float
@@ -174,6 +190,7 @@
     quarantine: list[PromptPart] = []
     suspects: list[str] = []
     trials: list[str] = []
+    rate_limits: list[UpstreamRateLimit] = []
 
 
 class CatalogPushed(msgspec.Struct, tag=True, frozen=True):
--- a/tests/fleet/test_feed.py
+++ b/tests/fleet/test_feed.py
@@ -1,5 +1,8 @@
 """Loads, pauses and ends of upstreams that control forwards between entry hosts."""
 
+import msgspec
+import pytest
+
 from bitternlever.fleet import feed, tables as fleet_tables
 from bitternlever.messages import fleet, frames
 from tests.fleet import cluster
@@ -130,6 +133,23 @@
     assert 0.59 < hint.age_s < 0.61
 
 
+@pytest.mark.parametrize("leads", [True, False])
+def test_every_control_process_forwards_rate_limits_to_all_hosts(leads):
+    system, tables = cluster_with_leader()
+    if not leads:
+        tables = next(
+            node.tables for node in system.nodes.values() if node.tables is not tables
+        )
+    limit = fleet.UpstreamRateLimit("u1", 1_000, 0.5, 0.1)
+    send_heartbeat(system, tables, rate_limits=[limit])
+    system.now += 0.5
+
+    (forwarded,) = send_heartbeat(system, tables, host="two").rate_limits
+
+    assert forwarded == msgspec.structs.replace(limit, age_s=forwarded.age_s)
+    assert 0.59 < forwarded.age_s < 0.61
+
+
 def prompt_crash(number: int) -> fleet.PromptCrash:
     """Return a host's report of a request that lost its upstream."""
     return fleet.PromptCrash(
--- a/tests/gateway/test_decisions.py
+++ b/tests/gateway/test_decisions.py
@@ -4,7 +4,7 @@
 
 from bitternlever.batching import estimates
 from bitternlever.catalog import tables as catalog_tables
-from bitternlever.fleet import pauses, upstreams
+from bitternlever.fleet import pauses, rate_limits, upstreams
 from bitternlever.gateway import (
     budget,
     event_stream,
@@ -458,6 +458,35 @@
     assert reported_ends(tables, NOW + 0.75) == []
 
 
+def reported_limits(tables, now) -> list[tuple]:
+    [(_, heartbeat)] = sync.heartbeats(tables, now, fleet.HostState.READY, [])
+    return [(limit.upstream, limit.per_s) for limit in heartbeat.rate_limits]
+
+
+def test_a_rate_limit_is_reported_until_control_has_replied_and_after_its_restart():
+    tables = tables_after_heartbeat()
+    first = heartbeat_reply(sent_s=NOW - 1.0)
+    sync.handle_heartbeat_reply(tables, NOW, "tcp://c:1", first)
+    rate_limits.observe(tables.rate_limits, NOW, "u1", 1_000, 2.0)
+    assert reported_limits(tables, NOW + 0.25) == [("u1", 2.0)]
+    reply = heartbeat_reply(sent_s=NOW + 0.25)
+    sync.handle_heartbeat_reply(tables, NOW + 0.3, "tcp://c:1", reply)
+    assert reported_limits(tables, NOW + 0.5) == []
+
+    restarted = heartbeat_reply(sent_s=NOW + 0.5, control_incarnation="another")
+    sync.handle_heartbeat_reply(tables, NOW + 0.6, "tcp://c:1", restarted)
+    assert reported_limits(tables, NOW + 0.75) == [("u1", 2.0)]
+
+
+def test_a_host_takes_over_the_rate_limits_that_control_knows():
+    tables = tables_after_heartbeat()
+    limit = fleet.UpstreamRateLimit("u1", 1_000, 2.0, 0.1)
+    reply = heartbeat_reply(rate_limits=[limit])
+    sync.handle_heartbeat_reply(tables, NOW, "tcp://c:1", reply)
+
+    assert rate_limits.per_s(tables.rate_limits, "u1", 1_000) == 2.0
+
+
 def test_a_restarted_control_process_learns_all_ends_again():
     tables = leaving_tables()
     ended = samples.upstream_status("u2", sequence=2, state=fleet.UpstreamState.GONE)
@@ -480,14 +509,15 @@
     pauses.record(tables.pauses, NOW, "u1", status.started_ms, 3.0)
 
     assert sync.open_upstreams(tables, NOW + 1.0, "plain") == []
-    assert sync.all_paused_for_s(tables, NOW + 1.0, "plain") == 2.0
+    paused = sync.Closed("all upstreams ask for a pause", 2.0)
+    assert sync.closed(tables, NOW + 1.0, "plain") == paused
     [(_, heartbeat)] = sync.heartbeats(tables, NOW + 1.0, fleet.HostState.READY, [])
     assert heartbeat.pauses == [fleet.UpstreamPause("u1", 1_000, 2.0, 1.0)]
 
     restarted = samples.upstream_status(started_ms=2_000)
     upstreams.merge_status(tables.upstreams, NOW + 1.0, restarted)
     assert sync.open_upstreams(tables, NOW + 1.0, "plain") == [restarted]
-    assert sync.all_paused_for_s(tables, NOW + 1.0, "plain") is None
+    assert sync.closed(tables, NOW + 1.0, "plain") is None
 
 
 def test_a_service_with_one_open_upstream_is_not_paused():
@@ -496,8 +526,8 @@
         upstreams.merge_status(tables.upstreams, NOW, samples.upstream_status(name))
     pauses.record(tables.pauses, NOW, "u1", 1_000, 3.0)
 
-    assert sync.all_paused_for_s(tables, NOW, "plain") is None
-    assert sync.all_paused_for_s(tables, NOW, "unknown") is None
+    assert sync.closed(tables, NOW, "plain") is None
+    assert sync.closed(tables, NOW, "unknown") is None
 
 
 @pytest.mark.parametrize("prompt_key", [None, "parts"])
--- a/tests/platform/test_rate_limits.py
+++ b/tests/platform/test_rate_limits.py
@@ -5,6 +5,7 @@
 import dataclasses
 import itertools
 import json
+import signal
 import time
 
 import pytest
@@ -202,6 +203,70 @@
     assert len(served) >= 0.5 * sum(limits) * (13.0 - CONTACT_S)
 
 
+def kill_control(fleet) -> None:
+    for name in CONTROLS:
+        fleet.kill(name)
+
+
+def start_control(fleet) -> None:
+    for name in CONTROLS:
+        fleet.start(name, bootstrap=False)
+
+
+def restart_host(fleet) -> None:
+    fleet.kill(HOSTS[1])
+    fleet.start(HOSTS[1], bootstrap=False)
+
+
+def freeze_host(fleet) -> None:
+    fleet.processes[HOSTS[1]].send_signal(signal.SIGSTOP)
+
+
+def thaw_host(fleet) -> None:
+    fleet.processes[HOSTS[1]].send_signal(signal.SIGCONT)
+
+
+@pytest.mark.parametrize(
+    ("disturb", "heal"),
+    [
+        (kill_control, start_control),
+        (restart_host, restart_host),
+        (freeze_host, thaw_host),
+    ],
+    ids=["control", "restart", "freeze"],
+)
+async def test_a_limit_is_kept_while_processes_fail(tmp_path, disturb, heal):
+    limited, other = Upstream("u1", 1.0), Upstream("u2")
+    async with running(tmp_path, 47, [limited, other]) as system:
+        started_s = time.monotonic()
+        sending = system.start(system.send(per_s=16.0, for_s=17.0))
+        await asyncio.sleep(5.0)
+        await asyncio.to_thread(disturb, system.fleet)
+        await asyncio.sleep(3.0)
+        await asyncio.to_thread(heal, system.fleet)
+        await sending
+
+    assert worst_window(limited, started_s + CONTACT_S) <= allowed(limited.limit)
+    assert len(limited.arrivals_s) >= 5
+
+
+async def test_a_limit_that_has_ended_ends_on_all_hosts(tmp_path):
+    limited = Upstream("u1", 0.5)
+    async with running(tmp_path, 48, [limited]) as system:
+        sending = system.start(system.send(per_s=16.0, for_s=16.0))
+        await asyncio.sleep(6.0)
+        limited.limit = None
+        # A host with a share learns it with its next request, the others from control.
+        await asyncio.sleep(7.0)
+        ended_s = time.monotonic()
+        await sending
+        await asyncio.sleep(0.5)
+
+    late = [outcome for outcome in system.outcomes if outcome.sent_s > ended_s]
+    assert len(late) >= 40
+    assert {outcome.status for outcome in late} == {200}
+
+
 async def test_calls_to_a_stage_upstream_keep_its_limit(tmp_path):
     limited = Upstream("s1", 1.0)
     capacity = {
