Send rate limits to a host when they change, and all of them once a second

All known limits in each reply would be 45 KB four times a second at the bound of 1,024 limits, from each control process; links of hosts may have 5 Mbit/s. A reply that is lost with its connection is made good within a second.

--- a/bitternlever/fleet/feed.py
+++ b/bitternlever/fleet/feed.py
@@ -35,6 +35,9 @@
 SERVICE_LOAD_EXPIRY_S = 2.0
 """Batching hosts report four times a second; after this time another took over."""
 
+RATE_LIMITS_INTERVAL_S = 1.0
+"""All rate limits are sent again: a reply may be lost with its connection."""
+
 STATUSES_PER_MESSAGE = 200
 """Keeps each message below 64 KiB."""
 
@@ -82,7 +85,7 @@
             heartbeat.quarantine,
             leads=fleet_tables.is_leader(tables),
         ),
-        rate_limits=rate_limits.changed_since(tables.rate_limits, now),
+        rate_limits=_rate_limits_for(tables, now, subscriber),
     )
     if fleet_tables.is_leader(tables):
         answer = msgspec.structs.replace(
@@ -137,6 +140,17 @@
     tables.refreshed_upstreams.add(status.upstream)
 
 
+def _rate_limits_for(
+    tables: fleet_tables.FleetTables, now: float, subscriber: fleet_tables.Subscriber
+) -> list[fleet.UpstreamRateLimit]:
+    """Return the limits that are new to a host, at intervals all of them."""
+    if now - subscriber.all_limits_sent_s >= RATE_LIMITS_INTERVAL_S:
+        subscriber.all_limits_sent_s = subscriber.limits_sent_s = now
+        return rate_limits.changed_since(tables.rate_limits, now)
+    since_s, subscriber.limits_sent_s = subscriber.limits_sent_s, now
+    return rate_limits.changed_since(tables.rate_limits, now, since_s)
+
+
 def _handle_prompt_parts(
     tables: fleet_tables.FleetTables, now: float, heartbeat: fleet.HostHeartbeat
 ) -> None:
--- a/bitternlever/fleet/tables.py
+++ b/bitternlever/fleet/tables.py
@@ -1,6 +1,7 @@
 """State and settings of a fleet's control process."""
 
 import dataclasses
+import math
 from typing import Any
 
 from bitternlever.catalog import machine
@@ -65,7 +66,8 @@
 class Subscriber:
     """An entry host that gets updates; ``pushed_version`` is the last catalog sent.
 
-    ``received_all`` is set once it was sent the statuses of all upstreams.
+    ``received_all`` is set once it was sent the statuses of all upstreams. Rate limits
+    were last sent at ``limits_sent_s``, all of them at ``all_limits_sent_s``.
     """
 
     link: str
@@ -74,6 +76,8 @@
     pushed_version: int | None = None
     pushed_s: float = 0.0
     received_all: bool = False
+    limits_sent_s: float = -math.inf
+    all_limits_sent_s: float = -math.inf
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/tests/fleet/test_feed.py
+++ b/tests/fleet/test_feed.py
@@ -150,6 +150,28 @@
     assert 0.59 < forwarded.age_s < 0.61
 
 
+def test_rate_limits_are_sent_when_they_change_and_all_of_them_at_intervals():
+    system, tables = cluster_with_leader()
+    for number in range(2):
+        limit = fleet.UpstreamRateLimit(f"u{number}", 1_000, 0.5, 0.0)
+        send_heartbeat(system, tables, rate_limits=[limit])
+        system.now += 0.25
+
+    def sent() -> list[str]:
+        reply = send_heartbeat(system, tables, host="two")
+        system.now += 0.25
+        return [limit.upstream for limit in reply.rate_limits]
+
+    assert sent() == ["u0", "u1"]
+    assert sent() == []
+    changed = fleet.UpstreamRateLimit("u1", 1_000, 0.25, 0.0)
+    send_heartbeat(system, tables, rate_limits=[changed])
+    system.now += 0.1
+    assert sent() == ["u1"]
+    assert sent() == []
+    assert sent() == ["u0", "u1"]
+
+
 def prompt_crash(number: int) -> fleet.PromptCrash:
     """Return a host's report of a request that lost its upstream."""
     return fleet.PromptCrash(
