Log which failed attempts were for the same path, caller and body

Without it the hypotheses on requests that crash upstreams can't be told apart. The name of a request is a digest; it is computed only for a failed attempt.

--- a/bitternlever/gateway/context.py
+++ b/bitternlever/gateway/context.py
@@ -18,7 +18,8 @@
     ``first_piece_s`` are when the stages were done and when the first piece of the
     answer arrived. ``sent`` is set once any byte of the request itself was sent to an
     upstream that did not report it as not run. ``priority`` is passed on to an engine.
-    ``may_have_run_on`` and ``tried`` are upstreams.
+    ``may_have_run_on`` and ``tried`` are upstreams. ``fingerprints`` are the names of
+    the request once they are needed.
     """
 
     arrived_s: float
@@ -44,6 +45,7 @@
     attempts: int = 0
     may_have_run_on: set[str] = dataclasses.field(default_factory=set)
     tried: set[str] = dataclasses.field(default_factory=set)
+    fingerprints: tuple[str, ...] | None = None
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/bitternlever/gateway/forward.py
+++ b/bitternlever/gateway/forward.py
@@ -21,6 +21,7 @@
     context as gateway_context,
     dialect as gateway_dialect,
     event_stream,
+    fingerprints,
     notices,
     placement,
     prompt_parts,
@@ -282,6 +283,7 @@
         lost=failure.lost,
         events=relay.splitter.events - relay.events_before,
         parts=prompt_parts.shared(context.head)[:MAXIMUM_LOGGED_PARTS],
+        subject=fingerprints.names(context)[-1],
         reason=failure.reason,
     )
 
