Refuse repeats of a request that crashes upstreams

What was seen: a request under which three upstreams had ended was sent to six more, twice a day; callers of the service got refused connections while all of them were down.

Cause: the quarantine followed the shared parts of prompts only. A request with the same path, caller and body was a new one each time, and plain requests have no parts. The class of fault: a failure that the request brings along is charged to whoever served it.

Ruled out: that the host's own second sends are the cause (the repeats of callers alone exceed the bound), and that crashes of one moment are counted once (no crash was counted). The latter would have come next: two of the first three crashes are 86 ms apart, so crashes of a whole request count by upstream and not by moment.

Change: the same mechanism follows a whole request as a part that only its repeats have, by a digest of method, host, path, caller and body, and by another with the query. Its answer is sound only when it is complete, as a stream may crash at any event. Of names that only its repeats have, the narrowest is taken at once. One repeat may pass after 300 s.

Tests of prompt parts that named the replaced functions call the new ones; what they require of parts is unchanged, and they require the names of whole requests as well.

--- a/bitternlever/fleet/crash_suspects.py
+++ b/bitternlever/fleet/crash_suspects.py
@@ -5,9 +5,10 @@
 several of them without ever being in an answer that goes on. Which of several such
 parts it is: the one in most crashes; if one more crash does not tell, the one in the
 fewest requests, then the last in the prompt, since parts in front are shared more
-widely. Crashes that a quarantined part explains don't count for others.
+widely. Crashes that a quarantined part explains don't count for others. A whole request
+is followed in the same way, as a part that only its repeats have.
 
-Load pattern: requests with one part come at any host, no two alike in other respects.
+Load pattern: requests with one part, or repeats of one request, come at any host.
 """
 
 import dataclasses
@@ -27,7 +28,10 @@
 """For a part that was in an answer before; without another one for that long."""
 
 SAME_MOMENT_S = 0.1
-"""Crashes closer than this count once; a failing rack takes several upstreams along."""
+"""Crashes closer than this count once; a failing rack takes several upstreams along.
+
+A whole request is seldom on several upstreams of a rack, and its repeats may come fast.
+"""
 
 RETENTION_S = 120.0
 """Time for which a crash counts."""
@@ -36,12 +40,18 @@
 MAXIMUM_TRIAL_INTERVAL_S = 960.0
 """One request is let through after the first time; it doubles up to the second."""
 
+REQUEST_TRIAL_FACTOR = 5.0
+"""A repeat of a whole request is hardly ever sound, and few callers miss it."""
+
 ASKED_FOR_S = 2.0
 """A trial goes to a host that had a request with the part within this time."""
 
 JUDGE_INTERVAL_S = 5.0
 """Old crashes stop counting with this delay, if no new ones are reported."""
 
+EXPIRY_INTERVAL_S = 1.0
+"""A crash counts up to this much longer."""
+
 MAXIMUM_SUSPECTS = 2_000
 MAXIMUM_CRASHES = 16
 MAXIMUM_REQUESTS = 16
@@ -82,7 +92,8 @@
     """Suspects and trials by part; times are on the local clock.
 
     ``doubtful`` are the parts of which hosts should report answers. ``outdated`` is set
-    if something was reported since ``judged_s``, when all parts were last judged.
+    if something was reported since ``judged_s``, when all parts were last judged; old
+    crashes were last removed at ``expired_s``.
     """
 
     suspects: dict[str, Suspect] = dataclasses.field(default_factory=dict)
@@ -90,6 +101,7 @@
     doubtful: list[str] = dataclasses.field(default_factory=list)
     outdated: bool = False
     judged_s: float = -math.inf
+    expired_s: float = -math.inf
 
 
 def record_crash(evidence: Evidence, now: float, report: fleet.PromptCrash) -> None:
@@ -136,7 +148,8 @@
         convicted = sound_s <= record.changed_s
     else:
         explained = _explained(evidence, records, now, besides=report.part)
-        convicted = _is_convicted(suspect, _crash_times(suspect, explained))
+        times = _crash_times(report.part, suspect, explained)
+        convicted = _is_convicted(suspect, times)
     if convicted:
         return False
     forget(evidence, report.part)
@@ -158,7 +171,8 @@
         return []
     evidence.outdated = False
     evidence.judged_s = now
-    _remove_expired(evidence, now)
+    if now - evidence.expired_s >= EXPIRY_INTERVAL_S:
+        _remove_expired(evidence, now)
     changed = _quarantine_convicted(evidence, records, now)
     evidence.doubtful = _doubtful(evidence, records, now)
     return changed
@@ -182,8 +196,8 @@
     """Return the part to quarantine next; wait for one more crash if several may be."""
     explained = _explained(evidence, records, now)
     convicted = []
-    for part, suspect in evidence.suspects.items():
-        times = _crash_times(suspect, explained)
+    for part, suspect in _repeated(evidence, MINIMUM_CRASHES):
+        times = _crash_times(part, suspect, explained)
         if quarantine.is_quarantined(records, now, part):
             continue
         if _is_convicted(suspect, times):
@@ -192,17 +206,38 @@
     if not convicted:
         return None
     count, *_, part = convicted[0]
-    undecided = len(convicted) > 1 and convicted[1][0] == count
+    rivals = [rival for rival_count, *_, rival in convicted[1:] if rival_count == count]
+    undecided = any(_may_tell(evidence, part, rival) for rival in rivals)
     return None if undecided and count == MINIMUM_CRASHES else part
 
 
+def _may_tell(evidence: Evidence, part: str, rival: str) -> bool:
+    """Return whether one more crash may show that a part has not caused the crashes.
+
+    Not if it is a whole request and the rival was only in its repeats: these have all
+    that it has.
+    """
+    suspects = evidence.suspects
+    same = _requests(suspects[part]) == _requests(suspects[rival])
+    return not (same and quarantine.is_request(part))
+
+
+def _repeated(evidence: Evidence, crashes: int) -> list[tuple[str, Suspect]]:
+    """Return the suspects that were in some crashes at least."""
+    return [
+        (part, suspect)
+        for part, suspect in evidence.suspects.items()
+        if len(suspect.crashes) >= crashes
+    ]
+
+
 def _doubtful(evidence: Evidence, records: quarantine.Records, now: float) -> list[str]:
     """Return the parts with several unexplained crashes since their last answer."""
     explained = _explained(evidence, records, now)
     doubtful = [
         part
-        for part, suspect in evidence.suspects.items()
-        if len(_crash_times(suspect, explained)) >= MINIMUM_DOUBTFUL_CRASHES
+        for part, suspect in _repeated(evidence, MINIMUM_DOUBTFUL_CRASHES)
+        if len(_crash_times(part, suspect, explained)) >= MINIMUM_DOUBTFUL_CRASHES
         and not quarantine.is_quarantined(records, now, part)
     ]
     return doubtful[:MAXIMUM_LISTED]
@@ -230,18 +265,24 @@
             continue
         trials = evidence.trials.get(reported.part)
         if trials is None or not leads:
-            evidence.trials[reported.part] = Trials(now + TRIAL_INTERVAL_S)
+            evidence.trials[reported.part] = Trials(
+                now + _trial_interval_s(reported.part, 0)
+            )
             continue
         age_s = reported.seen_age_s
         if now < trials.next_s or age_s is None or age_s > ASKED_FOR_S:
             continue
         trials.granted += 1
-        interval_s = TRIAL_INTERVAL_S * 2**trials.granted
-        trials.next_s = now + min(MAXIMUM_TRIAL_INTERVAL_S, interval_s)
+        trials.next_s = now + _trial_interval_s(reported.part, trials.granted)
         granted.append(reported.part)
     return granted
 
 
+def _trial_interval_s(part: str, granted: int) -> float:
+    interval_s = min(MAXIMUM_TRIAL_INTERVAL_S, TRIAL_INTERVAL_S * 2**granted)
+    return interval_s * (REQUEST_TRIAL_FACTOR if quarantine.is_request(part) else 1.0)
+
+
 def _suspect(evidence: Evidence, now: float, part: str) -> Suspect | None:
     suspect = evidence.suspects.get(part)
     if suspect is None:
@@ -262,6 +303,7 @@
 
 
 def _remove_expired(evidence: Evidence, now: float) -> None:
+    evidence.expired_s = now
     for part, suspect in list(evidence.suspects.items()):
         for start, crash in list(suspect.crashes.items()):
             if now - crash.at_s > RETENTION_S:
@@ -279,21 +321,24 @@
     """Return the starts of upstreams that quarantined parts have crashed."""
     return {
         start
-        for part, suspect in evidence.suspects.items()
-        if part != besides and quarantine.is_quarantined(records, now, part)
-        for start in suspect.crashes
+        for part in records
+        if part != besides
+        and part in evidence.suspects
+        and quarantine.is_quarantined(records, now, part)
+        for start in evidence.suspects[part].crashes
     }
 
 
-def _crash_times(suspect: Suspect, explained: set[str]) -> list[float]:
+def _crash_times(part: str, suspect: Suspect, explained: set[str]) -> list[float]:
     """Return the moments of unexplained crashes since the last answer."""
+    distance_s = 0.0 if quarantine.is_request(part) else SAME_MOMENT_S
     moments: list[float] = []
     for at_s in sorted(
         crash.at_s
         for start, crash in suspect.crashes.items()
         if start not in explained and crash.at_s > suspect.sound_s
     ):
-        if not moments or at_s - moments[-1] >= SAME_MOMENT_S:
+        if not moments or at_s - moments[-1] >= distance_s:
             moments.append(at_s)
     return moments
 
@@ -308,5 +353,8 @@
 
 def _specificity(suspect: Suspect) -> tuple[int, int]:
     """Return an order of parts with equally many crashes; the highest is to blame."""
-    requests = set().union(*(crash.requests for crash in suspect.crashes.values()))
-    return -len(requests), suspect.position
+    return -len(_requests(suspect)), suspect.position
+
+
+def _requests(suspect: Suspect) -> set[str]:
+    return set().union(*(crash.requests for crash in suspect.crashes.values()))
--- a/bitternlever/fleet/quarantine.py
+++ b/bitternlever/fleet/quarantine.py
@@ -1,9 +1,10 @@
 """Prompt parts with which requests are refused, as known to a process of the fleet.
 
-Control decides which parts crash upstreams (``fleet.crash_suspects``). Control
-processes and hosts send each other their records, so that a restarted process learns
-them from any other. The record with the highest revision counts: a part is quarantined
-with an odd one and released with the next.
+A whole request counts as a part that only its repeats have; the name of such a part
+begins with ``REQUEST_PREFIX``. Control decides which parts crash upstreams
+(``fleet.crash_suspects``). Control processes and hosts send each other their records,
+so that a restarted process learns them from any other. The record with the highest
+revision counts: a part is quarantined with an odd one and released with the next.
 """
 
 import dataclasses
@@ -11,6 +12,8 @@
 
 from bitternlever.messages import fleet
 
+REQUEST_PREFIX = "request:"
+
 LAPSE_S = 300.0
 """A part with which no request has come for this time is no longer quarantined."""
 
@@ -46,6 +49,11 @@
 Records = dict[str, Record]
 
 
+def is_request(part: str) -> bool:
+    """Return whether a part stands for a whole request."""
+    return part.startswith(REQUEST_PREFIX)
+
+
 def is_quarantined(records: Records, now: float, part: str) -> bool:
     """Return whether requests with a part are refused."""
     record = records.get(part)
--- a/bitternlever/gateway/fingerprints.py
+++ b/bitternlever/gateway/fingerprints.py
@@ -5,11 +5,9 @@
 
 import hashlib
 
+from bitternlever.fleet import quarantine
 from bitternlever.gateway import context as gateway_context
 
-PREFIX = "request:"
-"""Tells them from the parts of prompts."""
-
 DIGEST_BYTES = 12
 """Chance collisions need some 10^14 requests."""
 
@@ -19,7 +17,7 @@
     if context.fingerprints is None:
         path, _, query = context.target.partition(b"?")
         targets = (path, context.target) if query else (path,)
-        body = hashlib.blake2b(context.body, digest_size=DIGEST_BYTES).digest()
+        body = hashlib.sha256(context.body).digest()
         context.fingerprints = tuple(_name(context, target, body) for target in targets)
     return context.fingerprints
 
@@ -28,8 +26,8 @@
     caller = context.head.api_key or ""
     if context.workspace is not None:
         caller = context.workspace.name
-    digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
+    digest = hashlib.sha256()
     for value in (context.method, context.route.host.encode(), target, caller.encode()):
         digest.update(b"%d:" % len(value) + value)
     digest.update(body)
-    return PREFIX + digest.hexdigest()
+    return quarantine.REQUEST_PREFIX + digest.hexdigest()[: 2 * DIGEST_BYTES]
--- a/bitternlever/gateway/forward.py
+++ b/bitternlever/gateway/forward.py
@@ -62,8 +62,6 @@
 INPUTS_FETCHED_S = 0.05
 """An engine has fetched its inputs by then; several times what the links take."""
 
-PART_REFUSED = "a part of the prompt crashes upstreams"
-
 MAXIMUM_LOGGED_PARTS = 8
 """Prompts have fewer shared parts; bounds a log line."""
 
@@ -178,9 +176,9 @@
     if upstream is None:
         return None
     parts = gateway.tables.prompt_parts
-    refused_s = prompt_parts.refused_for_s(parts, now, context.head, sending=True)
-    if refused_s is not None:
-        return Failure(PART_REFUSED, context.sent, 503, refused_s)
+    refused = prompt_parts.quarantined(parts, now, context, sending=True)
+    if refused is not None:
+        return Failure(refused.reason, context.sent, 503, refused.left_s)
     if number > 0 and not _may_retry(gateway, context, now):
         return None
     return upstream
@@ -195,13 +193,16 @@
 ) -> bool:
     """Report a request that may have crashed its upstream.
 
-    Return whether a part of its prompt is suspected, so that it must not run again.
+    Return whether it or a part of its prompt is suspected, so that it must not run
+    again.
     """
-    if not (failure.lost and failure.ran) or _has_begun(relay):
+    if not (failure.lost and failure.ran):
         return False
     parts = gateway.tables.prompt_parts
-    prompt_parts.record_crash(parts, clocks.boot_time(), context.head, upstream)
-    return prompt_parts.is_suspected(parts, context.head)
+    now = clocks.boot_time()
+    begun = _has_begun(relay)
+    prompt_parts.record_crash(parts, now, context, upstream, begun=begun)
+    return prompt_parts.is_suspected(parts, context)
 
 
 def _has_begun(relay: Relay) -> bool:
@@ -370,16 +371,12 @@
     else:
         placement.record_success(health, clocks.boot_time() - started_s)
         if 200 <= outcome.status < 300:
-            _record_sound(gateway, context)
+            prompt_parts.record_complete(
+                gateway.tables.prompt_parts, clocks.boot_time(), context
+            )
     return outcome
 
 
-def _record_sound(gateway: state.Gateway, context: gateway_context.Context) -> None:
-    prompt_parts.record_sound(
-        gateway.tables.prompt_parts, clocks.boot_time(), context.head
-    )
-
-
 async def _send(
     gateway: state.Gateway,
     context: gateway_context.Context,
@@ -596,7 +593,8 @@
             stream_watch.record_event(watch, clocks.boot_time())
         if not begun and _has_begun(relay):
             begun = True
-            _record_sound(gateway, context)
+            parts = gateway.tables.prompt_parts
+            prompt_parts.record_begun(parts, clocks.boot_time(), context.head)
     failure = _incomplete(splitter, attempt.head)
     if failure is None and splitter.incomplete and resumable:
         await relay.response.write(bytes(splitter.incomplete))
--- a/bitternlever/gateway/prompt_parts.py
+++ b/bitternlever/gateway/prompt_parts.py
@@ -3,14 +3,15 @@
 A request that loses its upstream before its answer has really begun may have crashed
 it. The host reports it to control, which decides for the fleet
 (``fleet.crash_suspects``), and refuses requests with parts that control has
-quarantined. The last part of a prompt belongs to its request alone and is not followed.
+quarantined. The last part of a prompt belongs to its request alone and is not followed;
+the whole request is, by its fingerprints, until its answer is complete.
 """
 
 import collections
 import dataclasses
 
 from bitternlever.fleet import quarantine
-from bitternlever.gateway import dialect
+from bitternlever.gateway import context as gateway_context, dialect, fingerprints
 from bitternlever.messages import fleet
 
 MAXIMUM_PARTS = 16
@@ -24,6 +25,7 @@
 
 SOUND_RETENTION_S = 300.0
 MAXIMUM_SOUND_PARTS = 4_096
+MAXIMUM_SOUND_REQUESTS = 2_048
 MAXIMUM_CRASHES = 128
 CRASH_RETENTION_S = 120.0
 """Bound what is kept for control; a restarted one gets all of it."""
@@ -47,8 +49,9 @@
 class PromptParts:
     """What a host knows of prompt parts; times are on the boot clock.
 
-    ``sound`` are the times of the last answers by part, the latest last; ``trials`` are
-    the times until which one request with a part may pass.
+    ``sound`` and ``sound_requests`` are the times of the last answers by part and by
+    whole request, the latest last; ``trials`` are the times until which one request
+    with a part may pass.
     """
 
     records: quarantine.Records = dataclasses.field(default_factory=dict)
@@ -56,6 +59,9 @@
     sound: collections.OrderedDict[str, float] = dataclasses.field(
         default_factory=collections.OrderedDict
     )
+    sound_requests: collections.OrderedDict[str, float] = dataclasses.field(
+        default_factory=collections.OrderedDict
+    )
     crashes: collections.deque[Crash] = dataclasses.field(
         default_factory=lambda: collections.deque(maxlen=MAXIMUM_CRASHES)
     )
@@ -74,68 +80,128 @@
     )
 
 
-def refused_for_s(
+@dataclasses.dataclass(slots=True, frozen=True)
+class Quarantined:
+    """A part with which requests are refused, and for how long."""
+
+    part: str
+    left_s: float
+
+    @property
+    def reason(self) -> str:
+        """Return what a refused caller is told."""
+        if quarantine.is_request(self.part):
+            return "the request crashes upstreams"
+        return "a part of the prompt crashes upstreams"
+
+
+def quarantined_part(
+    parts: PromptParts, now: float, head: dialect.RequestHead
+) -> Quarantined | None:
+    """Return the part for which a request is refused before its body is read."""
+    return _quarantined(parts, now, shared(head), sending=False)
+
+
+def quarantined(
     parts: PromptParts,
     now: float,
-    head: dialect.RequestHead,
+    context: gateway_context.Context,
     *,
     sending: bool,
-) -> float | None:
-    """Return how long requests with these parts are refused, None if they are not.
+) -> Quarantined | None:
+    """Return the part for which a request is refused, None if it is not.
 
     A request that is being sent uses up the trial of its part.
     """
+    names = shared(context.head)
+    if any(map(quarantine.is_request, parts.records)):
+        names += fingerprints.names(context)
+    return _quarantined(parts, now, names, sending=sending)
+
+
+def _quarantined(
+    parts: PromptParts, now: float, names: tuple[str, ...], *, sending: bool
+) -> Quarantined | None:
     if not parts.records:
         return None
-    refused_s = None
+    refused = None
     on_trial = []
-    for part in shared(head):
+    for part in names:
         if not quarantine.is_quarantined(parts.records, now, part):
             continue
         record = parts.records[part]
         record.seen_s = now
         quarantine.renew(parts.records, part, now)
+        left_s = record.lapses_s - now
         if now < parts.trials.get(part, now):
             on_trial.append(part)
-        else:
-            refused_s = max(refused_s or 0.0, record.lapses_s - now)
-    if sending and refused_s is None:
+        elif refused is None or left_s > refused.left_s:
+            refused = Quarantined(part, left_s)
+    if sending and refused is None:
         for part in on_trial:
             del parts.trials[part]
-    return refused_s
+    return refused
 
 
-def is_suspected(parts: PromptParts, head: dialect.RequestHead) -> bool:
-    """Return whether a part was in several crashes and in no answer at this host."""
+def is_suspected(parts: PromptParts, context: gateway_context.Context) -> bool:
+    """Return whether a request has a part of several crashes and no answer here."""
     if not parts.suspects:
         return False
     return any(
-        part in parts.suspects and part not in parts.sound for part in shared(head)
+        part in parts.suspects and part not in _sound(parts, part)
+        for part in followed(context)
     )
 
 
-def record_sound(parts: PromptParts, now: float, head: dialect.RequestHead) -> None:
+def followed(context: gateway_context.Context) -> tuple[str, ...]:
+    """Return the shared parts of a prompt and the names of the whole request."""
+    return shared(context.head) + fingerprints.names(context)
+
+
+def record_begun(parts: PromptParts, now: float, head: dialect.RequestHead) -> None:
     """Record that the answer to a prompt has begun without a crash."""
-    for part in shared(head):
-        parts.sound[part] = now
-        parts.sound.move_to_end(part)
-    while len(parts.sound) > MAXIMUM_SOUND_PARTS:
-        parts.sound.popitem(last=False)
+    _record_sound(parts.sound, now, shared(head), MAXIMUM_SOUND_PARTS)
+
+
+def record_complete(
+    parts: PromptParts, now: float, context: gateway_context.Context
+) -> None:
+    """Record that the answer to a request is complete."""
+    record_begun(parts, now, context.head)
+    names = fingerprints.names(context)
+    _record_sound(parts.sound_requests, now, names, MAXIMUM_SOUND_REQUESTS)
+
+
+def _record_sound(
+    sound: collections.OrderedDict[str, float],
+    now: float,
+    names: tuple[str, ...],
+    maximum: int,
+) -> None:
+    for part in names:
+        sound[part] = now
+        sound.move_to_end(part)
+    while len(sound) > maximum:
+        sound.popitem(last=False)
 
 
 def record_crash(
     parts: PromptParts,
     now: float,
-    head: dialect.RequestHead,
+    context: gateway_context.Context,
     upstream: fleet.UpstreamStatus,
+    *,
+    begun: bool,
 ) -> None:
-    """Record that a request lost its upstream before its answer had really begun."""
-    followed = shared(head)
-    if followed:
-        request = head.request[:MAXIMUM_REQUEST_LENGTH]
-        parts.crashes.append(
-            Crash(request, upstream.upstream, upstream.started_ms, followed, now)
-        )
+    """Record that a request lost its upstream.
+
+    If its answer had begun, the parts of its prompt have not caused that.
+    """
+    names = fingerprints.names(context) if begun else followed(context)
+    request = context.head.request[:MAXIMUM_REQUEST_LENGTH]
+    parts.crashes.append(
+        Crash(request, upstream.upstream, upstream.started_ms, names, now)
+    )
 
 
 def crashes_since(
@@ -188,7 +254,11 @@
 
 
 def _sound_age_s(parts: PromptParts, now: float, part: str) -> float | None:
-    sound_s = parts.sound.get(part)
+    sound_s = _sound(parts, part).get(part)
     if sound_s is None or now - sound_s > SOUND_RETENTION_S:
         return None
     return now - sound_s
+
+
+def _sound(parts: PromptParts, part: str) -> collections.OrderedDict[str, float]:
+    return parts.sound_requests if quarantine.is_request(part) else parts.sound
--- a/bitternlever/gateway/requests.py
+++ b/bitternlever/gateway/requests.py
@@ -73,16 +73,19 @@
         reason = "the host stops before the request's deadline"
         refusal = gateway_context.Refusal(503, reason, STALE_RETRY_S)
         return _refuse(gateway, request, context, refusal)
-    refused_s = prompt_parts.refused_for_s(
-        gateway.tables.prompt_parts, arrived_s, context.head, sending=False
-    )
-    if refused_s is not None:
-        refusal = gateway_context.Refusal(503, forward.PART_REFUSED, refused_s)
+    parts = gateway.tables.prompt_parts
+    refused = prompt_parts.quarantined_part(parts, arrived_s, context.head)
+    if refused is not None:
+        refusal = gateway_context.Refusal(503, refused.reason, refused.left_s)
         return _refuse(gateway, request, context, refusal)
     body = await _read_body(gateway, request, context.catalog.limits)
     if body.is_err():
         return _refuse(gateway, request, context, body.err())
     context.body = body.ok()
+    refused = prompt_parts.quarantined(parts, arrived_s, context, sending=False)
+    if refused is not None:
+        refusal = gateway_context.Refusal(503, refused.reason, refused.left_s)
+        return _refuse(gateway, request, context, refusal)
     budget.record_request(state.retry_budget(gateway, context.service), arrived_s)
     events.REQUEST_ADMITTED.log(
         logger,
--- a/tests/fleet/test_crash_suspects.py
+++ b/tests/fleet/test_crash_suspects.py
@@ -65,6 +65,78 @@
     assert system.quarantined == {DEADLY}
 
 
+REPEATED = "request:1"
+
+
+def test_a_request_that_crashes_three_upstreams_in_a_moment_is_quarantined():
+    system = Fleet()
+    system.crash([REPEATED], ["request:2"], now=NOW)
+    system.crash([REPEATED], ["request:3"], now=NOW + 0.01)
+    assert system.crash([REPEATED], ["request:4"], now=NOW + 0.02) == [REPEATED]
+    assert system.quarantined == {REPEATED}
+
+
+def test_of_the_names_of_a_request_the_one_with_its_query_is_quarantined_at_once():
+    system = Fleet()
+    for _ in range(3):
+        system.crash([SHARED, REPEATED, "request:query"], sound=[SHARED])
+
+    assert system.quarantined == {"request:query"}
+
+
+def test_a_request_whose_query_differs_each_time_is_quarantined_by_its_path():
+    system = Fleet()
+    for number in range(3):
+        system.crash([REPEATED, f"request:query {number}"])
+
+    assert system.quarantined == {REPEATED}
+
+
+def test_requests_that_crashed_along_with_another_each_time_await_one_more_crash():
+    system = Fleet()
+    for _ in range(3):
+        system.crash([REPEATED], ["request:2"])
+    assert system.quarantined == set()
+
+    system.crash([REPEATED])
+    assert system.quarantined == {REPEATED}
+
+
+def test_a_request_that_was_answered_before_is_not_quarantined_with_its_rack():
+    system = Fleet()
+    for _ in range(4):
+        system.crash([REPEATED], now=NOW, sound=[REPEATED])
+
+    assert system.quarantined == set()
+
+
+def test_several_crashes_of_one_upstream_count_once_for_a_request():
+    system = Fleet()
+    for _ in range(4):
+        system.crash([REPEATED], upstream="u1")
+
+    assert system.quarantined == set()
+
+
+def test_a_repeat_is_tried_more_rarely_than_a_part():
+    system = Fleet()
+    for _ in range(3):
+        system.crash([REPEATED])
+    asked_for = [fleet.PromptPart(REPEATED, 1, 200.0, 0.1)]
+
+    def granted(now):
+        evidence, records = system.evidence, system.records
+        return crash_suspects.grant_trials(
+            evidence, records, now, asked_for, leads=True
+        )
+
+    assert granted(system.now) == []
+    assert granted(system.now + crash_suspects.TRIAL_INTERVAL_S + 1.0) == []
+    first_s = crash_suspects.TRIAL_INTERVAL_S * crash_suspects.REQUEST_TRIAL_FACTOR
+    quarantine.renew(system.records, REPEATED, system.now + first_s)
+    assert granted(system.now + first_s) == [REPEATED]
+
+
 def test_one_more_crash_is_awaited_while_two_parts_may_be_to_blame():
     system = Fleet()
     for _ in range(3):
--- a/tests/gateway/test_prompt_parts.py
+++ b/tests/gateway/test_prompt_parts.py
@@ -7,7 +7,13 @@
 
 from bitternlever.catalog import tables as catalog_tables
 from bitternlever.fleet import quarantine, upstreams as fleet_upstreams
-from bitternlever.gateway import dialect, prompt_parts, sync, tables as gateway_tables
+from bitternlever.gateway import (
+    dialect,
+    fingerprints,
+    prompt_parts,
+    sync,
+    tables as gateway_tables,
+)
 from bitternlever.messages import fleet
 from standins import scripted_upstream
 from tests.gateway import entry_host, samples
@@ -42,8 +48,26 @@
     return parts
 
 
+def context(*parts, request="id", **changes):
+    return samples.context(head=head(*parts, request=request), **changes)
+
+
 def refused_for_s(parts, now, *names, sending=False):
-    return prompt_parts.refused_for_s(parts, now, head(*names), sending=sending)
+    if not sending:
+        refused = prompt_parts.quarantined_part(parts, now, head(*names))
+        if refused is not None:
+            assert refused == prompt_parts.quarantined(
+                parts, now, context(*names), sending=False
+            )
+    else:
+        refused = prompt_parts.quarantined(parts, now, context(*names), sending=True)
+    return None if refused is None else refused.left_s
+
+
+def crash(parts, now, upstream, *names, begun=False, **fields):
+    prompt_parts.record_crash(
+        parts, now, context(*names, **fields), upstream, begun=begun
+    )
 
 
 def test_a_request_is_refused_for_any_part_but_the_last():
@@ -102,18 +126,20 @@
 def test_crashes_are_reported_with_the_last_answers_until_they_are_old():
     parts = prompt_parts.PromptParts()
     upstream = samples.upstream_status("u1", started_ms=7)
-    prompt_parts.record_sound(parts, NOW - 1.0, head("a", "own"))
-    prompt_parts.record_crash(parts, NOW, head("a", "b", "own", request="r"), upstream)
-    prompt_parts.record_crash(parts, NOW, head("own"), upstream)
+    prompt_parts.record_begun(parts, NOW - 1.0, head("a", "own"))
+    crash(parts, NOW, upstream, "a", "b", "own", request="r")
+    crash(parts, NOW, upstream, "own", request="s")
 
-    (report,) = prompt_parts.crashes_since(parts, NOW + 2.0, NOW - 0.1)
-    assert report == fleet.PromptCrash(
+    first, second = prompt_parts.crashes_since(parts, NOW + 2.0, NOW - 0.1)
+    (name,) = fingerprints.names(context("own"))
+    assert first == fleet.PromptCrash(
         request="r",
         upstream="u1",
         started_ms=7,
-        parts=[("a", 3.0), ("b", None)],
+        parts=[("a", 3.0), ("b", None), (name, None)],
         age_s=2.0,
     )
+    assert second.parts == [(name, None)]
     assert prompt_parts.crashes_since(parts, NOW + 2.0, NOW) == []
     late_s = NOW + prompt_parts.CRASH_RETENTION_S + 1.0
     assert prompt_parts.crashes_since(parts, late_s, 0.0) == []
@@ -121,11 +147,13 @@
 
 def test_answers_are_reported_for_suspects_only():
     parts = quarantined("c")
-    prompt_parts.record_sound(parts, NOW, head("a", "b", "c", "own"))
-    prompt_parts.handle_reply(parts, NOW, reply(suspects=["a", "x"]))
+    answered = context("a", "b", "c", "own", target=b"/a/x?q")
+    prompt_parts.record_complete(parts, NOW, answered)
+    path, target = fingerprints.names(answered)
+    prompt_parts.handle_reply(parts, NOW, reply(suspects=["a", "x", path]))
 
     reports = prompt_parts.sound_reports(parts, NOW + 1.0)
-    assert sorted(report.part for report in reports) == ["a", "c"]
+    assert sorted(report.part for report in reports) == ["a", "c", path]
     assert {report.age_s for report in reports} == {1.0}
     late_s = NOW + prompt_parts.SOUND_RETENTION_S + 1.0
     assert prompt_parts.sound_reports(parts, late_s) == []
@@ -136,12 +164,14 @@
     upstream = samples.upstream_status("u1")
     for number in range(prompt_parts.MAXIMUM_SOUND_PARTS + 99):
         names = [f"{number} {place}" for place in range(99)]
-        prompt_parts.record_sound(parts, NOW, head(*names))
-        prompt_parts.record_crash(parts, NOW, head(*names), upstream)
+        target = b"/a/%d?q" % number
+        prompt_parts.record_complete(parts, NOW, context(*names, target=target))
+        crash(parts, NOW, upstream, *names, target=target)
 
     assert len(parts.sound) == prompt_parts.MAXIMUM_SOUND_PARTS
+    assert len(parts.sound_requests) == prompt_parts.MAXIMUM_SOUND_REQUESTS
     assert len(parts.crashes) == prompt_parts.MAXIMUM_CRASHES
-    assert len(parts.crashes[0].parts) == prompt_parts.MAXIMUM_PARTS
+    assert len(parts.crashes[0].parts) == prompt_parts.MAXIMUM_PARTS + 2
 
 
 def test_long_names_from_callers_neither_fill_the_memory_nor_the_heartbeats():
@@ -150,13 +180,14 @@
     long = "x" * 16_000
     names = [f"{place}{long}" for place in range(9)]
     for number in range(50):
-        prompt = head(*names, "short", "own", request=f"{number}{long}")
-        prompt_parts.record_sound(parts, NOW, prompt)
-        prompt_parts.record_crash(parts, NOW, prompt, upstream)
+        prompt = [*names, "short", "own"]
+        prompt_parts.record_begun(parts, NOW, head(*prompt))
+        crash(parts, NOW, upstream, *prompt, request=f"{number}{long}")
 
     assert list(parts.sound) == ["short"]
     reports = prompt_parts.crashes_since(parts, NOW, 0.0)
-    assert [part for part, _ in reports[0].parts] == ["short"]
+    followed = [part for part, _ in reports[0].parts]
+    assert followed == ["short", *fingerprints.names(context())]
     assert len(msgspec.msgpack.encode(reports)) < 10_000
 
 
@@ -206,10 +237,65 @@
         await entry_host.call(port, request("a", "b", "own"))
         parts = gateway.tables.prompt_parts
 
-    assert [crash.parts for crash in parts.crashes] == [("a", "b")] * crashed
+    prompts = [
+        tuple(part for part in crash.parts if not quarantine.is_request(part))
+        for crash in parts.crashes
+    ]
+    assert [prompt for prompt in prompts if prompt] == [("a", "b")] * crashed
     assert list(parts.sound) == ["a", "b"] * sound
 
 
+@pytest.mark.parametrize(
+    ("behaviour", "crashed", "sound"),
+    [
+        (scripted_upstream.stream(complete=False), True, False),
+        (scripted_upstream.close(), True, False),
+        (scripted_upstream.stream(*EVENTS, complete=False), True, False),
+        (scripted_upstream.stream(EVENTS[0]), False, True),
+        (scripted_upstream.answer(500), False, False),
+        (scripted_upstream.refuse(), False, False),
+        (scripted_upstream.garbage(), False, False),
+    ],
+    ids=["no event", "no head", "begun", "complete", "error", "not run", "no HTTP"],
+)
+async def test_a_whole_request_is_sound_only_when_its_answer_is_complete(
+    behaviour, crashed, sound
+):
+    server = await scripted_upstream.start("u1", behaviour)
+    status = samples.upstream_status("u1", address=server.address)
+    async with entry_host.running(catalog(), status) as (gateway, port):
+        await entry_host.call(port, request("own"))
+        parts = gateway.tables.prompt_parts
+
+    assert len(parts.crashes) == crashed
+    assert len(parts.sound_requests) == sound
+
+
+async def test_a_refused_repeat_reaches_no_upstream_and_other_requests_do():
+    server = await scripted_upstream.start("u1")
+    status = samples.upstream_status("u1", address=server.address)
+    deadly = {"method": "POST", "body": b"deadly"}
+    async with entry_host.running(samples.catalog(), status) as (gateway, port):
+        parts = gateway.tables.prompt_parts
+        caller = catalog_tables.Workspace("w", None)
+        (name,) = fingerprints.names(
+            samples.context(method=b"POST", body=b"deadly", workspace=caller)
+        )
+        now = gateway.pool.clock()
+        quarantine.change(parts.records, now, name, quarantined=True)
+        refused = await entry_host.call(port, entry_host.request(**deadly))
+        others = [
+            await entry_host.call(port, entry_host.request(**{**deadly, **changes}))
+            for changes in ({"body": b"sound"}, {"target": "/a/y"}, {"method": "PUT"})
+        ]
+
+    assert refused.status == 503
+    assert refused.body == b"the request crashes upstreams"
+    assert float(refused.headers["retry-after"]) > 200.0
+    assert {answer.status for answer in others} == {200}
+    assert len(server.received) == 3
+
+
 async def test_a_refused_request_reaches_no_upstream_and_learns_when_to_retry():
     server = await scripted_upstream.start("u1", scripted_upstream.stream(*EVENTS))
     status = samples.upstream_status("u1", address=server.address)
@@ -255,7 +341,7 @@
         announcement=samples.host_announcement(), seeds=("tcp://c:1",)
     )
     upstream = samples.upstream_status("u1")
-    prompt_parts.record_crash(tables.prompt_parts, NOW, head("a", "own"), upstream)
+    crash(tables.prompt_parts, NOW, upstream, "a", "own")
 
     def crashes_sent(now):
         ((_, beat),) = sync.heartbeats(tables, now, fleet.HostState.READY, [])
@@ -315,9 +401,7 @@
     sync.merge_upstream_statuses(tables, NOW + 0.1, update)
     fleet_upstreams.mark_leaving(tables.upstreams, NOW + 0.1, "u1")
     upstream = samples.upstream_status("u2")
-    prompt_parts.record_crash(
-        tables.prompt_parts, NOW + 0.1, head("a", "own"), upstream
-    )
+    crash(tables.prompt_parts, NOW + 0.1, upstream, "a", "own")
     assert len(send(NOW + 0.2).ended) == 1
     answer(NOW + 0.25, NOW + 0.2, "1")
     for sent_s in (NOW + 0.3, NOW + 0.6):
