Follow requests whose pieces crash stage upstreams

What callers saw: with one request whose pieces crash the upstream that works on them, the calls of all others were lost with it, and were sent again together with it.

A call to a stage upstream has pieces of many requests; a lost one counted as a failure of the upstream, its pieces were queued again together, and no report named the requests.

Change: the host that batches a service reports all requests of a call that lost its upstream. Their work then shares no call, so that the next crash names one request and the others are done; work that loses two upstreams alone is refused. After two time-outs work is separated, too: one may just have been on a slow upstream. Work of a request that is quarantined while it waits is refused.

Ruled out: separating after the first time-out (each slow upstream would cost a call for each of its requests), and a bound on failed calls alone (5 for each piece).

--- a/bitternlever/batching/batcher.py
+++ b/bitternlever/batching/batcher.py
@@ -23,6 +23,12 @@
 MAXIMUM_FAILURES = 4
 """Failed calls after which work is refused; each retry takes another upstream."""
 
+MAXIMUM_LOST_ALONE = 2
+"""Lost calls without other work after which work is refused: it is to blame."""
+
+TIMEOUTS_TO_SEPARATE = 2
+"""One call may be late because its upstream is slow, whatever work is in it."""
+
 FULL_PAUSE_S = 0.05
 """How long an upstream that is full, or out of memory, gets no new calls."""
 
@@ -315,10 +321,12 @@
     *,
     full: bool,
     timed_out: bool = False,
+    lost: bool = False,
 ) -> list[tables.Finished]:
     """Requeue the pieces of a failed call and pause the upstream.
 
-    Unless the upstream was full, it may have produced results that nothing can free.
+    Unless the upstream was full, it may have produced results that nothing can free. If
+    it was ``lost``, some work in the call may have crashed it.
     """
     call = batcher.calls.pop(number)
     upstream = call.upstream
@@ -336,12 +344,17 @@
         upstream.paused_until_s = now + pause_s * (
             TIMEOUT_PAUSE_FACTOR if timed_out else 1.0
         )
+    _count_ends(batcher, call, timed_out=timed_out, lost=lost)
     ended = []
     for item in call.items:
         work = batcher.works.get(item.work)
         _release_reservation(batcher, upstream, work)
         if work is None:
             continue
+        if work.lost_alone >= MAXIMUM_LOST_ALONE:
+            cancel(batcher, now, item.work)
+            ended.append(_refused(work, "its pieces crash upstreams", FAILED_PAUSE_S))
+            continue
         work.waiting.append(item.index)
         work.failures += 0 if full else 1
         if work.failures > MAXIMUM_FAILURES * len(work.message.pieces):
@@ -350,6 +363,30 @@
     return ended
 
 
+def refuse(
+    batcher: tables.Batcher, now: float, work_id: str, reason: str, retry_after_s: float
+) -> tables.Finished:
+    """Drop a work item in the queue; return it as refused."""
+    work = cancel(batcher, now, work_id)
+    return _refused(work, reason, retry_after_s)
+
+
+def works_of(batcher: tables.Batcher, call: tables.Call) -> list[tables.Work]:
+    """Return the work items of a call that are still wanted."""
+    names = dict.fromkeys(item.work for item in call.items)
+    return [batcher.works[name] for name in names if name in batcher.works]
+
+
+def _count_ends(
+    batcher: tables.Batcher, call: tables.Call, *, timed_out: bool, lost: bool
+) -> None:
+    is_alone = len({item.work for item in call.items}) == 1
+    for work in works_of(batcher, call):
+        work.timed_out_calls += timed_out
+        work.lost_calls += lost
+        work.lost_alone += lost and is_alone
+
+
 def _record_lost_results(
     batcher: tables.Batcher,
     now: float,
@@ -455,7 +492,6 @@
     upstream: tables.Upstream,
 ) -> list[tables.PieceRef]:
     """Select the pieces of a call, preferring work that belongs in this zone."""
-    free_bytes = _free_bytes(batcher, now, upstream)
     works = order.in_order_of_rank(batcher, now)
     eligible = [work for work in works if _prefers_zone_of(work, upstream)]
     eligible += [
@@ -465,6 +501,37 @@
     ]
     for work in eligible:
         work.late = work.late or order.is_late(batcher, now, work)
+    for works in _separated(eligible):
+        items = _pack(batcher, now, upstream, works)
+        if items:
+            return items
+    return []
+
+
+def _separated(works: list[tables.Work]) -> list[list[tables.Work]]:
+    """Return the groups of work that may share a call, in order of rank.
+
+    Work that may have crashed an upstream shares none: the call would be lost for all.
+    """
+    together = [work for work in works if not _is_separate(work)]
+    groups = [[work] for work in works if _is_separate(work)]
+    if together:
+        groups.append(together)
+    return sorted(groups, key=lambda group: works.index(group[0]))
+
+
+def _is_separate(work: tables.Work) -> bool:
+    return work.lost_calls > 0 or work.timed_out_calls >= TIMEOUTS_TO_SEPARATE
+
+
+def _pack(
+    batcher: tables.Batcher,
+    now: float,
+    upstream: tables.Upstream,
+    eligible: list[tables.Work],
+) -> list[tables.PieceRef]:
+    """Select pieces up to a full call, with a share for late work."""
+    free_bytes = _free_bytes(batcher, now, upstream)
     late = sorted(
         (work for work in eligible if work.late),
         key=lambda work: work.arrived_s,
--- a/bitternlever/batching/tables.py
+++ b/bitternlever/batching/tables.py
@@ -14,7 +14,8 @@
 
     Times are on this host's clock. ``waiting`` has the indexes of the pieces that are
     in no call. ``late`` is set once the item was found too late for its objective while
-    a call was filled.
+    a call was filled. Of its calls, ``lost_calls`` lost their upstream, ``lost_alone``
+    of these without other work, and ``timed_out_calls`` were not answered in time.
     """
 
     message: fleet.StageWork
@@ -26,6 +27,9 @@
     late: bool = False
     handles: dict[int, str] = dataclasses.field(default_factory=dict)
     failures: int = 0
+    lost_calls: int = 0
+    lost_alone: int = 0
+    timed_out_calls: int = 0
 
 
 @dataclasses.dataclass(slots=True)
--- a/bitternlever/gateway/batching.py
+++ b/bitternlever/gateway/batching.py
@@ -18,6 +18,7 @@
 from bitternlever.gateway import (
     dialect as gateway_dialect,
     notices,
+    prompt_parts,
     rate_shares,
     state,
     sync,
@@ -252,7 +253,10 @@
         return
     _update_upstreams(gateway, now, queue)
     batcher.remove_expired_results(queue, now)
-    for finished in batcher.refuse_expired_work(queue, now):
+    for finished in [
+        *_refuse_quarantined(gateway, now, queue),
+        *batcher.refuse_expired_work(queue, now),
+    ]:
         _finish(gateway, finished)
     for address, handles in batcher.take_abandoned_handles(queue).items():
         state.run_in_background(gateway, _send_free(gateway, address, handles))
@@ -290,7 +294,7 @@
         call.upstream.address, call.upstream.upstream_id, items
     )
     timeout_s = call.expected_s * CALL_TIMEOUT_FACTOR + CALL_TIMEOUT_EXTRA_S
-    full = timed_out = False
+    full = timed_out = lost = False
     outcomes = None
     reason = ""
 
@@ -324,6 +328,7 @@
     except exchange.ExchangeError as error:
         notices.handle_failed_exchange(gateway, call.upstream.upstream_id, error)
         reason = error.reason
+        lost = error.lost and error.sent
     now = clocks.boot_time()
     if outcomes is None:
         gateway.measures.batches[f"{queue.service}.failed"] += 1
@@ -332,10 +337,13 @@
             service=queue.service,
             upstream=call.upstream.upstream_id,
             items=len(items),
+            lost=lost,
             reason=reason,
         )
+        if lost:
+            _record_crash(gateway, now, queue, call)
         ended = batcher.call_failed(
-            queue, now, call.number, full=full, timed_out=timed_out
+            queue, now, call.number, full=full, timed_out=timed_out, lost=lost
         )
     else:
         gateway.measures.batches[f"{queue.service}.calls"] += 1
@@ -358,6 +366,45 @@
     pump_later(gateway)
 
 
+def _record_crash(
+    gateway: state.Gateway,
+    now: float,
+    queue: batching_tables.Batcher,
+    call: batching_tables.Call,
+) -> None:
+    """Report all requests of a call that may have crashed its upstream."""
+    entry = gateway.tables.upstreams.entries.get(call.upstream.upstream_id)
+    if entry is None:
+        return
+    for work in batcher.works_of(queue, call):
+        message = work.message
+        prompt_parts.record_crash_of(
+            gateway.tables.prompt_parts,
+            now,
+            message.request,
+            tuple(message.fingerprints),
+            entry.status,
+        )
+
+
+def _refuse_quarantined(
+    gateway: state.Gateway, now: float, queue: batching_tables.Batcher
+) -> list[batching_tables.Finished]:
+    """Refuse work of requests that were quarantined after their hosts sent it."""
+    parts = gateway.tables.prompt_parts
+    if not parts.records:
+        return []
+    ended = []
+    for name, work in list(queue.works.items()):
+        refused = prompt_parts.quarantined_since(
+            parts, now, work.message.fingerprints, work.arrived_s
+        )
+        if refused is not None:
+            finished = batcher.refuse(queue, now, name, refused.reason, refused.left_s)
+            ended.append(finished)
+    return ended
+
+
 def _item(
     queue: batching_tables.Batcher,
     item: batching_tables.PieceRef,
--- a/bitternlever/gateway/prompt_parts.py
+++ b/bitternlever/gateway/prompt_parts.py
@@ -198,10 +198,34 @@
     If its answer had begun, the parts of its prompt have not caused that.
     """
     names = fingerprints.names(context) if begun else followed(context)
-    request = context.head.request[:MAXIMUM_REQUEST_LENGTH]
-    parts.crashes.append(
-        Crash(request, upstream.upstream, upstream.started_ms, names, now)
-    )
+    record_crash_of(parts, now, context.head.request, names, upstream)
+
+
+def record_crash_of(
+    parts: PromptParts,
+    now: float,
+    request: str,
+    names: tuple[str, ...],
+    upstream: fleet.UpstreamStatus,
+) -> None:
+    """Record that a request with some parts lost its upstream, or that of a stage."""
+    if names:
+        request = request[:MAXIMUM_REQUEST_LENGTH]
+        parts.crashes.append(
+            Crash(request, upstream.upstream, upstream.started_ms, names, now)
+        )
+
+
+def quarantined_since(
+    parts: PromptParts, now: float, names: list[str], since_s: float
+) -> Quarantined | None:
+    """Return the part for which work is refused that was accepted before a time."""
+    for part in names:
+        if quarantine.is_quarantined(parts.records, now, part):
+            record = parts.records[part]
+            if record.changed_s > since_s:
+                return Quarantined(part, record.lapses_s - now)
+    return None
 
 
 def crashes_since(
--- a/bitternlever/gateway/stages.py
+++ b/bitternlever/gateway/stages.py
@@ -12,6 +12,7 @@
 from bitternlever.gateway import (
     batching,
     context as gateway_context,
+    fingerprints,
     measures,
     schedule,
     state,
@@ -142,6 +143,7 @@
         notify_start=_delays_another_stage(context, stage),
         feeds_stage=stage.number in schedule.consumed_stages(context.route),
         preferred_zone=_preferred_zone(gateway, context, stage, count, results),
+        fingerprints=list(fingerprints.names(context)),
     )
 
 
--- a/bitternlever/messages/fleet.py
+++ b/bitternlever/messages/fleet.py
@@ -232,6 +232,7 @@
     stage reads the results, ``notify_start`` if the sender waits for a
     :class:`StageWorkStarted`. ``preferred_zone`` is the zone where the inputs are
     stored or the results will be read; empty if the zone does not matter.
+    ``fingerprints`` name the whole request, as in :class:`PromptCrash`.
     """
 
     work: str
@@ -249,6 +250,7 @@
     feeds_stage: bool = False
     notify_start: bool = msgspec.field(name="tell_begin", default=False)
     preferred_zone: str = msgspec.field(name="home_zone", default="")
+    fingerprints: list[str] = []
 
 
 class StageAccepted(msgspec.Struct, tag=True, frozen=True):
--- a/tests/batching/test_batcher.py
+++ b/tests/batching/test_batcher.py
@@ -237,6 +237,65 @@
     assert queue.works == {}
 
 
+def make_lost_queue():
+    """Return a queue after a call with two works that lost its upstream."""
+    queue = make_queue(upstreams=3)
+    for name in ("one", "two"):
+        batcher.submit(queue, NOW, stage_work(name, deadline_left_s=1e6), "link")
+    (call,) = batcher.dispatch(queue, NOW)
+    assert len({item.work for item in call.items}) == 2
+    batcher.call_failed(queue, NOW, call.number, full=False, lost=True)
+    return queue
+
+
+def works_of(call) -> set[str]:
+    return {item.work for item in call.items}
+
+
+def test_work_whose_call_lost_its_upstream_shares_no_call():
+    queue = make_lost_queue()
+    for name in ("three", "four"):
+        batcher.submit(queue, NOW, stage_work(name, deadline_left_s=1e6), "link")
+    calls = batcher.dispatch(queue, NOW + 1.0)
+
+    assert [works_of(call) for call in calls] == [{"one"}, {"two"}, {"three", "four"}]
+
+
+def test_work_that_loses_upstreams_alone_is_refused_and_other_work_is_not():
+    queue = make_lost_queue()
+    now = NOW + 1.0
+    ended = []
+    for _ in range(batcher.MAXIMUM_LOST_ALONE):
+        for call in batcher.dispatch(queue, now):
+            if works_of(call) == {"one"}:
+                ended += batcher.call_failed(
+                    queue, now, call.number, full=False, lost=True
+                )
+            else:
+                ended += batcher.call_done(queue, now, call.number, successes(call))
+        now += batcher.MAXIMUM_PAUSE_S
+
+    outcomes = {finished.work.message.work: finished.refusal for finished in ended}
+    assert outcomes["one"].reason == "its pieces crash upstreams"
+    assert outcomes["two"] is None
+    assert queue.works == {}
+
+
+def test_work_is_separated_after_several_time_outs():
+    queue = make_queue(upstreams=3)
+    now = NOW
+    for name in ("one", "two"):
+        batcher.submit(queue, now, stage_work(name, deadline_left_s=1e6), "link")
+    for _ in range(batcher.TIMEOUTS_TO_SEPARATE):
+        (call,) = batcher.dispatch(queue, now)
+        assert works_of(call) == {"one", "two"}
+        batcher.call_failed(queue, now, call.number, full=False, timed_out=True)
+        now += 10.0
+
+    calls = batcher.dispatch(queue, now)
+    assert [works_of(call) for call in calls] == [{"one"}, {"two"}]
+
+
 def test_a_lost_input_ends_the_work_at_once():
     queue = make_queue()
     batcher.submit(queue, NOW, stage_work("one", depth=1), "link")
