Count requests under which an upstream falls silent as crashes

What callers saw: requests that are not answered within their deadline, again and again.

An upstream that crashes with its host keeps its connections open: the attempt ends with the caller's deadline, or because the caller leaves, and neither was reported as a crash.

Change: a host keeps the requests and stage calls that got no answer. They count as crashes as soon as another start holds the upstream's address, or if no heartbeat of the upstream has followed for 2.5 s while those of others have; they don't if one follows, if the upstream has left as planned, or if it was silent before the request was sent.

Ruled out: counting each time-out (a slow or overloaded service would have its callers' repeats refused).

--- a/bitternlever/gateway/batching.py
+++ b/bitternlever/gateway/batching.py
@@ -340,8 +340,8 @@
             lost=lost,
             reason=reason,
         )
-        if lost:
-            _record_crash(gateway, now, queue, call)
+        if lost or timed_out:
+            _record_possible_crash(gateway, now, queue, call, lost=lost)
         ended = batcher.call_failed(
             queue, now, call.number, full=full, timed_out=timed_out, lost=lost
         )
@@ -366,25 +366,31 @@
     pump_later(gateway)
 
 
-def _record_crash(
+def _record_possible_crash(
     gateway: state.Gateway,
     now: float,
     queue: batching_tables.Batcher,
     call: batching_tables.Call,
+    *,
+    lost: bool,
 ) -> None:
-    """Report all requests of a call that may have crashed its upstream."""
+    """Record all requests of a call that may have crashed its upstream.
+
+    If it has not been ``lost``, they count if the upstream stays silent.
+    """
     entry = gateway.tables.upstreams.entries.get(call.upstream.upstream_id)
     if entry is None:
         return
+    parts = gateway.tables.prompt_parts
     for work in batcher.works_of(queue, call):
-        message = work.message
-        prompt_parts.record_crash_of(
-            gateway.tables.prompt_parts,
-            now,
-            message.request,
-            tuple(message.fingerprints),
-            entry.status,
-        )
+        request = work.message.request
+        names = tuple(work.message.fingerprints)
+        if lost:
+            prompt_parts.record_crash_of(parts, now, request, names, entry.status)
+        else:
+            prompt_parts.record_unanswered_of(
+                parts, now, request, names, entry.status, call.sent_s
+            )
 
 
 def _refuse_quarantined(
--- a/bitternlever/gateway/context.py
+++ b/bitternlever/gateway/context.py
@@ -17,7 +17,8 @@
     the numbers and durations of those that ended. ``stages_done_s`` and
     ``first_piece_s`` are when the stages were done and when the first piece of the
     answer arrived. ``sent`` is set once any byte of the request itself was sent to an
-    upstream that did not report it as not run. ``priority`` is passed on to an engine.
+    upstream that did not report it as not run, ``sent_to`` is the last upstream to
+    which any was sent. ``priority`` is passed on to an engine.
     ``may_have_run_on`` and ``tried`` are upstreams. ``fingerprints`` are the names of
     the request once they are needed.
     """
@@ -42,6 +43,7 @@
     stages_done_s: float | None = None
     first_piece_s: float | None = None
     sent: bool = False
+    sent_to: str = ""
     attempts: int = 0
     may_have_run_on: set[str] = dataclasses.field(default_factory=set)
     tried: set[str] = dataclasses.field(default_factory=set)
--- a/bitternlever/gateway/forward.py
+++ b/bitternlever/gateway/forward.py
@@ -205,6 +205,25 @@
     return prompt_parts.is_suspected(parts, context)
 
 
+def _record_unanswered(
+    gateway: state.Gateway,
+    context: gateway_context.Context,
+    relay: Relay,
+    upstream: fleet.UpstreamStatus,
+    sent_s: float,
+) -> None:
+    """Remember a request that was sent and got no whole answer in time."""
+    if context.sent_to == upstream.upstream:
+        prompt_parts.record_unanswered(
+            gateway.tables.prompt_parts,
+            clocks.boot_time(),
+            context,
+            upstream,
+            begun=_has_begun(relay),
+            sent_s=sent_s,
+        )
+
+
 def _has_begun(relay: Relay) -> bool:
     """Return whether the answer of the present attempt has gone beyond its start."""
     events_of_attempt = relay.splitter.events - relay.events_before
@@ -355,8 +374,14 @@
                 return attempt
             outcome = await _relay_answer(gateway, context, relay, attempt)
     except TimeoutError:
+        _record_unanswered(gateway, context, relay, upstream, started_s)
         return Failure("no answer within the time", context.sent, 504)
+    except asyncio.CancelledError:
+        _record_unanswered(gateway, context, relay, upstream, started_s)
+        raise
     except exchange.ExchangeError as error:
+        if not error.lost:
+            _record_unanswered(gateway, context, relay, upstream, started_s)
         notices.handle_failed_exchange(
             gateway, upstream.upstream, error, context.head.request
         )
@@ -408,6 +433,7 @@
         return Failure(error.reason, error.sent)
     sent_before = context.sent
     context.sent = True
+    context.sent_to = upstream.upstream
     inputs_timer = None
     if context.inputs:
         loop = asyncio.get_running_loop()
--- a/bitternlever/gateway/prompt_parts.py
+++ b/bitternlever/gateway/prompt_parts.py
@@ -3,14 +3,17 @@
 A request that loses its upstream before its answer has really begun may have crashed
 it. The host reports it to control, which decides for the fleet
 (``fleet.crash_suspects``), and refuses requests with parts that control has
-quarantined. The last part of a prompt belongs to its request alone and is not followed;
+quarantined. One that gets no answer in time may have crashed an upstream that falls
+silent with its connections open; it is reported if no heartbeat of the upstream
+follows. The last part of a prompt belongs to its request alone and is not followed;
 the whole request is, by its fingerprints, until its answer is complete.
 """
 
 import collections
 import dataclasses
+import math
 
-from bitternlever.fleet import quarantine
+from bitternlever.fleet import quarantine, upstreams
 from bitternlever.gateway import context as gateway_context, dialect, fingerprints
 from bitternlever.messages import fleet
 
@@ -30,6 +33,17 @@
 CRASH_RETENTION_S = 120.0
 """Bound what is kept for control; a restarted one gets all of it."""
 
+MAXIMUM_UNANSWERED = 256
+
+SILENT_S = 2.5
+"""Two heartbeat intervals of upstreams and some delay."""
+
+ALL_SILENT_S = 1.5
+"""If no upstream was seen for this time, control is silent rather than they."""
+
+UNANSWERED_RETENTION_S = 20.0
+"""Longer than it takes to see whether an upstream is silent."""
+
 TRIAL_GRANT_S = 5.0
 """Time for which a host may use a trial; control grants the next one much later."""
 
@@ -45,6 +59,14 @@
     at_s: float
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Unanswered:
+    """A request that was not answered in time; ``crash`` has the time of its end."""
+
+    crash: Crash
+    sent_s: float
+
+
 @dataclasses.dataclass(slots=True)
 class PromptParts:
     """What a host knows of prompt parts; times are on the boot clock.
@@ -65,6 +87,9 @@
     crashes: collections.deque[Crash] = dataclasses.field(
         default_factory=lambda: collections.deque(maxlen=MAXIMUM_CRASHES)
     )
+    unanswered: collections.deque[Unanswered] = dataclasses.field(
+        default_factory=lambda: collections.deque(maxlen=MAXIMUM_UNANSWERED)
+    )
     trials: dict[str, float] = dataclasses.field(default_factory=dict)
 
 
@@ -201,6 +226,71 @@
     record_crash_of(parts, now, context.head.request, names, upstream)
 
 
+def record_unanswered(
+    parts: PromptParts,
+    now: float,
+    context: gateway_context.Context,
+    upstream: fleet.UpstreamStatus,
+    *,
+    begun: bool,
+    sent_s: float,
+) -> None:
+    """Record that a request got no answer in time, or that its caller has left."""
+    names = fingerprints.names(context) if begun else followed(context)
+    record_unanswered_of(parts, now, context.head.request, names, upstream, sent_s)
+
+
+def record_unanswered_of(
+    parts: PromptParts,
+    now: float,
+    request: str,
+    names: tuple[str, ...],
+    upstream: fleet.UpstreamStatus,
+    sent_s: float,
+) -> None:
+    """Record that a request with some parts got no answer, or one of its stages."""
+    if names:
+        request = request[:MAXIMUM_REQUEST_LENGTH]
+        crash = Crash(request, upstream.upstream, upstream.started_ms, names, now)
+        parts.unanswered.append(Unanswered(crash, sent_s))
+
+
+def report_silent_upstreams(
+    parts: PromptParts, now: float, table: upstreams.UpstreamTable
+) -> None:
+    """Turn unanswered requests into crashes whose upstreams have been silent since."""
+    if not parts.unanswered:
+        return
+    latest_s = max(
+        (entry.last_seen_s for entry in table.entries.values()), default=-math.inf
+    )
+    if now - latest_s > ALL_SILENT_S:
+        return
+    for _ in range(len(parts.unanswered)):
+        unanswered = parts.unanswered.popleft()
+        is_crash = _has_crashed(now, unanswered, table)
+        if is_crash is None:
+            parts.unanswered.append(unanswered)
+        elif is_crash:
+            parts.crashes.append(dataclasses.replace(unanswered.crash, at_s=now))
+
+
+def _has_crashed(
+    now: float, unanswered: Unanswered, table: upstreams.UpstreamTable
+) -> bool | None:
+    """Return whether a request's upstream has ended under it, None if that may be."""
+    crash = unanswered.crash
+    entry = table.entries.get(crash.upstream)
+    if entry is None or now - crash.at_s > UNANSWERED_RETENTION_S:
+        return False
+    if entry.superseded or entry.status.started_ms > crash.started_ms:
+        return True
+    was_silent = unanswered.sent_s - entry.last_seen_s > SILENT_S
+    if entry.ended_s is not None or entry.last_seen_s > crash.at_s or was_silent:
+        return False
+    return True if now - entry.last_seen_s > SILENT_S else None
+
+
 def record_crash_of(
     parts: PromptParts,
     now: float,
--- a/bitternlever/gateway/sync.py
+++ b/bitternlever/gateway/sync.py
@@ -59,6 +59,7 @@
     pauses = fleet_pauses.current(tables.pauses, now)
     rate_shares.remove_ended(tables, now)
     parts = tables.prompt_parts
+    prompt_parts.report_silent_upstreams(parts, now, tables.upstreams)
     quarantined = quarantine.current(parts.records, now)
     sound = prompt_parts.sound_reports(parts, now)
     return [
--- a/tests/gateway/test_prompt_parts.py
+++ b/tests/gateway/test_prompt_parts.py
@@ -145,6 +145,88 @@
     assert prompt_parts.crashes_since(parts, late_s, 0.0) == []
 
 
+SENT_S = NOW - 0.6
+
+
+def unanswered_tables(seen_s=SENT_S) -> gateway_tables.GatewayTables:
+    """Return tables after a request to u1 that was not answered; u2 is alive."""
+    tables = gateway_tables.GatewayTables(
+        announcement=samples.host_announcement(), seeds=("tcp://c:1",)
+    )
+    see(tables, seen_s, "u1")
+    prompt_parts.record_unanswered(
+        tables.prompt_parts,
+        NOW,
+        context("a", "own"),
+        samples.upstream_status("u1"),
+        begun=False,
+        sent_s=SENT_S,
+    )
+    return tables
+
+
+def see(tables, now, name, **changes) -> None:
+    """Let a heartbeat of an upstream arrive."""
+    sequence = round(now * 1_000) - 900_000
+    status = samples.upstream_status(name, **{"sequence": sequence, **changes})
+    fleet_upstreams.merge_status(tables.upstreams, now, status)
+
+
+def crashes_reported(tables, now) -> int:
+    """Return how many crashes the next heartbeat of the host reports."""
+    [(_, beat)] = sync.heartbeats(tables, now, fleet.HostState.READY, [])
+    return len(beat.crashes)
+
+
+def test_an_unanswered_request_is_a_crash_if_its_upstream_stays_silent():
+    tables = unanswered_tables()
+    for number in range(5):
+        now = NOW + number * 0.5
+        see(tables, now, "u2")
+        assert crashes_reported(tables, now) == (now - SENT_S > prompt_parts.SILENT_S)
+    (crash,) = tables.prompt_parts.crashes
+    assert crash.parts == ("a", *fingerprints.names(context("own")))
+
+
+def test_an_unanswered_request_is_no_crash_if_its_upstream_is_alive():
+    tables = unanswered_tables()
+    see(tables, NOW + 0.5, "u1")
+    for number in range(20):
+        see(tables, NOW + number * 0.5, "u2")
+        assert crashes_reported(tables, NOW + number * 0.5) == 0
+    assert not tables.prompt_parts.unanswered
+
+
+def test_an_unanswered_request_is_no_crash_if_its_upstream_has_left():
+    tables = unanswered_tables()
+    see(tables, NOW + 0.5, "u1", state=fleet.UpstreamState.GONE)
+    see(tables, NOW + 4.0, "u2")
+
+    assert crashes_reported(tables, NOW + 4.0) == 0
+
+
+def test_a_request_to_an_upstream_that_was_silent_before_has_not_crashed_it():
+    tables = unanswered_tables(seen_s=SENT_S - prompt_parts.SILENT_S - 0.1)
+    see(tables, NOW + 4.0, "u2")
+
+    assert crashes_reported(tables, NOW + 4.0) == 0
+
+
+def test_an_unanswered_request_is_a_crash_as_soon_as_its_upstream_has_a_successor():
+    tables = unanswered_tables()
+    see(tables, NOW + 0.1, "u3", address="u1:80", started_ms=2_000)
+
+    assert crashes_reported(tables, NOW + 0.2) == 1
+
+
+def test_nothing_counts_as_a_crash_while_no_upstream_is_heard_of():
+    tables = unanswered_tables()
+
+    assert crashes_reported(tables, NOW + 4.0) == 0
+    see(tables, NOW + 5.0, "u2")
+    assert crashes_reported(tables, NOW + 5.0) == 1
+
+
 def test_answers_are_reported_for_suspects_only():
     parts = quarantined("c")
     answered = context("a", "b", "c", "own", target=b"/a/x?q")
--- a/tests/platform/test_crashing_requests.py
+++ b/tests/platform/test_crashing_requests.py
@@ -239,8 +239,13 @@
 
 @pytest.mark.parametrize(
     ("how", "staged", "seconds"),
-    [("lost", False, 11.0), ("lost", True, 12.0), (SILENT, False, 20.0)],
-    ids=["lost", "stage", "silent"],
+    [
+        ("lost", False, 11.0),
+        ("lost", True, 12.0),
+        (SILENT, False, 20.0),
+        (SILENT, True, 20.0),
+    ],
+    ids=["lost", "stage", "silent", "silent-stage"],
 )
 async def test_a_request_that_crashes_upstreams_reaches_few_of_them(
     tmp_path, how, staged, seconds
