Stop requests that crash upstreams on the own interface

What callers saw: a durable request that crashes upstreams was sent again after 15 s at the longest, without end, and by the next host after a takeover; one that is not durable crashed four, and four more each time it was sent again under another key.

Change: a failed call says whether the upstream ended the connection. Hosts follow such requests by caller, pipeline and body with the same evidence and the same records as control does for a fleet, and send both with their gossip. A quarantined request is refused with 503 and the time; one that is running ends with 502, also if it is durable and after a takeover.

Ruled out: a bound on the failures of one request (its repeats under other keys would not be known, nor would a host that takes it over).

--- a/bitternlever/entry/tick.py
+++ b/bitternlever/entry/tick.py
@@ -11,6 +11,7 @@
 from bitternlever.pipelines import (
     answers,
     cancellations,
+    crashes,
     drain,
     failures,
     intake,
@@ -76,6 +77,7 @@
         control_client.receive(tables, now, outbox, received.node, message)
     elif isinstance(message, gossip.Gossip):
         membership.handle_gossip(tables, now, outbox, message)
+        crashes.handle_gossip(tables, now, message)
     elif isinstance(message, calls.OrphansWaiting):
         tables.orphans_hint = True
     elif isinstance(message, calls.ManifestChanged):
--- a/bitternlever/fleet/crash_suspects.py
+++ b/bitternlever/fleet/crash_suspects.py
@@ -110,7 +110,7 @@
     if now - at_s > RETENTION_S:
         return
     evidence.outdated = True
-    start = f"{report.upstream} {report.started_ms}"
+    start = start_of(report)
     for position, (part, sound_age_s) in enumerate(report.parts):
         suspect = _suspect(evidence, now, part)
         if suspect is None:
@@ -127,6 +127,11 @@
             crash.requests.add(report.request)
 
 
+def start_of(report: fleet.PromptCrash) -> str:
+    """Return what tells the start of an upstream from others."""
+    return f"{report.upstream} {report.started_ms}"
+
+
 def record_sound(
     evidence: Evidence,
     records: quarantine.Records,
--- a/bitternlever/gossip/membership.py
+++ b/bitternlever/gossip/membership.py
@@ -14,6 +14,7 @@
 from bitternlever.entry import tables as entry_tables
 from bitternlever.gossip import peers, subsets, tables as gossip_tables, upstreams
 from bitternlever.messages import frames, gossip, manifest, requests
+from bitternlever.pipelines import crashes
 
 GOSSIP_INTERVAL_S = 0.25
 HEARTBEAT_INTERVAL_S = 1.0
@@ -211,5 +212,7 @@
         incarnation=tables.settings.incarnation,
         stamp_s=now,
         echo=echo,
+        crashes=crashes.reports(tables, now),
+        quarantine=crashes.records(tables, now),
     )
     outbox.send(target)
--- a/bitternlever/messages/gossip.py
+++ b/bitternlever/messages/gossip.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from bitternlever.messages import upstream
+from bitternlever.messages import fleet, upstream
 
 
 class KnownHost(msgspec.Struct, frozen=True, array_like=True):
@@ -70,6 +70,7 @@
 
     ``stamp_s`` is the sender's monotonic time, meaningful to the sender only.
     ``wanted`` names the upstreams whose full announcement the sender requests.
+    ``crashes`` and ``quarantine`` are about requests that crash upstreams.
     """
 
     hosts: list[KnownHost]
@@ -80,3 +81,5 @@
     incarnation: str = ""
     stamp_s: float = 0.0
     echo: Echo | None = None
+    crashes: list[fleet.PromptCrash] = []
+    quarantine: list[fleet.PromptPart] = []
--- a/bitternlever/messages/requests.py
+++ b/bitternlever/messages/requests.py
@@ -168,7 +168,8 @@
     """A stage call that ended without a complete answer.
 
     ``status`` is the upstream's HTTP status, absent if none was received. A refusal
-    with status 429 or 503 and ``ran: no`` is reported with ``sent`` NO.
+    with status 429 or 503 and ``ran: no`` is reported with ``sent`` NO. ``lost`` is set
+    if the upstream ended the connection, as it does when it crashes.
     """
 
     attempt: str
@@ -176,6 +177,7 @@
     reason: str
     status: int | None = None
     retry_after_s: float | None = None
+    lost: bool = False
 
 
 class UpstreamAnnounced(msgspec.Struct, tag=True):
--- a/bitternlever/pipelines/failures.py
+++ b/bitternlever/pipelines/failures.py
@@ -5,6 +5,7 @@
 from bitternlever.entry import tables as entry_tables
 from bitternlever.messages import problems, requests
 from bitternlever.pipelines import (
+    crashes,
     finish,
     ownership,
     progress,
@@ -36,6 +37,8 @@
     ownership.end_attempt(tables, now, outbox, attempt, ended="failed")
     feedback.failed(tables, now, attempt, message)
     request = tables.requests.requests[attempt.request_id]
+    if message.lost and message.sent is not requests.Sent.NO:
+        crashes.record_lost(tables, now, request, attempt.upstream)
     if request.attempts:
         _promote_hedge(tables, now, outbox, request)
         return
--- a/bitternlever/pipelines/finish.py
+++ b/bitternlever/pipelines/finish.py
@@ -6,6 +6,7 @@
 from bitternlever.entry import tables as entry_tables
 from bitternlever.messages import journal, problems
 from bitternlever.pipelines import (
+    crashes,
     delivery,
     ownership,
     progress,
@@ -41,6 +42,7 @@
         head=head,
         tail=tail,
     )
+    crashes.record_answered(tables, now, request)
     _end(tables, now, outbox, request, answer)
 
 
--- a/bitternlever/pipelines/intake.py
+++ b/bitternlever/pipelines/intake.py
@@ -9,6 +9,7 @@
 from bitternlever.messages import manifest, problems, requests
 from bitternlever.pipelines import (
     claims,
+    crashes,
     creation,
     delivery,
     refusals,
@@ -83,6 +84,10 @@
             tables, 400, "Body not readable", f"send a JSON object: {error}"
         )
     request.traceparent = message.traceparent
+    refused_s = crashes.refused_for_s(tables, now, request)
+    if refused_s is not None:
+        detail = "upstreams that began to run this request have crashed"
+        return _refusal(tables, 503, "Crashes upstreams", detail, refused_s)
     admitted = admission_control.admit(
         tables,
         now,
--- a/bitternlever/pipelines/launch.py
+++ b/bitternlever/pipelines/launch.py
@@ -5,6 +5,7 @@
 from bitternlever.entry import tables as entry_tables
 from bitternlever.messages import journal, manifest, requests, upstream
 from bitternlever.pipelines import (
+    crashes,
     finish,
     ownership,
     refusals,
@@ -43,6 +44,11 @@
         if not ready.hedge:
             tables.requests.awaiting_lease.append(ready)
         return
+    if crashes.refused_for_s(tables, now, request) is not None:
+        if not request.attempts:
+            problem = refusals.crashes_upstreams(tables, request)
+            finish.with_problem(tables, now, outbox, request, problem)
+        return
     spans.report_span(
         outbox,
         request,
--- a/bitternlever/pipelines/refusals.py
+++ b/bitternlever/pipelines/refusals.py
@@ -53,6 +53,20 @@
     return problems.Ran.NO
 
 
+def crashes_upstreams(
+    tables: entry_tables.EntryTables, request: pipeline_tables.Request
+) -> problems.Problem:
+    """Return the final problem for a request that crashes each upstream it runs on."""
+    return make_problem(
+        tables,
+        status=502,
+        title="Crashes upstreams",
+        detail="upstreams that began to run this request have crashed",
+        ran=ran_state(request),
+        request_id=request.request_id,
+    )
+
+
 def deadline_passed(
     tables: entry_tables.EntryTables, request: pipeline_tables.Request
 ) -> problems.Problem:
--- a/bitternlever/pipelines/tables.py
+++ b/bitternlever/pipelines/tables.py
@@ -1,11 +1,13 @@
 """Tables of requests, their ready stages and their attempts on upstreams."""
 
+import collections
 import dataclasses
 import enum
 from collections.abc import Callable
 from typing import Any
 
-from bitternlever.messages import journal, manifest
+from bitternlever.fleet import crash_suspects, quarantine
+from bitternlever.messages import fleet, journal, manifest
 
 
 class Phase(enum.Enum):
@@ -200,6 +202,26 @@
     action: Callable[[Any, float, Any], None] = dataclasses.field(compare=False)
 
 
+@dataclasses.dataclass(slots=True)
+class Crashes:
+    """What this host knows of requests that crash upstreams.
+
+    ``recent`` are reports with the time at which they became known here; ``sound`` are
+    the times of the last answers by the name of the request, the latest last.
+    """
+
+    evidence: crash_suspects.Evidence = dataclasses.field(
+        default_factory=crash_suspects.Evidence
+    )
+    records: quarantine.Records = dataclasses.field(default_factory=dict)
+    recent: collections.deque[tuple[float, fleet.PromptCrash]] = dataclasses.field(
+        default_factory=collections.deque
+    )
+    sound: collections.OrderedDict[str, float] = dataclasses.field(
+        default_factory=collections.OrderedDict
+    )
+
+
 @dataclasses.dataclass(slots=True)
 class RequestTables:
     """Requests and attempts by id, and the request id of each open caller.
@@ -213,6 +235,7 @@
     attempts: dict[str, Attempt] = dataclasses.field(default_factory=dict)
     callers: dict[int, str] = dataclasses.field(default_factory=dict)
     watches: dict[str, Watch] = dataclasses.field(default_factory=dict)
+    crashes: Crashes = dataclasses.field(default_factory=Crashes)
     timers: list[Timer] = dataclasses.field(default_factory=list)
     awaiting_lease: list[ReadyStage] = dataclasses.field(default_factory=list)
     next_request: int = 0
--- a/bitternlever/transport/upstream_client.py
+++ b/bitternlever/transport/upstream_client.py
@@ -133,7 +133,7 @@
             _fail(client, message, requests.Sent.UNKNOWN, "no byte within the timeout")
         except exchange.ExchangeError as error:
             sent = requests.Sent.UNKNOWN if error.sent else requests.Sent.NO
-            _fail(client, message, sent, error.reason)
+            _fail(client, message, sent, error.reason, lost=error.lost)
         except CALL_ERRORS as error:
             reason = f"{type(error).__name__}: {error}"
             _fail(client, message, requests.Sent.UNKNOWN, reason)
@@ -386,6 +386,7 @@
     reason: str,
     status: int | None = None,
     retry_after_s: float | None = None,
+    lost: bool = False,
 ) -> None:
     events.UPSTREAM_CALL_FAILED.log(
         logger,
@@ -402,6 +403,7 @@
             reason=reason,
             status=status,
             retry_after_s=retry_after_s,
+            lost=lost,
         ),
     )
 
--- a/tests/pipelines/system.py
+++ b/tests/pipelines/system.py
@@ -35,6 +35,7 @@
     requests that each ended host cut off. Calls to ``held_pools`` stay open until the
     test answers them; ``unannounced_hosts`` get no upstream announcements.
     ``consumed_calls`` counts the calls by pool that ``next_call`` has returned.
+    ``incarnations`` are those of the upstreams that have started again.
     """
 
     sim: simulation.Simulation
@@ -49,6 +50,7 @@
     held_pools: set[str] = dataclasses.field(default_factory=set)
     unannounced_hosts: set[str] = dataclasses.field(default_factory=set)
     consumed_calls: dict[str, int] = dataclasses.field(default_factory=dict)
+    incarnations: dict[str, int] = dataclasses.field(default_factory=dict)
     next_caller: int = 0
 
 
@@ -340,7 +342,7 @@
             for number in (1, 2):
                 announcement = upstream.Announcement(
                     name=f"{pool}-{number}",
-                    incarnation=1,
+                    incarnation=env.incarnations.get(f"{pool}-{number}", 1),
                     sequence=int(env.sim.now),
                     address=f"http://{pool}-{number}",
                     pool=pool,
