End a rate limit by sound answers only, and keep its bucket

A late copy of an answer, or one without a signature, could end a limit for a moment; the limit's next answer then began with a full bucket. An upstream that spoils its answers could so get more than it takes. Found by reading the change; the new tests fail without it in the cases of an unsigned and a crossed answer.

--- a/bitternlever/gateway/notices.py
+++ b/bitternlever/gateway/notices.py
@@ -165,8 +165,15 @@
     answer: gateway_dialect.AnswerHead,
     request: str | None,
 ) -> None:
-    """Record the limit of an answer; a failure without one does not end a limit."""
+    """Record the limit that an answer names, or that it names none.
+
+    A limit is not ended by failures, by answers without a signature, nor by the late
+    copy of an answer to another request.
+    """
     status = entry.status
+    is_late_copy = None not in (request, answer.request) and answer.request != request
+    if is_late_copy:
+        return
     if answer.rate_limit_fault:
         gateway.measures.notices["limit_faulty"] += 1
         events.RATE_LIMIT_FAULTY.log(
@@ -176,7 +183,9 @@
             fault=answer.rate_limit_fault,
         )
         return
-    if answer.rate_limit is None and head.status >= FIRST_FAILED_STATUS:
+    is_trusted = answer.signed or request is None
+    has_failed = head.status >= FIRST_FAILED_STATUS
+    if answer.rate_limit is None and (has_failed or not is_trusted):
         return
     if rate_limits.observe(
         gateway.tables.rate_limits,
--- a/bitternlever/gateway/rate_shares.py
+++ b/bitternlever/gateway/rate_shares.py
@@ -191,7 +191,6 @@
     name = upstream.upstream
     limit_per_s = rate_limits.per_s(tables.rate_limits, name, upstream.started_ms)
     if limit_per_s is None:
-        buckets.pop(name, None)
         return None
     bucket = buckets.get(name)
     if bucket is not None:
--- a/tests/gateway/test_notices.py
+++ b/tests/gateway/test_notices.py
@@ -305,6 +305,23 @@
     assert known == [{"u1": 7.5}, {"u1": 7.5}, {"u1": None}]
 
 
+@pytest.mark.parametrize(
+    "behaviour",
+    [answer(200), answer(404, SEAL), scripted_upstream.crossed()],
+    ids=["unsigned", "failed", "crossed"],
+)
+async def test_a_rate_limit_is_ended_by_sound_answers_only(behaviour):
+    server = await scripted_upstream.start(
+        "u1", answer(200, SEAL, limit(100)), behaviour
+    )
+    catalog = with_route(maximum_attempts=1)
+    async with entry_host.running(catalog, status_of(server)) as (gateway, port):
+        await ask_often(port, 2)
+
+        assert limits_of(gateway) == {"u1": 100.0}
+    assert len(server.received) >= 2
+
+
 async def test_the_lowest_of_several_rate_limits_holds():
     server = await scripted_upstream.start("u1", answer(200, SEAL, limit(3), limit(2)))
     async with entry_host.running(with_route(), status_of(server)) as (gateway, port):
--- a/tests/gateway/test_rate_shares.py
+++ b/tests/gateway/test_rate_shares.py
@@ -187,6 +187,18 @@
     assert rate_shares.request_opens_s(tables, NOW + 3.0, status) is None
 
 
+def test_a_limit_that_ends_and_begins_again_at_once_fills_no_bucket():
+    tables = make_tables(0, 1)
+    status = samples.upstream_status()
+    limit(tables, 1.0)
+    drain(tables, NOW, "u1")
+    limit(tables, None, at_s=NOW + 0.1)
+    assert rate_shares.request_opens_s(tables, NOW + 0.1, status) is None
+    limit(tables, 1.0, at_s=NOW + 0.2)
+
+    assert rate_shares.request_opens_s(tables, NOW + 0.2, status) > NOW + 0.2
+
+
 def test_the_limit_of_a_stage_service_is_for_calls_unless_requests_go_there_too():
     tables = make_tables(0, 1)
     limit(tables, 2.0)
