Keep the shares of hosts that are no longer listed for some time

A control process that has just started lists the hosts that it has heard of, one or two at first. Where all of control starts at once, each host took the whole limit for half a second.

Ruled out: a share that lapses without control, since a limited upstream would get nothing while control is down.

--- a/bitternlever/gateway/rate_shares.py
+++ b/bitternlever/gateway/rate_shares.py
@@ -5,7 +5,8 @@
 limit allows requests at once, each has a token bucket with an equal part of the rate.
 Calls to a stage service come from the one host that batches them, which has a bucket
 for the whole limit. A change of the list moves shares from host to host; a host that
-gains one begins with an empty bucket.
+gains one begins with an empty bucket, and the share of one that is no longer listed is
+not used for some time: the list of a control process that has just started is short.
 
 Load pattern: any number of hosts, and limits of far less or more than one request per
 second for each of them.
@@ -34,6 +35,12 @@
 MIXED_PART = 0.5
 """Part of a limit for each, if an upstream gets both requests and stage calls."""
 
+HOST_RETENTION_S = 5.0
+"""Control lists all hosts within a second after its start, with time to elect."""
+
+HOSTS_INTERVAL_S = 0.25
+"""Hosts that are no longer listed are dropped with this delay."""
+
 MAXIMUM_RETURN_S = 30.0
 """Hardly any caller waits longer, and the limits may have ended by then."""
 
@@ -151,7 +158,7 @@
     returns_s = tables.rate_shares.returns_s
     return_s = max(first_s, returns_s.get(service, now))
     return_s = min(return_s, now + MAXIMUM_RETURN_S)
-    interval_s = max(1, len(tables.hosts.listed)) / fleet_per_s
+    interval_s = max(1, len(_hosts(tables, now))) / fleet_per_s
     returns_s[service] = return_s + interval_s
     return return_s - now
 
@@ -195,7 +202,14 @@
     bucket = buckets.get(name)
     if bucket is not None:
         _refill(bucket, now)
-    basis = _basis(tables, upstream, limit_per_s)
+    hosts = _hosts(tables, now)
+    basis = (
+        limit_per_s,
+        upstream.service,
+        hosts,
+        tables.announcement.state,
+        None if tables.catalog is None else tables.catalog.version,
+    )
     if bucket is None or bucket.started_ms != upstream.started_ms:
         share = share_of(tables, upstream, limit_per_s)
         bucket = gateway_tables.TokenBucket(
@@ -221,19 +235,22 @@
     bucket.basis = basis
 
 
-def _basis(
-    tables: gateway_tables.GatewayTables,
-    upstream: fleet.UpstreamStatus,
-    limit_per_s: float,
-) -> tuple:
-    """Return what a share is derived from."""
-    return (
-        limit_per_s,
-        upstream.service,
-        tables.hosts.listed,
-        tables.announcement.state,
-        None if tables.catalog is None else tables.catalog.version,
-    )
+def _hosts(tables: gateway_tables.GatewayTables, now: float) -> tuple[str, ...]:
+    """Return the links of the hosts that are ready, or were so recently."""
+    shares = tables.rate_shares
+    listed = tables.hosts.listed
+    if listed is shares.listed and now < shares.next_hosts_s:
+        return shares.hosts
+    shares.listed = listed
+    shares.next_hosts_s = now + HOSTS_INTERVAL_S
+    for host in listed:
+        if host.state is fleet.HostState.READY:
+            shares.ready_s[host.link] = now
+    for link, ready_s in list(shares.ready_s.items()):
+        if now - ready_s > HOST_RETENTION_S:
+            del shares.ready_s[link]
+    shares.hosts = tuple(sorted(shares.ready_s))
+    return shares.hosts
 
 
 def _request_share(
--- a/bitternlever/gateway/tables.py
+++ b/bitternlever/gateway/tables.py
@@ -74,12 +74,18 @@
 class RateShares:
     """Buckets for requests and for stage calls, by upstream.
 
-    By service, ``returns_s`` is when the next caller that is refused may return, and
-    ``awaiting`` counts the requests that will be sent after their stages.
+    ``hosts`` are the links of the hosts among which limits are divided, as derived from
+    the list ``listed``, and ``ready_s`` the times at which they were last listed as
+    ready. By service, ``returns_s`` is when the next caller that is refused may return,
+    and ``awaiting`` counts the requests that will be sent after their stages.
     """
 
     requests: dict[str, TokenBucket] = dataclasses.field(default_factory=dict)
     calls: dict[str, TokenBucket] = dataclasses.field(default_factory=dict)
+    hosts: tuple[str, ...] = ()
+    listed: tuple[fleet.HostAnnouncement, ...] | None = None
+    ready_s: dict[str, float] = dataclasses.field(default_factory=dict)
+    next_hosts_s: float = -math.inf
     returns_s: dict[str, float] = dataclasses.field(default_factory=dict)
     awaiting: collections.Counter = dataclasses.field(
         default_factory=collections.Counter
