Let an upstream of the soak name a rate limit, and check that it is kept

In half of the runs one upstream names a limit of 0.5 to 4 a second in all its answers. The new check counts its arrivals in windows of 4 s, from 3 s after the limit was first named, without windows in or shortly after a fault of an entry host. What is drawn for the limit leaves the faults of each seed as they are.

The tests of requests that crash upstreams use the restart of those of prompt parts.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -2,7 +2,7 @@
 
 import collections
 
-from soak import records as soak_records
+from soak import plan, records as soak_records
 from standins import fleet as standin_fleet
 
 ANSWER_MARGIN_S = 1.0
@@ -15,6 +15,14 @@
 MAXIMUM_UPSTREAMS = 2
 """The attempts that the run's routes allow; they are counted by upstream."""
 
+CONTACT_S = 3.0
+"""Hosts in touch know what another one has seen; a fault excuses for as long."""
+
+LIMIT_WINDOW_S = 4.0
+LIMIT_RATIO = 1.5
+LIMIT_SLACK = 5
+"""A limited upstream gets no more than this in any window."""
+
 Records = soak_records.Records
 
 
@@ -28,6 +36,7 @@
         _check_deadlines,
         _check_revoked_keys,
         _check_drained_upstreams,
+        _check_rate_limits,
         _check_config_versions,
         _check_process_exits,
         _check_cut_connections,
@@ -108,6 +117,40 @@
     ]
 
 
+def _check_rate_limits(records: Records) -> list[str]:
+    """Check windows from the time at which all hosts must know a limit.
+
+    Windows with a fault of an entry host, or shortly after one, are left out.
+    """
+    arrivals_by_start = collections.defaultdict(list)
+    for arrival in records.limited_arrivals:
+        arrivals_by_start[arrival.start].append(arrival)
+    excused = [
+        (start_s, end_s + CONTACT_S)
+        for host, start_s, end_s in records.fault_periods
+        if host in plan.ENTRIES
+    ]
+    excused += records.soak_pauses
+    violation_lines = []
+    for start, arrivals in arrivals_by_start.items():
+        limit_per_s = arrivals[0].limit_per_s
+        known_s = arrivals[0].at_s + CONTACT_S
+        allowed = LIMIT_RATIO * LIMIT_WINDOW_S * limit_per_s + LIMIT_SLACK
+        times_s = [arrival.at_s for arrival in arrivals if arrival.at_s >= known_s]
+        for from_s in times_s:
+            until_s = from_s + LIMIT_WINDOW_S
+            if any(from_s < end_s and start_s < until_s for start_s, end_s in excused):
+                continue
+            count = sum(from_s <= at_s < until_s for at_s in times_s)
+            if count > allowed:
+                violation_lines.append(
+                    f"{start} got {count} requests in {LIMIT_WINDOW_S:g} s at a limit "
+                    f"of {limit_per_s:.2f} a second"
+                )
+                break
+    return violation_lines
+
+
 def _check_config_versions(records: Records) -> list[str]:
     violation_lines = []
     for read in records.config_reads:
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -28,6 +28,12 @@
 REVOKE_SHARE = 0.5
 """Share of runs in which a key is revoked."""
 
+LIMIT_SHARE = 0.5
+"""Share of runs in which an upstream names a rate limit in all its answers."""
+
+LIMIT_PER_S = (0.5, 4.0)
+"""Range of that limit, far below what callers ask for."""
+
 FAULT_COUNT = (8, 18)
 """Range of the number of faults; most runs have some on upstreams, links and hosts."""
 
@@ -105,6 +111,17 @@
     return sorted(faults, key=lambda fault: fault.at_s)
 
 
+def draw_limit(seed: int) -> tuple[str, float] | None:
+    """Return the upstream that names a rate limit and the limit, if there is one.
+
+    It does not depend on the faults, so that these are the same with and without it.
+    """
+    source = random.Random(f"limit {seed}")
+    if source.random() >= LIMIT_SHARE:
+        return None
+    return source.choice(UPSTREAMS), source.uniform(*LIMIT_PER_S)
+
+
 def lost_controls(faults: list[Fault], at_s: float) -> set[str]:
     """Return the control hosts that count as lost at ``at_s``."""
     return {
--- a/soak/records.py
+++ b/soak/records.py
@@ -32,6 +32,15 @@
     at_s: float
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class LimitedArrival:
+    """A request arrived at a start of an upstream that names a rate limit."""
+
+    start: str
+    at_s: float
+    limit_per_s: float
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class ConfigWrite:
     """A config of the operator was acknowledged."""
@@ -74,6 +83,7 @@
 
     calls: list[Call] = dataclasses.field(default_factory=list)
     executions: list[Execution] = dataclasses.field(default_factory=list)
+    limited_arrivals: list[LimitedArrival] = dataclasses.field(default_factory=list)
     config_writes: list[ConfigWrite] = dataclasses.field(default_factory=list)
     config_reads: list[ConfigRead] = dataclasses.field(default_factory=list)
     exits: list[Exit] = dataclasses.field(default_factory=list)
--- a/soak/runner.py
+++ b/soak/runner.py
@@ -56,7 +56,8 @@
 class Environment:
     """The processes, relays and tasks of one run.
 
-    ``stopped`` has the names of the processes that a fault has ended.
+    ``limit`` is the upstream that names a rate limit, with that limit. ``stopped`` has
+    the names of the processes that a fault has ended.
     """
 
     fleet: standin_fleet.Fleet
@@ -64,6 +65,7 @@
     source: random.Random
     stopping: asyncio.Event
     session: aiohttp.ClientSession
+    limit: tuple[str, float] | None = None
     operator: soak_operator.Operator | None = None
     relays: dict[str, standin_relay.Relay] = dataclasses.field(default_factory=dict)
     upstreams: dict[str, soak_upstreams.Upstream] = dataclasses.field(
@@ -89,6 +91,7 @@
             source=random.Random(seed),
             stopping=asyncio.Event(),
             session=session,
+            limit=plan.draw_limit(seed),
         )
         try:
             await _run_plan(env, plan.draw(seed))
@@ -122,6 +125,8 @@
             clock=asyncio.get_running_loop(),
             started_ms=int(time.time() * 1_000),
         )
+        if env.limit is not None and env.limit[0] == name:
+            upstream.limit_per_s = env.limit[1]
         await soak_upstreams.start(upstream)
         env.upstreams[name] = upstream
     env.operator = soak_operator.Operator(
--- a/soak/upstreams.py
+++ b/soak/upstreams.py
@@ -32,7 +32,7 @@
     """A stand-in upstream with the contents of its heartbeats and its current fault.
 
     ``started_ms`` is its start in Unix milliseconds; ``heartbeat_number``
-    counts the heartbeats since then.
+    counts the heartbeats since then. ``limit_per_s`` is the rate limit that it names.
     """
 
     name: str
@@ -40,6 +40,7 @@
     source: random.Random
     clock: asyncio.AbstractEventLoop
     started_ms: int
+    limit_per_s: float | None = None
     heartbeat_number: int = 0
     state: str = "ready"
     fault: plan.Kind | None = None
@@ -71,12 +72,26 @@
     )
 
 
+def _name_limit(upstream: Upstream) -> tuple[str, ...]:
+    """Record an arrival and return the header that names the limit, if there is one."""
+    if upstream.limit_per_s is None:
+        return ()
+    arrival = soak_records.LimitedArrival(
+        start=f"{upstream.name} {upstream.started_ms}",
+        at_s=upstream.clock.time(),
+        limit_per_s=upstream.limit_per_s,
+    )
+    upstream.records.limited_arrivals.append(arrival)
+    return (f"Server-Limit: {upstream.limit_per_s}",)
+
+
 async def _answer(upstream: Upstream, endpoint, received, writer) -> None:
     request = received.headers.get("x-bitternlever-request-id", "")
+    limit_lines = _name_limit(upstream)
     match upstream.fault:
         case plan.Kind.UPSTREAM_REFUSES:
             lines = (scripted_upstream.NOT_RUN, f"Retry-After: {PAUSE_S}")
-            refuse = scripted_upstream.answer(503, b"", lines=lines)
+            refuse = scripted_upstream.answer(503, b"", lines=lines + limit_lines)
             await refuse(endpoint, received, writer)
             return
         case plan.Kind.UPSTREAM_RESTARTS:
@@ -103,7 +118,7 @@
             raise ConnectionResetError
         case _:
             body = soak_records.body_of(request)
-            lines = [scripted_upstream.SEAL]
+            lines = [scripted_upstream.SEAL, *limit_lines]
             if upstream.state == "draining":
                 lines.append(LEAVING)
             answer = scripted_upstream.answer(body=body, lines=tuple(lines))
--- a/tests/platform/test_crashing_requests.py
+++ b/tests/platform/test_crashing_requests.py
@@ -11,10 +11,7 @@
 
 from standins import fleet as fleet_processes, scripted_upstream
 from tests.gateway import entry_host
-from tests.platform import test_processes as processes
-
-CONTACT_S = 3.0
-"""The time within which hosts in touch know what the fleet knows."""
+from tests.platform import test_crashing_prompts, test_processes as processes
 
 CRASHES = 3
 ALLOWED = 3
@@ -25,8 +22,9 @@
 PATH = "/a/x"
 DEADLY = b"deadly"
 DEADLY_KEY = "d00d"
-HOSTS = ("entry-a", "entry-b")
-CONTROLS = tuple(f"control-{zone}" for zone in fleet_processes.ZONES)
+CONTACT_S = test_crashing_prompts.CONTACT_S
+HOSTS = test_crashing_prompts.HOSTS
+CONTROLS = test_crashing_prompts.CONTROLS
 SILENT = "silent"
 """An upstream that stops answering, rather than its connections being lost."""
 
@@ -269,17 +267,6 @@
     await asyncio.sleep(1.0)
 
 
-async def restart(fleet, names) -> None:
-    """Kill processes at once and start them; return when the hosts are in touch."""
-    for name in names:
-        fleet.kill(name)
-    for name in names:
-        fleet.start(name, bootstrap=False)
-    for host in HOSTS:
-        await fleet_processes.wait_until(processes.ready(fleet, host))
-    await asyncio.sleep(2.0)
-
-
 @pytest.mark.parametrize(
     "restarted", [HOSTS, (*CONTROLS, *HOSTS)], ids=["hosts", "everything"]
 )
@@ -288,7 +275,7 @@
 ):
     async with running(tmp_path, 50) as (fleet, upstreams, traffic):
         await crash_until_known(traffic)
-        await restart(fleet, restarted)
+        await test_crashing_prompts.restart(fleet, restarted)
         before = len(upstreams.arrivals_s)
         traffic.start(traffic.send_deadly(gap_s=0.2))
         await asyncio.sleep(3.0)
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -138,3 +138,32 @@
 
     records.calls.append(served(status=0, host="entry-b"))
     assert len(checks.violations(records)) == 1
+
+
+def arrivals(count, from_s, per_s=1.0, start="upstream-1 1") -> list:
+    """Return arrivals within a second, after the first one that told of the limit."""
+    return [soak_records.LimitedArrival(start, 1.0, per_s)] + [
+        soak_records.LimitedArrival(start, from_s + number / count, per_s)
+        for number in range(count)
+    ]
+
+
+def test_more_requests_than_an_upstreams_limit_allows_are_a_violation():
+    records = valid()
+    records.limited_arrivals = arrivals(11, from_s=5.0)
+    assert checks.violations(records) == []
+
+    records.limited_arrivals = arrivals(12, from_s=5.0)
+    assert len(checks.violations(records)) == 1
+    records.fault_periods.append(("control-a", 5.0, 6.0))
+    assert len(checks.violations(records)) == 1
+
+
+def test_a_limit_is_checked_once_hosts_must_know_it_and_none_has_a_fault():
+    records = valid()
+    records.limited_arrivals = arrivals(20, from_s=2.0)
+    assert checks.violations(records) == []
+
+    records.limited_arrivals = arrivals(20, from_s=6.0)
+    records.fault_periods.append(("entry-a", 3.0, 4.0))
+    assert checks.violations(records) == []
--- a/tests/soak/test_plan.py
+++ b/tests/soak/test_plan.py
@@ -36,3 +36,11 @@
                     assert first.target != second.target
 
     assert overlaps > 0
+
+
+def test_a_limit_is_drawn_in_some_runs_and_leaves_the_faults_as_they_are():
+    limits = [plan.draw_limit(seed) for seed in range(40)]
+
+    assert None in limits
+    assert {limit[0] for limit in limits if limit} == set(plan.UPSTREAMS)
+    assert limits == [plan.draw_limit(seed) for seed in range(40)]
