Divide limits among the hosts that were listed recently, whatever has changed

The shares were still derived from the present list. They were kept while it was short only because nothing else had changed; a new catalog at that moment gave each host the whole limit.

--- a/bitternlever/gateway/rate_shares.py
+++ b/bitternlever/gateway/rate_shares.py
@@ -191,7 +191,8 @@
     upstream: fleet.UpstreamStatus,
     buckets: dict[str, gateway_tables.TokenBucket],
     share_of: Callable[
-        [gateway_tables.GatewayTables, fleet.UpstreamStatus, float], Share
+        [gateway_tables.GatewayTables, fleet.UpstreamStatus, float, tuple[str, ...]],
+        Share,
     ],
 ) -> gateway_tables.TokenBucket | None:
     """Return the refilled bucket for an upstream, None if it names no limit."""
@@ -211,14 +212,14 @@
         None if tables.catalog is None else tables.catalog.version,
     )
     if bucket is None or bucket.started_ms != upstream.started_ms:
-        share = share_of(tables, upstream, limit_per_s)
+        share = share_of(tables, upstream, limit_per_s, hosts)
         bucket = gateway_tables.TokenBucket(
             started_ms=upstream.started_ms, level=share.first_level, refilled_s=now
         )
         buckets[name] = bucket
         _apply(bucket, share, basis)
     elif bucket.basis != basis:
-        _apply(bucket, share_of(tables, upstream, limit_per_s), basis)
+        _apply(bucket, share_of(tables, upstream, limit_per_s, hosts), basis)
     return bucket
 
 
@@ -257,30 +258,31 @@
     tables: gateway_tables.GatewayTables,
     upstream: fleet.UpstreamStatus,
     limit_per_s: float,
+    hosts: tuple[str, ...],
 ) -> Share:
+    """Return this host's share of a limit on requests, which some hosts divide."""
     own_link = tables.announcement.link
     limit_per_s = max(MINIMUM_PER_S, limit_per_s)
     burst = BURST_REQUESTS + limit_per_s
-    links = [
-        host.link for host in tables.hosts.listed if host.state is fleet.HostState.READY
-    ]
-    sharing = affinity.ranked(upstream.upstream, links)[: int(burst)]
+    sharing = affinity.ranked(upstream.upstream, hosts)[: int(burst)]
     stops = tables.announcement.state is not fleet.HostState.READY
     if stops or own_link not in sharing:
         return NO_SHARE
-    hosts = len(sharing)
+    count = len(sharing)
     part = MIXED_PART if _gets_calls(tables, upstream.service) else 1.0
-    depth = max(1.0, burst / hosts)
+    depth = max(1.0, burst / count)
     # The last tokens come at a different time on each host.
-    missing = (sharing.index(own_link) + 0.5) / hosts
-    return Share(part * limit_per_s / hosts, depth, depth - missing)
+    missing = (sharing.index(own_link) + 0.5) / count
+    return Share(part * limit_per_s / count, depth, depth - missing)
 
 
 def _call_share(
     tables: gateway_tables.GatewayTables,
     upstream: fleet.UpstreamStatus,
     limit_per_s: float,
+    hosts: tuple[str, ...],
 ) -> Share:
+    """Return the share of a limit on stage calls, which come from one host."""
     limit_per_s = max(MINIMUM_PER_S, limit_per_s)
     catalog = tables.catalog
     is_mixed = catalog is not None and routes.has_target(catalog, upstream.service)
--- a/tests/gateway/test_rate_shares.py
+++ b/tests/gateway/test_rate_shares.py
@@ -169,6 +169,19 @@
     assert len(world.sent_s) >= 0.6 * 10.0 * 12.0
 
 
+def test_a_new_catalog_divides_a_limit_among_hosts_that_were_listed_recently():
+    tables = make_tables(0, 4)
+    limit(tables, 4.0)
+    status = samples.upstream_status()
+    rate_shares.take_request(tables, NOW, status)
+    tables.hosts.listed = (host(0),)
+    tables.catalog = samples.catalog(version=2)
+    before = rate_shares.request_tokens(tables, NOW + 0.1, status, NOW + 0.1)
+    later = rate_shares.request_tokens(tables, NOW + 0.1, status, NOW + 0.6)
+
+    assert later - before == pytest.approx(0.5)
+
+
 def test_a_host_that_stops_or_is_not_listed_has_no_share():
     tables = make_tables(0, 2)
     limit(tables, 1.0)
