--- a/bench/gateway_cost.py
+++ b/bench/gateway_cost.py
@@ -14,7 +14,7 @@
 from bench import process_cost
 from standins import fleet as fleet_processes, scripted_upstream
 
-NETWORK = 41
+NETWORK = 59
 PLAIN_BYTES = 800
 PROMPT_BYTES = 18_000
 EVENTS = 13
