--- a/bitternlever/gateway/rate_shares.py
+++ b/bitternlever/gateway/rate_shares.py
@@ -5,8 +5,9 @@
 limit allows requests at once, each has a token bucket with an equal part of the rate.
 Calls to a stage service come from the one host that batches them, which has a bucket
 for the whole limit. A change of the list moves shares from host to host; a host that
-gains one begins with an empty bucket, and the share of one that is no longer listed is
-not used for some time: the list of a control process that has just started is short.
+gains one from another begins with an empty bucket, and the share of one that is no
+longer listed is not used for some time: the list of a control process that has just
+started is short.
 
 Load pattern: any number of hosts, and limits of far less or more than one request per
 second for each of them.
