--- a/bitternlever/gateway/dialect.py
+++ b/bitternlever/gateway/dialect.py
@@ -28,7 +28,8 @@
     """The parsed headers of a caller's request; absent values are None or empty.
 
     ``pieces`` is the number of pieces of each stage, ``piece_key`` the data that stages
-    without inputs work on.
+    without inputs work on. A request that takes up a stream after ``last_event`` names
+    in ``resumes`` the request that brought the stream's first event.
     """
 
     request: str
@@ -40,6 +41,7 @@
     pieces: tuple[int, ...]
     piece_key: str
     last_event: str | None
+    resumes: str = ""
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/bitternlever/gateway/requests.py
+++ b/bitternlever/gateway/requests.py
@@ -94,6 +94,8 @@
         service=context.service,
         version=context.catalog.version,
         left_s=round(context.deadline_s - arrived_s, 3),
+        last_event=context.head.last_event,
+        resumes=context.head.resumes,
     )
     try:
         answer = await _run(gateway, request, context)
@@ -118,6 +120,8 @@
         request=context.head.request,
         status=answer.status,
         attempts=context.attempts,
+        upstream=context.sent_to,
+        software_version=_software_version(gateway, context.sent_to),
         route=context.route.name,
         stages=context.stage_times,
         staged_s=_elapsed_s(context.stages_done_s, arrived_s),
@@ -214,6 +218,11 @@
         measures.record_latency(gateway.measures, f"first_piece.{kind}", first_s)
 
 
+def _software_version(gateway: state.Gateway, upstream: str) -> str:
+    entry = gateway.tables.upstreams.entries.get(upstream)
+    return "" if entry is None else entry.status.software_version
+
+
 def _elapsed_s(at_s: float | None, started_s: float) -> float | None:
     return None if at_s is None else round(at_s - started_s, 3)
 
--- a/bitternlever/messages/fleet.py
+++ b/bitternlever/messages/fleet.py
@@ -65,7 +65,7 @@
     Statuses of one upstream are ordered by ``started_ms``, then by ``sequence``, the
     number of the upstream's call. ``started_ms`` is 0 if the upstream did not send its
     start time. ``age_s`` is the time from the arrival at control until the message was
-    sent.
+    sent. ``software_version`` is empty if the upstream named none.
     """
 
     upstream: str
@@ -78,6 +78,7 @@
     sequence: int
     cold_s: float = 0.0
     age_s: float = 0.0
+    software_version: str = ""
 
 
 class UpstreamPause(msgspec.Struct, frozen=True, array_like=True):
--- a/bitternlever/platform/headers.py
+++ b/bitternlever/platform/headers.py
@@ -24,6 +24,7 @@
 RATE_LIMIT = b"server-limit"
 MAXIMUM_SHOWN_BYTES = 32
 LAST_EVENT = b"last-event-id"
+RESUMES = b"resumes"
 AUTHORIZATION = b"authorization"
 MISDIRECTED_STATUS = 421
 INPUTS_LOST_STATUS = 409
@@ -76,6 +77,7 @@
         pieces=_numbers(values.get(PIECES, b"")),
         piece_key=_text(values.get(PIECE_KEY, b"")),
         last_event=_text(values[LAST_EVENT]) if LAST_EVENT in values else None,
+        resumes=_text(values.get(RESUMES, b"")),
     )
 
 
--- a/bitternlever/platform/upstreams.py
+++ b/bitternlever/platform/upstreams.py
@@ -15,7 +15,10 @@
 
 
 class _Heartbeat(msgspec.Struct):
-    """``call_seq`` numbers the upstream's calls, ``born`` is its start in Unix ms."""
+    """``call_seq`` numbers the upstream's calls, ``born`` is its start in Unix ms.
+
+    ``version`` is that of its software, not that of a config or of its weights.
+    """
 
     service: str
     address: str
@@ -25,6 +28,7 @@
     slot_count: int
     born: int = 0
     cold_left_ms: float = 0.0
+    version: str = ""
 
 
 class _Leave(msgspec.Struct):
@@ -53,6 +57,8 @@
         return result.Err(f"state {heartbeat.state!r} is unknown")
     if not heartbeat.service or heartbeat.slot_count < 1:
         return result.Err("no service or no slots")
+    if len(heartbeat.version) > MAXIMUM_NAME_LENGTH:
+        return result.Err("a version that is too long")
     return result.Ok(
         fleet.UpstreamStatus(
             upstream=name,
@@ -64,6 +70,7 @@
             started_ms=heartbeat.born,
             sequence=heartbeat.call_seq,
             cold_s=heartbeat.cold_left_ms / MILLISECONDS_PER_SECOND,
+            software_version=heartbeat.version,
         ),
     )
 
--- a/tests/platform/test_codecs.py
+++ b/tests/platform/test_codecs.py
@@ -243,6 +243,7 @@
         started_ms=1_700_000_000_000,
         sequence=4,
         cold_s=1.5,
+        software_version="v1",
     )
 
 
@@ -255,6 +256,8 @@
     "a start of another type": {"born": 1.5},
     "no slots": {"slot_count": 0},
     "no service": {"service": ""},
+    "a version of another type": {"version": 5},
+    "a version that is too long": {"version": "v" * 300},
 }
 
 
@@ -288,6 +291,7 @@
             (b"X-Bitternlever-Pieces", b"2,0,16"),
             (b"X-Bitternlever-Piece-Key", b"7c"),
             (b"Last-Event-Id", b"9"),
+            (b"Resumes", b"9c41d07be2a35f68"),
         ]
     )
 
@@ -301,6 +305,7 @@
     assert (head.prompt_tokens, head.output_tokens) == (1460, 80)
     assert head.pieces == (2, 0, 16)
     assert head.last_event == "9"
+    assert head.resumes == "9c41d07be2a35f68"
 
 
 @pytest.mark.parametrize("value", [b"", b"x", b"-1", b"1.5", b"1,x"])
