--- a/tests/gateway/entry_host.py
+++ b/tests/gateway/entry_host.py
@@ -115,9 +115,11 @@
     return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
 
 
-async def call(port: int, data: bytes, within_s: float = 5.0) -> Answer:
+async def call(
+    port: int, data: bytes, within_s: float = 5.0, address: str = "127.0.0.1"
+) -> Answer:
     """Send a request on a new connection and read the complete answer."""
-    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    reader, writer = await asyncio.open_connection(address, port)
     writer.write(data)
     try:
         async with asyncio.timeout(within_s):
--- a/tests/platform/test_rate_limits.py
+++ b/tests/platform/test_rate_limits.py
@@ -1,9 +1,7 @@
 """All hosts together keep the rate limit that an upstream names in its answers."""
 
 import asyncio
-import contextlib
 import dataclasses
-import itertools
 import json
 import signal
 import time
@@ -11,8 +9,7 @@
 import pytest
 
 from standins import fleet as fleet_processes, scripted_upstream
-from tests.gateway import entry_host
-from tests.platform import test_processes as processes
+from tests.platform import system as fleet_system
 
 CONTACT_S = 3.0
 """The time within which hosts in touch know what the fleet knows."""
@@ -22,10 +19,6 @@
 SLACK = 5
 """A limited upstream gets no more than this in any window."""
 
-HOSTS = tuple(f"entry-{letter}" for letter in "abcd")
-CONTROLS = tuple(f"control-{zone}" for zone in fleet_processes.ZONES)
-HEARTBEAT_S = 0.5
-
 
 @dataclasses.dataclass(slots=True)
 class Upstream:
@@ -33,6 +26,7 @@
 
     name: str
     limit: float | None = None
+    version: str = "v1"
     arrivals_s: list[float] = dataclasses.field(default_factory=list)
     server: scripted_upstream.ScriptedUpstream | None = None
 
@@ -51,106 +45,6 @@
         await answer(server, received, writer)
 
 
-async def announce(fleet, upstream, service) -> None:
-    """Send heartbeats of an upstream to a control process that takes them."""
-    for number in itertools.count(1):
-        body = fleet_processes.heartbeat(
-            upstream.server.address, service=service, call_seq=number, slot_count=20
-        )
-        path = f"/api/instances/{upstream.name}"
-        for control in CONTROLS:
-            address = fleet.address(control, 0)
-            status, _ = await asyncio.to_thread(
-                fleet_processes.send_request, "PUT", address, path, body
-            )
-            if status == 200:
-                break
-        await asyncio.sleep(HEARTBEAT_S)
-
-
-@dataclasses.dataclass(slots=True, frozen=True)
-class Outcome:
-    """The answer to one request, and when it was sent and answered."""
-
-    sent_s: float
-    took_s: float
-    status: int
-    retry_after_s: float | None
-
-
-@dataclasses.dataclass(slots=True)
-class System:
-    """A fleet, its upstreams and the outcomes of the requests."""
-
-    fleet: fleet_processes.Fleet
-    upstreams: list[Upstream]
-    outcomes: list[Outcome] = dataclasses.field(default_factory=list)
-    tasks: set[asyncio.Task] = dataclasses.field(default_factory=set)
-
-    def start(self, coroutine):
-        """Run a coroutine until the end of the test."""
-        task = asyncio.ensure_future(coroutine)
-        self.tasks.add(task)
-        return task
-
-    async def send(self, per_s: float, for_s: float, hosts=HOSTS, **headers) -> None:
-        """Send requests to the hosts in turn at a fixed rate."""
-        ends_s = time.monotonic() + for_s
-        for number in itertools.count():
-            if time.monotonic() >= ends_s:
-                break
-            self.start(self._ask(hosts[number % len(hosts)], **headers))
-            await asyncio.sleep(1.0 / per_s)
-
-    async def _ask(self, host, **headers) -> None:
-        sent_s = time.monotonic()
-        fields = {"X_Bitternlever_Deadline_Ms": "3000", **headers}
-        data = entry_host.request(identity=f"n{sent_s}", **fields)
-        address, _, port = self.fleet.address(host, 1).rpartition(":")
-        try:
-            reader, writer = await asyncio.open_connection(address, int(port))
-            writer.write(data)
-            async with asyncio.timeout(4.0):
-                answer = await entry_host.read_answer(reader)
-            writer.close()
-        except (OSError, IndexError, TimeoutError):
-            return
-        retry_after = answer.headers.get("retry-after")
-        self.outcomes.append(
-            Outcome(
-                sent_s,
-                time.monotonic() - sent_s,
-                answer.status,
-                None if retry_after is None else float(retry_after),
-            )
-        )
-
-
-@contextlib.asynccontextmanager
-async def running(tmp_path, network, upstreams, service="plain", **config):
-    """Run four hosts, three control processes and upstreams of one service."""
-    fleet = fleet_processes.create(tmp_path, network)
-    system = System(fleet, upstreams)
-    try:
-        for name in (*CONTROLS, *HOSTS):
-            fleet.start(name)
-        await fleet_processes.wait_until(processes.put(fleet, 1, **config))
-        for upstream in upstreams:
-            upstream.server = await scripted_upstream.start(
-                upstream.name, upstream.behave
-            )
-            system.start(announce(fleet, upstream, service))
-        for host in HOSTS:
-            await fleet_processes.wait_until(processes.ready(fleet, host))
-        await asyncio.sleep(1.0)
-        yield system
-    finally:
-        for task in system.tasks:
-            task.cancel()
-        await asyncio.gather(*system.tasks, return_exceptions=True)
-        fleet_processes.end(fleet)
-
-
 def worst_window(upstream: Upstream, from_s: float) -> int:
     """Return the most arrivals in any window that begins after a time."""
     arrivals = [arrived_s for arrived_s in upstream.arrivals_s if arrived_s >= from_s]
@@ -170,7 +64,7 @@
 @pytest.mark.parametrize("limit", [0.25, 1.0, 4.0])
 async def test_hosts_together_keep_the_limit_of_an_upstream(tmp_path, limit):
     limited, other = Upstream("u1", limit), Upstream("u2")
-    async with running(tmp_path, 44, [limited, other]) as system:
+    async with fleet_system.running(tmp_path, 44, [limited, other]) as system:
         started_s = time.monotonic()
         await system.send(per_s=16.0, for_s=13.0)
         await asyncio.sleep(0.5)
@@ -185,7 +79,7 @@
 ):
     limits = (1.0, 2.0)
     upstreams = [Upstream(f"u{limit}", limit) for limit in limits]
-    async with running(tmp_path, 45, upstreams) as system:
+    async with fleet_system.running(tmp_path, 45, upstreams) as system:
         started_s = time.monotonic()
         await system.send(per_s=24.0, for_s=13.0)
         await asyncio.sleep(0.5)
@@ -204,26 +98,26 @@
 
 
 def kill_control(fleet) -> None:
-    for name in CONTROLS:
+    for name in fleet_system.CONTROLS:
         fleet.kill(name)
 
 
 def start_control(fleet) -> None:
-    for name in CONTROLS:
+    for name in fleet_system.CONTROLS:
         fleet.start(name, bootstrap=False)
 
 
 def restart_host(fleet) -> None:
-    fleet.kill(HOSTS[1])
-    fleet.start(HOSTS[1], bootstrap=False)
+    fleet.kill(fleet_system.HOSTS[1])
+    fleet.start(fleet_system.HOSTS[1], bootstrap=False)
 
 
 def freeze_host(fleet) -> None:
-    fleet.processes[HOSTS[1]].send_signal(signal.SIGSTOP)
+    fleet.processes[fleet_system.HOSTS[1]].send_signal(signal.SIGSTOP)
 
 
 def thaw_host(fleet) -> None:
-    fleet.processes[HOSTS[1]].send_signal(signal.SIGCONT)
+    fleet.processes[fleet_system.HOSTS[1]].send_signal(signal.SIGCONT)
 
 
 @pytest.mark.parametrize(
@@ -237,7 +131,7 @@
 )
 async def test_a_limit_is_kept_while_processes_fail(tmp_path, disturb, heal):
     limited, other = Upstream("u1", 1.0), Upstream("u2")
-    async with running(tmp_path, 47, [limited, other]) as system:
+    async with fleet_system.running(tmp_path, 47, [limited, other]) as system:
         started_s = time.monotonic()
         sending = system.start(system.send(per_s=16.0, for_s=17.0))
         await asyncio.sleep(5.0)
@@ -252,7 +146,7 @@
 
 async def test_a_limit_that_has_ended_ends_on_all_hosts(tmp_path):
     limited = Upstream("u1", 0.5)
-    async with running(tmp_path, 48, [limited]) as system:
+    async with fleet_system.running(tmp_path, 48, [limited]) as system:
         sending = system.start(system.send(per_s=16.0, for_s=16.0))
         await asyncio.sleep(6.0)
         limited.limit = None
@@ -287,9 +181,11 @@
             {"name": "encode", "max_conns": 100, "pieces": capacity},
         ],
     }
-    async with running(tmp_path, 46, [limited], "encode", **config) as system:
+    async with fleet_system.running(
+        tmp_path, 46, [limited], "encode", **config
+    ) as system:
         plain = Upstream("u1", server=await scripted_upstream.start("u1"))
-        system.start(announce(system.fleet, plain, "plain"))
+        system.start(fleet_system.announce(system.fleet, plain, "plain"))
         await asyncio.sleep(1.0)
         started_s = time.monotonic()
         headers = {"X_Bitternlever_Pieces": "1", "X_Bitternlever_Piece_Key": "k"}
