Split the sending of requests and the relaying of answers from forward.py

Moved as it was: one send to an upstream (sending.py) and the relay of one answer (relay.py); no logic changes.

--- a/bench/stage_world.py
+++ b/bench/stage_world.py
@@ -20,8 +20,8 @@
 from bitternlever.gateway import (
     context as gateway_context,
     dialect,
-    forward,
     schedule,
+    sending,
     tables as gateway_tables,
 )
 from bitternlever.messages import fleet
@@ -516,7 +516,7 @@
         _count_cross_zone_bytes(
             emulation, handles, emulation.scenario.engines[request.engine]
         )
-    fetched_s = emulation.now + forward.INPUTS_FETCHED_S
+    fetched_s = emulation.now + sending.INPUTS_FETCHED_S
     _schedule(emulation, fetched_s, lambda: _on_inputs_fetched(emulation, request))
     prefill_start_s = max(emulation.now, emulation.engine_free_s[request.engine])
     emulation.engine_free_s[request.engine] = prefill_start_s + prefill_s
