--- a/bitternlever/gateway/measures.py
+++ b/bitternlever/gateway/measures.py
@@ -38,6 +38,9 @@
     notices: collections.Counter = dataclasses.field(
         default_factory=collections.Counter,
     )
+    take_ups: collections.Counter = dataclasses.field(
+        default_factory=collections.Counter,
+    )
 
 
 def record_latency(measures: Measures, name: str, seconds: float) -> None:
--- a/bitternlever/gateway/relay.py
+++ b/bitternlever/gateway/relay.py
@@ -128,7 +128,7 @@
         relayed = complete if resumable else piece
         if relayed:
             stream_watch.hold(watch, now)
-            await resumption.recorded(context)
+            await resumption.recorded(gateway, context)
             await relay.response.write(relayed)
             stream_watch.release(watch, clocks.boot_time())
         if splitter.events > events_before:
--- a/bitternlever/gateway/resumption.py
+++ b/bitternlever/gateway/resumption.py
@@ -17,6 +17,7 @@
 from bitternlever.fleet import stream_origins
 from bitternlever.gateway import (
     context as gateway_context,
+    measures,
     state,
     sync,
     tables as gateway_tables,
@@ -72,17 +73,21 @@
     """
     if not _is_take_up(context):
         return None
+    take_ups = gateway.measures.take_ups
     origin = await _find(gateway, context.head.resumes)
     if origin is None:
+        take_ups["unknown"] += 1
         reason = "the software version that began the stream is not known"
         return gateway_context.Refusal(503, reason, UNKNOWN_RETRY_S)
     context.origin = origin
+    take_ups["known"] += 1
     if origin.service not in {target.service for target in context.route.targets}:
         reason = "the route no longer leads to the service that began the stream"
         return gateway_context.Refusal(503, reason, VERSION_RETRY_S)
     context.service = origin.service
     now = clocks.boot_time()
     if not sync.usable_upstreams(gateway.tables, now, origin.service, origin):
+        take_ups["version_gone"] += 1
         return gateway_context.Refusal(503, NO_VERSION_REASON, VERSION_RETRY_S)
     return None
 
@@ -118,11 +123,14 @@
         )
 
 
-async def recorded(context: gateway_context.Context) -> None:
+async def recorded(gateway: state.Gateway, context: gateway_context.Context) -> None:
     """Wait until a control process has recorded where the stream began, if one can."""
     recording, context.recording = context.recording, None
     if recording is not None:
+        started_s = clocks.boot_time()
         await recording
+        waited_s = clocks.boot_time() - started_s
+        measures.record_latency(gateway.measures, "stream_recorded", waited_s)
 
 
 def handle_reply(
