--- /dev/null
+++ b/tests/gateway/test_cut_off.py
@@ -0,0 +1,231 @@
+"""Hosts that are cut off from all upstreams serve callers through other hosts."""
+
+import asyncio
+import contextlib
+import dataclasses
+import itertools
+import socket
+import time
+
+import pytest
+
+from bitternlever.catalog import tables as catalog_tables
+from bitternlever.core import clocks
+from bitternlever.gateway import shell as gateway_shell
+from standins import scripted_upstream
+from tests.gateway import entry_host, samples
+
+CONTACT_S = 3.0
+"""From here on after a cut began, callers of a host that is cut off must be served."""
+
+MEASURED_S = 2.0
+INTERVAL_S = 0.05
+KEPT_CURRENT_S = 60.0
+"""Without control the catalog counts as current for the time of a test."""
+
+REFUSED, SILENT, NEW_REFUSED = "refused", "silent", "new connections refused"
+
+
+@dataclasses.dataclass(slots=True)
+class Gate:
+    """A TCP relay in front of an upstream, which can cut off those that dial it."""
+
+    upstream: scripted_upstream.ScriptedUpstream
+    port: int = 0
+    listener: asyncio.Server | None = None
+    writers: set[asyncio.StreamWriter] = dataclasses.field(default_factory=set)
+    blocking: list[socket.socket] = dataclasses.field(default_factory=list)
+    silent: bool = False
+
+    async def open(self) -> None:
+        """Accept connections; the cut ends."""
+        for blocking in self.blocking:
+            blocking.close()
+        self.blocking.clear()
+        self.silent = False
+        self.listener = await asyncio.start_server(
+            self._relay, "127.0.0.1", self.port, reuse_address=True
+        )
+        self.port = self.listener.sockets[0].getsockname()[1]
+
+    def cut(self, how: str) -> None:
+        """Cut off those that dial it; ``how`` tells what they see."""
+        self.listener.close()
+        if how == REFUSED:
+            for writer in list(self.writers):
+                scripted_upstream.abort(writer)
+        if how == SILENT:
+            self.silent = True
+            self._drop_new_connections()
+
+    def _drop_new_connections(self) -> None:
+        """Fill the queue of a listening socket: the kernel drops further dials."""
+        listening = socket.socket()
+        listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listening.bind(("127.0.0.1", self.port))
+        listening.listen(0)
+        self.blocking.append(listening)
+        for _ in range(4):
+            dial = socket.socket()
+            dial.setblocking(False)
+            with contextlib.suppress(BlockingIOError):
+                dial.connect(("127.0.0.1", self.port))
+            self.blocking.append(dial)
+
+    async def _relay(self, reader, writer) -> None:
+        host, _, port = self.upstream.address.partition(":")
+        other_reader, other_writer = await asyncio.open_connection(host, int(port))
+        self.writers |= {writer, other_writer}
+        await asyncio.gather(
+            self._copy(reader, other_writer), self._copy(other_reader, writer)
+        )
+        self.writers -= {writer, other_writer}
+
+    async def _copy(self, reader, writer) -> None:
+        with contextlib.suppress(ConnectionError):
+            while data := await reader.read(65_536):
+                while self.silent:
+                    await asyncio.sleep(0.02)
+                writer.write(data)
+        writer.close()
+
+
+@dataclasses.dataclass(slots=True)
+class Hosts:
+    """A host behind gates and one that reaches the upstreams, and their ports."""
+
+    gates: list[Gate]
+    servers: list[scripted_upstream.ScriptedUpstream]
+    gateway: object
+    port: int
+    other: object
+    other_port: int
+
+    def cut(self, how: str) -> None:
+        for gate in self.gates:
+            gate.cut(how)
+
+    async def heal(self) -> None:
+        for gate in self.gates:
+            await gate.open()
+
+
+@contextlib.asynccontextmanager
+async def running(behaviour=None, catalog=None):
+    """Run two hosts and three upstreams; the first host reaches them through gates."""
+    behaviour = behaviour or scripted_upstream.answer(delay_s=0.02)
+    catalog = catalog or samples.catalog()
+    servers = [await scripted_upstream.start(f"u{n}", behaviour) for n in range(3)]
+    gates = [Gate(server) for server in servers]
+    for gate in gates:
+        await gate.open()
+    direct = [
+        samples.upstream_status(each.name, address=each.address) for each in servers
+    ]
+    gated = [
+        samples.upstream_status(each.upstream.name, address=f"127.0.0.1:{each.port}")
+        for each in gates
+    ]
+    async with (
+        entry_host.running(catalog, *direct) as (other, other_port),
+        entry_host.running(catalog, *gated) as (gateway, port),
+    ):
+        listed = (
+            samples.host_announcement("one", address=f"127.0.0.1:{port}"),
+            samples.host_announcement("two", address=f"127.0.0.1:{other_port}"),
+        )
+        for each, own in zip((gateway, other), listed, strict=True):
+            each.tables.announcement = own
+            each.tables.hosts.listed = listed
+            each.tables.catalog_current_s = clocks.boot_time() + KEPT_CURRENT_S
+            gateway_shell._expire(each)
+        try:
+            yield Hosts(gates, servers, gateway, port, other, other_port)
+        finally:
+            gateway.closing = other.closing = True
+
+
+async def send(port, for_s, method="GET", prefix="r"):
+    """Send requests at a fixed rate; return their answers (None: none) and times."""
+    outcomes = {}
+
+    async def ask(identity):
+        started_s = time.monotonic()
+        data = entry_host.request(method, identity=identity)
+        answer = None
+        with contextlib.suppress(OSError, IndexError, TimeoutError):
+            answer = await entry_host.call(port, data, 3.0)
+        outcomes[identity] = answer, time.monotonic() - started_s
+
+    tasks = []
+    ends_s = time.monotonic() + for_s
+    for number in itertools.count():
+        if time.monotonic() >= ends_s:
+            break
+        tasks.append(asyncio.ensure_future(ask(f"{prefix}{number}")))
+        await asyncio.sleep(INTERVAL_S)
+    await asyncio.gather(*tasks)
+    return outcomes
+
+
+def served(outcomes) -> float:
+    """Return the share of the requests that were answered with success."""
+    answers = [answer for answer, _ in outcomes.values()]
+    return sum(each is not None and each.status == 200 for each in answers) / len(
+        answers
+    )
+
+
+@pytest.mark.parametrize("how", [REFUSED, SILENT, NEW_REFUSED])
+async def test_callers_of_a_host_that_is_cut_off_are_served(how):
+    async with running() as hosts:
+        assert served(await send(hosts.port, 0.5, prefix="before")) == 1.0
+        hosts.cut(how)
+        await send(hosts.port, CONTACT_S, prefix="early")
+        during = await send(hosts.port, MEASURED_S, prefix="during")
+        await hosts.heal()
+        await send(hosts.port, CONTACT_S, prefix="healed")
+        sent = hosts.other.measures.attempts["sent"]
+        after = await send(hosts.port, 0.5, prefix="after")
+
+    assert served(during) >= 0.95
+    assert max(took_s for _, took_s in during.values()) < 1.0
+    assert served(after) == 1.0
+    assert hosts.other.measures.attempts["sent"] == sent
+
+
+async def test_requests_of_a_host_that_is_cut_off_run_once():
+    route = samples.route(repeatability=catalog_tables.Repeatability.ONCE)
+    catalog = samples.catalog(routes={"h.example": [route]})
+    async with running(catalog=catalog) as hosts:
+        hosts.cut(REFUSED)
+        await send(hosts.port, CONTACT_S, "POST", prefix="early")
+        during = await send(hosts.port, MEASURED_S, "POST", prefix="during")
+        runs = [
+            received.headers["x-bitternlever-request-id"]
+            for server in hosts.servers
+            for received in server.received
+        ]
+
+    assert served(during) >= 0.95
+    assert len(runs) == len(set(runs))
+
+
+async def test_streams_of_a_host_that_is_cut_off_pass_event_by_event():
+    pieces = [b"id: %d\n\n" % number for number in range(4)]
+    route = samples.route(repeatability=catalog_tables.Repeatability.STREAM)
+    catalog = samples.catalog(routes={"h.example": [route]})
+    stream = scripted_upstream.stream(*pieces, gap_s=0.2)
+    async with running(stream, catalog) as hosts:
+        hosts.cut(REFUSED)
+        await send(hosts.port, CONTACT_S, prefix="early")
+        reader, writer = await asyncio.open_connection("127.0.0.1", hosts.port)
+        writer.write(entry_host.request("POST", identity="s"))
+        times = []
+        async with asyncio.timeout(3.0):
+            while len(times) < len(pieces):
+                if (await reader.readline()).startswith(b"id:"):
+                    times.append(time.monotonic())
+        writer.close()
+
+    assert all(later - earlier > 0.1 for earlier, later in itertools.pairwise(times))
--- a/tests/platform/system.py
+++ b/tests/platform/system.py
@@ -62,13 +62,18 @@
         self.tasks.add(task)
         return task
 
-    async def send(self, per_s: float, for_s: float, hosts=HOSTS, **headers) -> None:
-        """Send requests to the hosts in turn at a fixed rate."""
+    async def send(
+        self, per_s: float, for_s: float, hosts=HOSTS, method="GET", **headers
+    ) -> None:
+        """Send requests to the hosts in turn at a fixed rate.
+
+        With POST each has a body of its own.
+        """
         ends_s = time.monotonic() + for_s
         for number in itertools.count():
             if time.monotonic() >= ends_s:
                 break
-            self.start(self._ask(hosts[number % len(hosts)], **headers))
+            self.start(self._ask(hosts[number % len(hosts)], method, **headers))
             await asyncio.sleep(1.0 / per_s)
 
     async def call(self, host, data) -> entry_host.Answer | None:
@@ -79,10 +84,12 @@
         except (OSError, IndexError, TimeoutError):
             return None
 
-    async def _ask(self, host, **headers) -> None:
+    async def _ask(self, host, method, **headers) -> None:
         sent_s = time.monotonic()
         fields = {"X_Bitternlever_Deadline_Ms": "3000", **headers}
-        data = entry_host.request(identity=f"n{sent_s}", **fields)
+        identity = f"n{sent_s}"
+        body = identity.encode() if method == "POST" else b""
+        data = entry_host.request(method, body=body, identity=identity, **fields)
         answer = await self.call(host, data)
         if answer is None:
             return
