Serve the callers of a host that is cut off from all upstreams at another host

A host had no notion of its own reach: it tried its upstreams one after the other, went on batching, and counted the resets as crashes of the requests.

A host that cannot dial two upstreams, or gets no byte for a second while requests are at upstreams, dials up to four others; if none accepts, it is cut off until some do in two successive rounds. It announces that, gives up the stage work that it batches (the other hosts send it again, to the next one), has no share of rate limits, and hands each request to a ready host that is not cut off: once, with what is left of the deadline, before anything is counted for it; the answer passes unchanged, events as they arrive. Connections to several addresses that are lost within 30 ms are no crashes.

Ruled out: leaving the directory (callers keep addresses, and a cut of most hosts would move all load to the few others); redirects to callers, which do not follow them; links between hosts for the bodies (their frames are bounded).

Further tests: one silent upstream is no cut, all hosts cut off refuse at once, batching moves, losses by the network are no crashes.

--- a/bitternlever/gateway/batching.py
+++ b/bitternlever/gateway/batching.py
@@ -117,10 +117,17 @@
         for host in gateway.tables.hosts.listed
         if host.state is fleet.HostState.READY
         and gateway.tables.suspects.get(host.link, 0.0) <= now
+        and not _is_cut_off(gateway, host)
     ]
     return affinity.owner(service, links) or gateway.settings.link
 
 
+def _is_cut_off(gateway: state.Gateway, host: fleet.HostAnnouncement) -> bool:
+    if host.link == gateway.settings.link:
+        return gateway.tables.reachability.cut_off
+    return host.cut_off
+
+
 def receive(gateway: state.Gateway, now: float, link: str, message: Any) -> None:
     """Handle a message about stage work, from another host or from this one."""
     match message:
@@ -379,7 +386,7 @@
     If it has not been ``lost``, they count if the upstream stays silent.
     """
     entry = gateway.tables.upstreams.entries.get(call.upstream.upstream_id)
-    if entry is None:
+    if entry is None or exchange.lost_together(gateway.pool, now):
         return
     parts = gateway.tables.prompt_parts
     for work in batcher.works_of(queue, call):
--- a/bitternlever/gateway/dialect.py
+++ b/bitternlever/gateway/dialect.py
@@ -29,7 +29,8 @@
 
     ``pieces`` is the number of pieces of each stage, ``piece_key`` the data that stages
     without inputs work on. A request that takes up a stream after ``last_event`` names
-    in ``resumes`` the request that brought the stream's first event.
+    in ``resumes`` the request that brought the stream's first event. One that another
+    host has ``handed_over`` stays here.
     """
 
     request: str
@@ -42,6 +43,7 @@
     piece_key: str
     last_event: str | None
     resumes: str = ""
+    handed_over: bool = False
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -113,6 +115,9 @@
     forwarded_headers: Callable[
         [RawHeaders, ForwardedFields], list[tuple[bytes, bytes]]
     ]
+    handover_headers: Callable[
+        [RawHeaders, float, int | None], list[tuple[bytes, bytes]]
+    ]
     read_answer: Callable[[int, RawHeaders], AnswerHead]
     answer_headers: Callable[[RawHeaders], list[tuple[str, str]]]
     stage_call: Callable[[str, str, list[StageItem]], StageRequest]
--- a/bitternlever/gateway/forward.py
+++ b/bitternlever/gateway/forward.py
@@ -136,6 +136,8 @@
         return False
     parts = gateway.tables.prompt_parts
     now = clocks.boot_time()
+    if exchange.lost_together(gateway.pool, now):
+        return False
     begun = gateway_relay.has_begun(relay)
     prompt_parts.record_crash(parts, now, context, upstream, begun=begun)
     return prompt_parts.is_suspected(parts, context)
--- a/bitternlever/gateway/rate_shares.py
+++ b/bitternlever/gateway/rate_shares.py
@@ -246,7 +246,7 @@
     shares.listed = listed
     shares.next_hosts_s = now + HOSTS_INTERVAL_S
     for host in listed:
-        if host.state is fleet.HostState.READY:
+        if host.state is fleet.HostState.READY and not host.cut_off:
             shares.ready_s[host.link] = now
     for link, ready_s in list(shares.ready_s.items()):
         if now - ready_s > HOST_RETENTION_S:
--- a/bitternlever/gateway/requests.py
+++ b/bitternlever/gateway/requests.py
@@ -15,6 +15,7 @@
     context as gateway_context,
     drains,
     forward,
+    handover,
     measures,
     prompt_parts,
     resumption,
@@ -70,26 +71,62 @@
     if matched.is_err():
         return _refuse(gateway, request, None, matched.err())
     context = matched.ok()
+    refusal = await _check_admission(gateway, request, context)
+    if refusal is not None:
+        return _refuse(gateway, request, context, refusal)
+    try:
+        answer = await handover.run(gateway, request, context)
+        if answer is None:
+            answer = await _serve_here(gateway, request, context)
+    except asyncio.CancelledError:
+        _count(gateway, context, "cancelled")
+        events.REQUEST_CANCELLED.log(
+            logger,
+            request=context.head.request,
+            after_s=round(clocks.boot_time() - arrived_s, 3),
+            sent=context.sent,
+        )
+        raise
+    if isinstance(answer, gateway_context.Refusal):
+        return _refuse(gateway, request, context, answer)
+    _record_answer(gateway, context, answer)
+    return answer
+
+
+async def _check_admission(
+    gateway: state.Gateway,
+    request: web.BaseRequest,
+    context: gateway_context.Context,
+) -> gateway_context.Refusal | None:
+    """Read the body of a request; return the refusal of one that is not admitted."""
+    arrived_s = context.arrived_s
     if drains.refuses(gateway.drain, arrived_s, context.deadline_s):
         reason = "the host stops before the request's deadline"
-        refusal = gateway_context.Refusal(503, reason, STALE_RETRY_S)
-        return _refuse(gateway, request, context, refusal)
+        return gateway_context.Refusal(503, reason, STALE_RETRY_S)
     parts = gateway.tables.prompt_parts
     refused = prompt_parts.quarantined_part(parts, arrived_s, context.head)
     if refused is not None:
-        refusal = gateway_context.Refusal(503, refused.reason, refused.left_s)
-        return _refuse(gateway, request, context, refusal)
+        return gateway_context.Refusal(503, refused.reason, refused.left_s)
     body = await _read_body(gateway, request, context.catalog.limits)
     if body.is_err():
-        return _refuse(gateway, request, context, body.err())
+        return body.err()
     context.body = body.ok()
     refused = prompt_parts.quarantined(parts, arrived_s, context, sending=False)
     if refused is not None:
-        refusal = gateway_context.Refusal(503, refused.reason, refused.left_s)
-        return _refuse(gateway, request, context, refusal)
+        return gateway_context.Refusal(503, refused.reason, refused.left_s)
+    return None
+
+
+async def _serve_here(
+    gateway: state.Gateway,
+    request: web.BaseRequest,
+    context: gateway_context.Context,
+) -> web.StreamResponse | gateway_context.Refusal:
+    """Serve a request with the upstreams that this host reaches."""
     refusal = await resumption.resolve(gateway, context)
     if refusal is not None:
-        return _refuse(gateway, request, context, refusal)
+        return refusal
+    arrived_s = context.arrived_s
     budget.record_request(state.retry_budget(gateway, context.service), arrived_s)
     events.REQUEST_ADMITTED.log(
         logger,
@@ -101,19 +138,15 @@
         last_event=context.head.last_event,
         resumes=context.head.resumes,
     )
-    try:
-        answer = await _run(gateway, request, context)
-    except asyncio.CancelledError:
-        _count(gateway, context, "cancelled")
-        events.REQUEST_CANCELLED.log(
-            logger,
-            request=context.head.request,
-            after_s=round(clocks.boot_time() - arrived_s, 3),
-            sent=context.sent,
-        )
-        raise
-    if isinstance(answer, gateway_context.Refusal):
-        return _refuse(gateway, request, context, answer)
+    return await _run(gateway, request, context)
+
+
+def _record_answer(
+    gateway: state.Gateway,
+    context: gateway_context.Context,
+    answer: web.StreamResponse,
+) -> None:
+    arrived_s = context.arrived_s
     if context.first_piece_s is not None and context.stages_done_s is not None:
         estimate = schedule.first_piece_estimate(gateway.tables, context.service)
         now = clocks.boot_time()
@@ -132,7 +165,6 @@
         first_s=_elapsed_s(context.first_piece_s, arrived_s),
         took_s=round(clocks.boot_time() - arrived_s, 3),
     )
-    return answer
 
 
 async def _run(
--- a/bitternlever/gateway/sending.py
+++ b/bitternlever/gateway/sending.py
@@ -85,7 +85,7 @@
     upstream: fleet.UpstreamStatus,
 ) -> Attempt | Failure:
     """Send the request and read the head of the answer."""
-    repeatable = _is_repeatable(context)
+    repeatable = is_repeatable(context)
     fields = gateway_dialect.ForwardedFields(
         deadline_s=context.deadline_s - clocks.boot_time(),
         upstream=upstream.upstream,
@@ -103,7 +103,7 @@
             context.target,
             gateway.dialect.forwarded_headers(context.raw_headers, fields),
             context.body,
-            maximum_idle_s=REPEATABLE_IDLE_S if repeatable else RUN_ONCE_IDLE_S,
+            maximum_idle_s=maximum_idle_s(repeatable=repeatable),
         )
     except exchange.ExchangeError as error:
         return Failure(error.reason, error.sent)
@@ -157,7 +157,12 @@
     return answer.request != context.head.request
 
 
-def _is_repeatable(context: gateway_context.Context) -> bool:
+def maximum_idle_s(*, repeatable: bool) -> float:
+    """Return how long a connection may have been idle before it is used again."""
+    return REPEATABLE_IDLE_S if repeatable else RUN_ONCE_IDLE_S
+
+
+def is_repeatable(context: gateway_context.Context) -> bool:
     idempotent = catalog_tables.Repeatability.IDEMPOTENT
     return context.route.repeatability is idempotent or context.route.resumable
 
--- a/bitternlever/gateway/shell.py
+++ b/bitternlever/gateway/shell.py
@@ -17,6 +17,7 @@
     dialect as gateway_dialect,
     drains,
     measures,
+    reachability,
     resumption,
     state,
     sync,
@@ -87,6 +88,8 @@
         stopped=loop.create_future(),
         deliver=_dispatch,
         started_s=clocks.boot_time(),
+        host_pool=exchange.Pool(clock=clocks.boot_time),
+        announce=_send_heartbeats,
     )
     gateway.links = links.listen(
         node=settings.link,
@@ -242,6 +245,8 @@
     if gateway.closing:
         return
     exchange.close_expired(gateway.pool)
+    exchange.close_expired(gateway.host_pool)
+    reachability.check_later(gateway, clocks.boot_time())
     batching.pump(gateway)
     asyncio.get_running_loop().call_later(EXPIRE_INTERVAL_S, _expire, gateway)
 
--- a/bitternlever/gateway/state.py
+++ b/bitternlever/gateway/state.py
@@ -38,9 +38,11 @@
 class Gateway:
     """Settings, tables, connections and tasks of one entry host.
 
-    ``deliver`` handles a message that this host sends to itself; ``stop_listening``
-    refuses new connections of callers. ``started_s`` and ``drain`` are on the boot
-    clock. ``control_calls`` are the calls to control that wait for a reply, by number.
+    ``deliver`` handles a message that this host sends to itself, ``announce`` sends
+    heartbeats at once. ``host_pool`` has the connections to other hosts.
+    ``stop_listening`` refuses new connections of callers. ``started_s`` and ``drain``
+    are on the boot clock. ``control_calls`` are the calls to control that wait for a
+    reply, by number.
     """
 
     settings: fleet_settings.FleetConfiguration
@@ -50,6 +52,8 @@
     stopped: asyncio.Future
     deliver: Callable[["Gateway", str, Any], None]
     started_s: float
+    host_pool: exchange.Pool
+    announce: Callable[["Gateway"], None]
     batching: Batching = dataclasses.field(default_factory=Batching)
     links: transport_links.Links | None = None
     state: fleet.HostState = fleet.HostState.STARTING
--- a/bitternlever/gateway/sync.py
+++ b/bitternlever/gateway/sync.py
@@ -336,10 +336,15 @@
 def _is_superseded(
     known: fleet.HostAnnouncement, announcement: fleet.HostAnnouncement
 ) -> bool:
-    """Return whether the known one is older; within one incarnation, by its state."""
+    """Return whether the known one is older; within one incarnation, by its state.
+
+    A host counts as cut off until no control process lists it as such.
+    """
     if known.started_ms != announcement.started_ms:
         return known.started_ms < announcement.started_ms
     order = list(fleet.HostState)
+    if known.state is announcement.state:
+        return announcement.cut_off and not known.cut_off
     return order.index(known.state) < order.index(announcement.state)
 
 
--- a/bitternlever/gateway/tables.py
+++ b/bitternlever/gateway/tables.py
@@ -93,6 +93,20 @@
     )
 
 
+@dataclasses.dataclass(slots=True)
+class Reachability:
+    """Whether this host is cut off from all upstreams, as of ``checked_s``.
+
+    ``reached_rounds`` counts the successive rounds of dials with a connection;
+    ``checking`` is set while a round is in progress.
+    """
+
+    cut_off: bool = False
+    reached_rounds: int = 0
+    checked_s: float = -math.inf
+    checking: bool = False
+
+
 @dataclasses.dataclass(slots=True)
 class GatewayTables:
     """The tables of an entry host.
@@ -135,6 +149,7 @@
     pause_hints: dict[str, fleet_pauses.Pause] = dataclasses.field(default_factory=dict)
     rate_limits: fleet_rate_limits.RateLimits = dataclasses.field(default_factory=dict)
     rate_shares: RateShares = dataclasses.field(default_factory=RateShares)
+    reachability: Reachability = dataclasses.field(default_factory=Reachability)
     stream_origins: fleet_stream_origins.StreamOrigins = dataclasses.field(
         default_factory=dict
     )
--- a/bitternlever/messages/fleet.py
+++ b/bitternlever/messages/fleet.py
@@ -22,7 +22,8 @@
     """An entry host's announcement of itself.
 
     Callers connect to ``address``, other hosts to ``link``. Announcements of one host
-    are ordered by its start time in Unix milliseconds, then by ``sequence``.
+    are ordered by its start time in Unix milliseconds, then by ``sequence``. One
+    that is ``cut_off`` reaches no upstream.
     """
 
     host: str
@@ -33,6 +34,7 @@
     started_ms: int
     sequence: int
     state: HostState
+    cut_off: bool = False
 
 
 class ServiceLoad(msgspec.Struct, frozen=True, array_like=True):
--- a/bitternlever/platform/entry_api.py
+++ b/bitternlever/platform/entry_api.py
@@ -25,6 +25,7 @@
 DIALECT = dialect.Dialect(
     read_request=headers.read_request,
     forwarded_headers=headers.forwarded_headers,
+    handover_headers=headers.handover_headers,
     read_answer=headers.read_answer,
     answer_headers=headers.answer_headers,
     stage_call=stages.encode_call,
--- a/bitternlever/platform/headers.py
+++ b/bitternlever/platform/headers.py
@@ -25,6 +25,7 @@
 MAXIMUM_SHOWN_BYTES = 32
 LAST_EVENT = b"last-event-id"
 RESUMES = b"resumes"
+HANDED_OVER = b"x-bitternlever-handed-over"
 AUTHORIZATION = b"authorization"
 MISDIRECTED_STATUS = 421
 INPUTS_LOST_STATUS = 409
@@ -48,6 +49,7 @@
     {
         DEADLINE,
         EXPECT_INSTANCE,
+        HANDED_OVER,
         TENANT,
         PRIORITY,
         INPUTS,
@@ -78,6 +80,7 @@
         piece_key=_text(values.get(PIECE_KEY, b"")),
         last_event=_text(values[LAST_EVENT]) if LAST_EVENT in values else None,
         resumes=_text(values.get(RESUMES, b"")),
+        handed_over=HANDED_OVER in values,
     )
 
 
@@ -107,6 +110,21 @@
     return sent
 
 
+def handover_headers(
+    headers: dialect.RawHeaders, left_s: float, body_bytes: int | None
+) -> list[tuple[bytes, bytes]]:
+    """Return the headers of a request that another host is to serve."""
+    dropped = HOP_BY_HOP | _connection_options(headers)
+    dropped |= {DEADLINE, HANDED_OVER, b"content-length"}
+    sent = [(name, value) for name, value in headers if name.lower() not in dropped]
+    if body_bytes is not None:
+        sent.append((b"Content-Length", b"%d" % body_bytes))
+    left_ms = max(1, int(left_s * MILLISECONDS_PER_SECOND))
+    sent.append((b"X-Bitternlever-Deadline-Ms", b"%d" % left_ms))
+    sent.append((b"X-Bitternlever-Handed-Over", b"1"))
+    return sent
+
+
 def read_answer(status: int, headers: dialect.RawHeaders) -> dialect.AnswerHead:
     """Decode the headers of an upstream's answer."""
     values = {name.lower(): value for name, value in headers}
--- a/bitternlever/telemetry/events.py
+++ b/bitternlever/telemetry/events.py
@@ -255,6 +255,18 @@
     logging.WARNING,
     "An upstream named a rate limit that is no number.",
 )
+UPSTREAMS_UNREACHABLE = register(
+    416,
+    "upstreams-unreachable",
+    logging.WARNING,
+    "This host is cut off from all upstreams: other hosts serve its callers.",
+)
+UPSTREAMS_REACHABLE = register(
+    417,
+    "upstreams-reachable",
+    logging.INFO,
+    "This host reaches upstreams again.",
+)
 REQUEST_ADMITTED = register(
     602,
     "request-admitted",
--- a/bitternlever/transport/exchange.py
+++ b/bitternlever/transport/exchange.py
@@ -36,6 +36,9 @@
 MAXIMUM_IDLE_CONNECTIONS = 16
 """Idle connections to keep for one address; more are rarely in use at once."""
 
+LOST_TOGETHER_S = 0.03
+"""Resets of one event arrive within a few milliseconds; a retry takes longer to run."""
+
 TLS_PREFIX = "tls://"
 """Before the ``HOST:PORT`` of an upstream that speaks TLS."""
 
@@ -106,8 +109,9 @@
 class Connection(asyncio.Protocol):
     """A connection to an upstream; only one task at a time may wait for data."""
 
-    def __init__(self, clock: Callable[[], float]):
-        self.clock = clock
+    def __init__(self, pool: "Pool", address: str):
+        self.pool = pool
+        self.address = address
         self.parser = h11.Connection(
             h11.CLIENT,
             max_incomplete_event_size=MAXIMUM_HEAD_BYTES,
@@ -119,7 +123,7 @@
         self.lost = False
         self.idle = True
         self.idle_until_s = 0.0
-        self.last_used_s = clock()
+        self.last_used_s = pool.clock()
         self.exchange_count = 0
         self.unread = bytearray()
         self.paused = False
@@ -137,6 +141,7 @@
             enable_keepalive(tcp_socket)
 
     def data_received(self, data: bytes) -> None:
+        self.pool.awaiting_since_s = None
         if self.idle:
             self.abort("bytes between two answers")
             return
@@ -158,6 +163,7 @@
         if self.error is None and (exc is not None or not self.at_eof):
             self.error = f"connection lost: {exc}"
             self.lost = True
+            self.pool.lost_s[self.address] = self.pool.clock()
         self._wake_waiter()
 
     def abort(self, reason: str) -> None:
@@ -260,6 +266,9 @@
     """Idle connections by address, the most recently used last.
 
     ``whole_bytes`` are the sizes of the answers that are being read whole.
+    ``failed_dials`` are the addresses that could not be dialled since a connection was
+    last established, ``lost_s`` tells when the last connection to an address was lost.
+    ``awaiting_since_s`` is when a request was sent after which no byte has come.
     """
 
     clock: Callable[[], float]
@@ -270,6 +279,9 @@
     whole_bytes_total: int = 0
     opened: int = 0
     reused: int = 0
+    failed_dials: set[str] = dataclasses.field(default_factory=set)
+    lost_s: dict[str, float] = dataclasses.field(default_factory=dict)
+    awaiting_since_s: float | None = None
 
 
 def enable_keepalive(tcp_socket: socket.socket) -> None:
@@ -321,9 +333,37 @@
         connection.abort("a request that HTTP does not allow")
         raise ExchangeError(str(error), sent=False) from None
     connection.transport.write(data)
+    if pool.awaiting_since_s is None:
+        pool.awaiting_since_s = pool.clock()
     return connection
 
 
+async def probe(pool: Pool, address: str) -> bool:
+    """Return whether an address can be dialled; keep the connection in the pool."""
+    try:
+        connection = await _connect(pool, address, CONNECT_TIMEOUT_S)
+    except ExchangeError:
+        return False
+    idle_connections = pool.idle.setdefault(address, collections.deque())
+    if len(idle_connections) >= MAXIMUM_IDLE_CONNECTIONS:
+        connection.abort("not kept")
+        return True
+    connection.idle_until_s = pool.clock() + DEFAULT_IDLE_S
+    idle_connections.append(connection)
+    return True
+
+
+def lost_together(pool: Pool, now: float) -> bool:
+    """Return whether connections to several addresses were lost a moment ago.
+
+    The network has lost them, not an upstream that crashed. Older losses are dropped.
+    """
+    for address, lost_s in list(pool.lost_s.items()):
+        if now - lost_s > LOST_TOGETHER_S:
+            del pool.lost_s[address]
+    return len(pool.lost_s) > 1
+
+
 async def read_head(connection: Connection) -> Head:
     """Return the head of the answer; raise ExchangeError if none comes."""
     for _ in range(MAXIMUM_INTERIM_ANSWERS + 1):
@@ -469,15 +509,17 @@
     try:
         async with asyncio.timeout(timeout_s):
             _, connection = await loop.create_connection(
-                lambda: Connection(pool.clock),
+                lambda: Connection(pool, address),
                 host.strip("[]"),
                 int(port),
                 ssl=True if location.startswith(TLS_PREFIX) else None,
             )
     except (OSError, TimeoutError, ValueError) as error:
+        pool.failed_dials.add(address)
         reason = f"no connection to {address}: {error!r}"
         raise ExchangeError(reason, sent=False) from None
     pool.opened += 1
+    pool.failed_dials.clear()
     return connection
 
 
--- a/tests/gateway/entry_host.py
+++ b/tests/gateway/entry_host.py
@@ -83,6 +83,8 @@
         stopped=asyncio.get_running_loop().create_future(),
         deliver=gateway_shell._dispatch,
         started_s=clocks.boot_time(),
+        host_pool=exchange.Pool(clock=clocks.boot_time),
+        announce=lambda gateway: None,
     )
     gateway.state = fleet.HostState.READY
     runner = await gateway_shell._serve("127.0.0.1:0", entry_api.callers(gateway))
--- a/tests/gateway/test_cut_off.py
+++ b/tests/gateway/test_cut_off.py
@@ -11,7 +11,7 @@
 
 from bitternlever.catalog import tables as catalog_tables
 from bitternlever.core import clocks
-from bitternlever.gateway import shell as gateway_shell
+from bitternlever.gateway import batching as gateway_batching, shell as gateway_shell
 from standins import scripted_upstream
 from tests.gateway import entry_host, samples
 
@@ -135,6 +135,9 @@
             samples.host_announcement("two", address=f"127.0.0.1:{other_port}"),
         )
         for each, own in zip((gateway, other), listed, strict=True):
+            each.settings = dataclasses.replace(
+                each.settings, host=own.host, link=own.link
+            )
             each.tables.announcement = own
             each.tables.hosts.listed = listed
             each.tables.catalog_current_s = clocks.boot_time() + KEPT_CURRENT_S
@@ -229,3 +232,56 @@
         writer.close()
 
     assert all(later - earlier > 0.1 for earlier, later in itertools.pairwise(times))
+
+
+async def test_a_silent_upstream_is_no_cut():
+    async with running() as hosts:
+        await send(hosts.port, 0.3, prefix="before")
+        hosts.gates[0].cut(SILENT)
+        outcomes = await send(hosts.port, CONTACT_S, prefix="during")
+        assert not hosts.gateway.tables.announcement.cut_off
+
+    assert hosts.gateway.measures.attempts["handed_over"] == 0
+    assert served(outcomes) >= 0.9
+
+
+async def test_requests_are_refused_at_once_if_all_hosts_are_cut_off():
+    async with running() as hosts:
+        hosts.cut(REFUSED)
+        for server in hosts.servers:
+            scripted_upstream.stop(server)
+        for name, port in (("one", hosts.port), ("two", hosts.other_port)):
+            await send(port, 1.0, prefix=name)
+        outcomes = await send(hosts.port, 1.0, prefix="during")
+
+    answers = [answer for answer, _ in outcomes.values()]
+    assert {answer.status for answer in answers} == {503}
+    assert all(float(answer.headers["retry-after"]) > 0 for answer in answers)
+    assert max(took_s for _, took_s in outcomes.values()) < 0.5
+
+
+async def test_a_host_that_is_cut_off_is_announced_and_batches_no_stage_work():
+    async with running() as hosts:
+        hosts.cut(REFUSED)
+        await send(hosts.port, 1.5, prefix="early")
+        cut_off = hosts.gateway.tables.announcement
+        hosts.other.tables.hosts.listed = (cut_off, hosts.other.tables.announcement)
+        now = clocks.boot_time()
+        owners = {
+            gateway_batching.owner(hosts.other, now, f"service-{number}")
+            for number in range(20)
+        }
+
+    assert cut_off.cut_off
+    assert owners == {hosts.other.tables.announcement.link}
+
+
+async def test_connections_lost_by_the_network_are_no_crashes_of_requests():
+    async with running(scripted_upstream.answer(delay_s=0.3)) as hosts:
+        sending = asyncio.ensure_future(send(hosts.port, 0.5))
+        await asyncio.sleep(0.4)
+        hosts.cut(REFUSED)
+        await sending
+
+    # The first connection of those that are lost together may count.
+    assert len(hosts.gateway.tables.prompt_parts.crashes) <= 1
