Keep brittle upstreams up: divide their slots among the hosts

Upstreams that say Server-Brittle: N fall over if they reject more than N requests in a second for want of room.

The number is known like a rate limit: observed in any answer, reported to control, sent to all hosts, for one start; a start that has not answered yet bears as many as others of its service did within 15 s, since it may be the successor of one that fell. While an upstream is brittle, the hosts that divide rate limits divide its slots in the same way, and none sends more than its part at a time: how many may wait there changes unannounced, so nobody waits there. A rejection lowers the host's part to 0.7 of what it had running and closes the upstream for it for hosts / N seconds; it grows again so that all hosts together risk N / 2 rejections a second. If no upstream has room, requests are refused at once and callers return one after the other.

Ruled out: a second list and division beside those of Server-Limit; counting only rejections (the first second of a burst is over before any is known).

--- a/bitternlever/gateway/dialect.py
+++ b/bitternlever/gateway/dialect.py
@@ -71,8 +71,9 @@
     because results of earlier stages are gone. ``leaving`` is set if the upstream that
     answered will end soon and wants no new work; ``instance`` is its id if the answer
     names it. ``rate_limit`` is the number of requests per second that the upstream
-    takes from all hosts together, None if it names none; ``rate_limit_fault`` shows a
-    value that cannot be read.
+    takes from all hosts together, None if it names none. An upstream that falls over
+    if it rejects more requests in a second than ``rejection_limit`` names that.
+    ``rate_limit_fault`` shows a value that cannot be read.
     """
 
     request: str | None
@@ -83,6 +84,7 @@
     leaving: bool = False
     instance: str | None = None
     rate_limit: float | None = None
+    rejection_limit: float | None = None
     rate_limit_fault: str = ""
 
 
--- a/bitternlever/gateway/notices.py
+++ b/bitternlever/gateway/notices.py
@@ -57,6 +57,7 @@
         answer.leaving
         or head.status == UNAVAILABLE_STATUS
         or answer.rate_limit is not None
+        or answer.rejection_limit is not None
         or answer.rate_limit_fault
     )
 
@@ -184,15 +185,22 @@
         )
         return
     is_trusted = answer.signed or request is None
-    has_failed = head.status >= FIRST_FAILED_STATUS
-    if answer.rate_limit is None and (has_failed or not is_trusted):
-        return
+    per_s, rejections_per_s = answer.rate_limit, answer.rejection_limit
+    if head.status >= FIRST_FAILED_STATUS or not is_trusted:
+        known = gateway.tables.rate_limits.get(status.upstream)
+        if known is not None and known.started_ms == status.started_ms:
+            per_s = known.per_s if per_s is None else per_s
+            if rejections_per_s is None:
+                rejections_per_s = known.rejections_per_s
+        if answer.rate_limit is None and answer.rejection_limit is None:
+            return
     if rate_limits.observe(
         gateway.tables.rate_limits,
         now,
         status.upstream,
         status.started_ms,
-        answer.rate_limit,
+        per_s,
+        rejections_per_s,
     ):
         gateway.measures.notices["limit"] += 1
         events.UPSTREAM_LIMITED.log(
@@ -200,5 +208,6 @@
             upstream=status.upstream,
             started_ms=status.started_ms,
             request=request,
-            per_s=answer.rate_limit,
+            per_s=per_s,
+            rejections_per_s=rejections_per_s,
         )
--- a/bitternlever/gateway/rate_shares.py
+++ b/bitternlever/gateway/rate_shares.py
@@ -42,6 +42,21 @@
 HOSTS_INTERVAL_S = 0.25
 """Hosts that are no longer listed are dropped with this delay."""
 
+ROOM_AFTER_REJECTION = 0.7
+"""Part of the running requests that remains the bound after a rejection."""
+
+ROOM_GROWTH_FACTOR = 2.0
+"""The bounds of all hosts together grow by half of the rejections that are borne."""
+
+MINIMUM_BORNE_PER_S = 0.5
+"""An upstream that bears none is treated as if it bore one in two seconds."""
+
+MAXIMUM_CLOSED_S = 2.0
+"""Requests that run at an upstream have made room by then."""
+
+MINIMUM_TAKES_S = 0.05
+"""A request takes at least this long, for what is expected of running ones."""
+
 MAXIMUM_RETURN_S = 30.0
 """Hardly any caller waits longer, and the limits may have ended by then."""
 
@@ -77,9 +92,69 @@
 ) -> float | None:
     """Return how many requests may be sent at a time, None if there is no limit."""
     bucket = _request_bucket(tables, now, upstream)
+    left = _room(tables, now, upstream, at_s - now)
     if bucket is None:
+        return left
+    tokens = min(bucket.depth, bucket.level + bucket.per_s * (at_s - now))
+    return tokens if left is None else min(tokens, left)
+
+
+def has_room(
+    tables: gateway_tables.GatewayTables, now: float, upstream: fleet.UpstreamStatus
+) -> bool:
+    """Return whether this host may send a request without the risk of a rejection."""
+    left = _room(tables, now, upstream)
+    return left is None or left >= 1.0
+
+
+def _room(
+    tables: gateway_tables.GatewayTables,
+    now: float,
+    upstream: fleet.UpstreamStatus,
+    in_s: float = 0.0,
+) -> float | None:
+    """Return how many more requests this host may have at an upstream, None if any.
+
+    An upstream that falls over after a few rejections gets no more at a time than it
+    has slots, divided among the hosts: how many may wait there changes unannounced.
+    Of those that are running, some end within ``in_s``.
+    """
+    borne_per_s = _rejections_per_s(tables, now, upstream)
+    if borne_per_s is None:
         return None
-    return min(bucket.depth, bucket.level + bucket.per_s * (at_s - now))
+    hosts = _hosts(tables, now)
+    bound = _room_share(tables, upstream, hosts)
+    learned = tables.rate_shares.rooms.get(upstream.upstream)
+    if learned is not None and learned.started_ms == upstream.started_ms:
+        if now + in_s < learned.closed_until_s:
+            return 0.0
+        growth_s = (
+            ROOM_GROWTH_FACTOR * len(hosts) / max(MINIMUM_BORNE_PER_S, borne_per_s)
+        )
+        bound = min(bound, learned.bound + (now - learned.bounded_s) // growth_s)
+    health = tables.health.get(upstream.upstream)
+    if health is None:
+        return bound
+    ends = min(1.0, in_s / max(MINIMUM_TAKES_S, health.latency_s))
+    return max(0.0, bound - health.running * (1.0 - ends))
+
+
+def record_rejection(
+    tables: gateway_tables.GatewayTables, now: float, upstream: fleet.UpstreamStatus
+) -> None:
+    """Record that an upstream had no room; one that bears few rejections gets less."""
+    borne_per_s = _rejections_per_s(tables, now, upstream)
+    if borne_per_s is None:
+        return
+    health = tables.health.get(upstream.upstream)
+    accepted = 0 if health is None else max(0, health.running - 1)
+    closed_s = len(_hosts(tables, now)) / max(MINIMUM_BORNE_PER_S, borne_per_s)
+    tables.rate_shares.rooms[upstream.upstream] = gateway_tables.Room(
+        started_ms=upstream.started_ms,
+        bound=max(1.0, math.floor(ROOM_AFTER_REJECTION * accepted)),
+        bounded_s=now,
+        closed_until_s=now + min(MAXIMUM_CLOSED_S, closed_s),
+    )
 
 
 def is_due(
@@ -124,11 +199,35 @@
         bucket.level -= 1.0
 
 
+def _rejections_per_s(
+    tables: gateway_tables.GatewayTables, now: float, upstream: fleet.UpstreamStatus
+) -> float | None:
+    if not tables.rate_limits:
+        return None
+    return rate_limits.rejections_per_s(
+        tables.rate_limits, now, tables.upstreams, upstream
+    )
+
+
+def _room_share(
+    tables: gateway_tables.GatewayTables,
+    upstream: fleet.UpstreamStatus,
+    hosts: tuple[str, ...],
+) -> int:
+    """Return this host's part of an upstream's slots; the first hosts get one more."""
+    own_link = tables.announcement.link
+    if tables.announcement.state is not fleet.HostState.READY or own_link not in hosts:
+        return 0
+    part, rest = divmod(upstream.slots, len(hosts))
+    position = affinity.ranked(upstream.upstream, hosts).index(own_link)
+    return part + (position < rest)
+
+
 def remove_ended(tables: gateway_tables.GatewayTables, now: float) -> None:
     """Drop limits of upstreams that have ended, and the buckets without a limit."""
     rate_limits.remove_ended(tables.rate_limits, now, tables.upstreams)
     shares = tables.rate_shares
-    for buckets in (shares.requests, shares.calls):
+    for buckets in (shares.requests, shares.calls, shares.rooms):
         for name in buckets.keys() - tables.rate_limits.keys():
             del buckets[name]
 
@@ -144,13 +243,7 @@
     This host's callers return one after the other, at this host's part of the rate of
     all limits. They may return at any host, so the part of each is the same.
     """
-    limits = [
-        rate_limits.per_s(tables.rate_limits, upstream.upstream, upstream.started_ms)
-        for upstream in upstreams
-    ]
-    fleet_per_s = sum(
-        max(MINIMUM_PER_S, limit) for limit in limits if limit is not None
-    )
+    fleet_per_s = sum(_taken_per_s(tables, upstream) for upstream in upstreams)
     first_s = min(
         (request_opens_s(tables, now, upstream) or now for upstream in upstreams),
         default=now,
@@ -164,6 +257,19 @@
     return return_s - now
 
 
+def _taken_per_s(
+    tables: gateway_tables.GatewayTables, upstream: fleet.UpstreamStatus
+) -> float:
+    """Return the requests a second that an upstream takes, by its limit or slots."""
+    name = upstream.upstream
+    limit = rate_limits.per_s(tables.rate_limits, name, upstream.started_ms)
+    if limit is not None:
+        return max(MINIMUM_PER_S, limit)
+    health = tables.health.get(name)
+    takes_s = 0.0 if health is None else health.latency_s
+    return upstream.slots / max(MINIMUM_TAKES_S, takes_s)
+
+
 def _opens_s(bucket: gateway_tables.TokenBucket, now: float) -> float:
     if bucket.level >= 1.0:
         return now
--- a/bitternlever/gateway/sending.py
+++ b/bitternlever/gateway/sending.py
@@ -13,6 +13,7 @@
     dialect as gateway_dialect,
     event_stream,
     notices,
+    rate_shares,
     state,
 )
 from bitternlever.messages import fleet
@@ -133,6 +134,9 @@
         )
     if answer.not_run or answer.wrong_instance:
         context.sent = sent_before
+        if head.status == notices.UNAVAILABLE_STATUS:
+            now = clocks.boot_time()
+            rate_shares.record_rejection(gateway.tables, now, upstream)
         state.run_in_background(gateway, _drop_body(gateway, attempt))
         return Failure(
             f"not run: status {head.status}",
--- a/bitternlever/gateway/sync.py
+++ b/bitternlever/gateway/sync.py
@@ -222,6 +222,7 @@
         for upstream in usable_upstreams(tables, now, service, origin)
         if pause_ends_s(tables, now, upstream) is None
         and (rate_shares.request_opens_s(tables, now, upstream) or now) <= now
+        and rate_shares.has_room(tables, now, upstream)
     ]
 
 
@@ -259,7 +260,7 @@
     if sum(map(math.floor, tokens)) >= needed:
         return None
     retry_s = rate_shares.return_after_s(tables, now, service, unpaused)
-    return Closed("all upstreams are at their rate limits", retry_s)
+    return Closed("all upstreams are at their limits", retry_s)
 
 
 def catalog_age_s(tables: gateway_tables.GatewayTables, now: float) -> float | None:
--- a/bitternlever/gateway/tables.py
+++ b/bitternlever/gateway/tables.py
@@ -71,10 +71,24 @@
     basis: tuple = ()
 
 
+@dataclasses.dataclass(slots=True)
+class Room:
+    """How many requests this host may have at a start that bears few rejections.
+
+    At most ``bound`` since ``bounded_s``, and no new one until ``closed_until_s``.
+    """
+
+    started_ms: int
+    bound: float
+    bounded_s: float
+    closed_until_s: float
+
+
 @dataclasses.dataclass(slots=True)
 class RateShares:
     """Buckets for requests and for stage calls, by upstream.
 
+    ``rooms`` are the bounds that follow from rejections, by upstream.
     ``hosts`` are the links of the hosts among which limits are divided, as derived from
     the list ``listed``, and ``ready_s`` the times at which they were last listed as
     ready. By service, ``returns_s`` is when the next caller that is refused may return,
@@ -83,6 +97,7 @@
 
     requests: dict[str, TokenBucket] = dataclasses.field(default_factory=dict)
     calls: dict[str, TokenBucket] = dataclasses.field(default_factory=dict)
+    rooms: dict[str, Room] = dataclasses.field(default_factory=dict)
     hosts: tuple[str, ...] = ()
     listed: tuple[fleet.HostAnnouncement, ...] | None = None
     ready_s: dict[str, float] = dataclasses.field(default_factory=dict)
--- a/bitternlever/messages/fleet.py
+++ b/bitternlever/messages/fleet.py
@@ -100,13 +100,15 @@
     """The requests per second that a start of an upstream takes from all hosts.
 
     ``per_s`` is None if it no longer names a limit. ``age_s`` is the time since it last
-    said so, when the message was sent.
+    said so, when the message was sent. An upstream that falls over if it rejects more
+    requests in a second names that number, too: ``rejections_per_s``.
     """
 
     upstream: str
     started_ms: int
     per_s: float | None
     age_s: float
+    rejections_per_s: float | None = None
 
 
 class PromptPart(msgspec.Struct, frozen=True, array_like=True):
--- a/bitternlever/platform/headers.py
+++ b/bitternlever/platform/headers.py
@@ -22,6 +22,7 @@
 LEAVING = b"server-leaving"
 NOT_LEAVING = (b"", b"0")
 RATE_LIMIT = b"server-limit"
+BRITTLE = b"server-brittle"
 MAXIMUM_SHOWN_BYTES = 32
 LAST_EVENT = b"last-event-id"
 RESUMES = b"resumes"
@@ -135,7 +136,8 @@
         for name, value in headers
         if name.lower() == LEAVING
     )
-    rate_limit, rate_limit_fault = _rate_limit(headers)
+    rate_limit, rate_limit_fault = _lowest(headers, RATE_LIMIT)
+    rejection_limit, rejection_fault = _lowest(headers, BRITTLE)
     return dialect.AnswerHead(
         request=None if request is None else _text(request),
         signed=SIGNATURE in values,
@@ -145,7 +147,8 @@
         leaving=leaving,
         instance=None if instance is None else _text(instance),
         rate_limit=rate_limit,
-        rate_limit_fault=rate_limit_fault,
+        rejection_limit=rejection_limit,
+        rate_limit_fault=rate_limit_fault or rejection_fault,
     )
 
 
@@ -185,11 +188,11 @@
     return tuple(parts)
 
 
-def _rate_limit(headers: dialect.RawHeaders) -> tuple[float | None, str]:
-    """Return the lowest limit that an answer names, and a value that is no limit."""
+def _lowest(headers: dialect.RawHeaders, header: bytes) -> tuple[float | None, str]:
+    """Return the lowest limit that a header names, and a value that is no limit."""
     limits = []
     for name, value in headers:
-        if name.lower() != RATE_LIMIT:
+        if name.lower() != header:
             continue
         try:
             limit = float(value)
--- a/tests/gateway/test_notices.py
+++ b/tests/gateway/test_notices.py
@@ -322,6 +322,28 @@
     assert len(server.received) >= 2
 
 
+async def test_the_rejections_that_an_upstream_bears_are_kept_beside_its_rate_limit():
+    server = await scripted_upstream.start(
+        "u1",
+        answer(200, SEAL, limit(100), "Server-Brittle: 3"),
+        answer(503, NOT_RUN, "Server-Brittle: 2"),
+        answer(503, NOT_RUN),
+        answer(200, SEAL, limit(100)),
+    )
+    catalog = with_route(maximum_attempts=1)
+    async with entry_host.running(catalog, status_of(server)) as (gateway, port):
+        known = []
+        for _ in range(4):
+            # The pause after rejections and the room that they leave.
+            gateway.tables.rate_shares.rooms.clear()
+            gateway.tables.health.clear()
+            await ask_often(port, 1)
+            record = gateway.tables.rate_limits["u1"]
+            known.append((record.per_s, record.rejections_per_s))
+
+    assert known == [(100.0, 3.0), (100.0, 2.0), (100.0, 2.0), (100.0, None)]
+
+
 async def test_the_lowest_of_several_rate_limits_holds():
     server = await scripted_upstream.start("u1", answer(200, SEAL, limit(3), limit(2)))
     async with entry_host.running(with_route(), status_of(server)) as (gateway, port):
--- a/tests/platform/test_brittle_upstreams.py
+++ b/tests/platform/test_brittle_upstreams.py
@@ -29,6 +29,7 @@
     brittle: int
     queue: int
     version: str = "v1"
+    slot_count: int = SLOTS
     taken: int = 0
     falls: int = 0
     served: int = 0
--- a/tests/platform/test_rate_limits.py
+++ b/tests/platform/test_rate_limits.py
@@ -27,6 +27,7 @@
     name: str
     limit: float | None = None
     version: str = "v1"
+    slot_count: int = 20
     arrivals_s: list[float] = dataclasses.field(default_factory=list)
     server: scripted_upstream.ScriptedUpstream | None = None
 
--- a/tests/platform/test_stream_versions.py
+++ b/tests/platform/test_stream_versions.py
@@ -26,6 +26,7 @@
 
     name: str
     version: str
+    slot_count: int = 20
     began: list[str] = dataclasses.field(default_factory=list)
     resumed: list[str] = dataclasses.field(default_factory=list)
     server: scripted_upstream.ScriptedUpstream | None = None
