--- a/bitternlever/fleet/feed.py
+++ b/bitternlever/fleet/feed.py
@@ -62,7 +62,7 @@
         rate_limits.merge(tables.rate_limits, now, limit)
     for origin in heartbeat.streams:
         stream_origins.record(tables.stream_origins, now, origin)
-    _handle_prompt_parts(tables, now, heartbeat)
+    _handle_crash_subjects(tables, now, heartbeat)
     subscriber = _register_subscriber(tables, now, heartbeat)
     replica = tables.replica
     current = reads.ready(replica) and reads.lease_valid(replica, now)
@@ -180,7 +180,7 @@
     return rate_limits.changed_since(tables.rate_limits, now, since_s)
 
 
-def _handle_prompt_parts(
+def _handle_crash_subjects(
     tables: fleet_tables.FleetTables, now: float, heartbeat: fleet.HostHeartbeat
 ) -> None:
     """Merge what a host knows of prompt parts, and judge them again."""
--- a/bitternlever/gateway/batching.py
+++ b/bitternlever/gateway/batching.py
@@ -16,9 +16,9 @@
 from bitternlever.core import clocks
 from bitternlever.fleet import upstreams as fleet_upstreams
 from bitternlever.gateway import (
+    crash_subjects,
     dialect as gateway_dialect,
     notices,
-    prompt_parts,
     rate_shares,
     state,
     sync,
@@ -388,14 +388,14 @@
     entry = gateway.tables.upstreams.entries.get(call.upstream.upstream_id)
     if entry is None or exchange.lost_together(gateway.pool, now):
         return
-    parts = gateway.tables.prompt_parts
+    parts = gateway.tables.crash_subjects
     for work in batcher.works_of(queue, call):
         request = work.message.request
         names = tuple(work.message.fingerprints)
         if lost:
-            prompt_parts.record_crash_of(parts, now, request, names, entry.status)
+            crash_subjects.record_crash_of(parts, now, request, names, entry.status)
         else:
-            prompt_parts.record_unanswered_of(
+            crash_subjects.record_unanswered_of(
                 parts, now, request, names, entry.status, call.sent_s
             )
 
@@ -404,12 +404,12 @@
     gateway: state.Gateway, now: float, queue: batching_tables.Batcher
 ) -> list[batching_tables.Finished]:
     """Refuse work of requests that were quarantined after their hosts sent it."""
-    parts = gateway.tables.prompt_parts
+    parts = gateway.tables.crash_subjects
     if not parts.records:
         return []
     ended = []
     for name, work in list(queue.works.items()):
-        refused = prompt_parts.quarantined_since(
+        refused = crash_subjects.quarantined_since(
             parts, now, work.message.fingerprints, work.arrived_s
         )
         if refused is not None:
--- a/bitternlever/gateway/prompt_parts.py
+++ b/bitternlever/gateway/crash_subjects.py
@@ -1,4 +1,4 @@
-"""Prompt parts as an entry host sees them: refused, suspected, or in sound answers.
+"""Prompt parts and whole requests that may crash upstreams, as a host sees them.
 
 A request that loses its upstream before its answer has really begun may have crashed
 it. The host reports it to control, which decides for the fleet
@@ -68,8 +68,8 @@
 
 
 @dataclasses.dataclass(slots=True)
-class PromptParts:
-    """What a host knows of prompt parts; times are on the boot clock.
+class CrashSubjects:
+    """What a host knows of parts and requests; times are on the boot clock.
 
     ``sound`` and ``sound_requests`` are the times of the last answers by part and by
     whole request, the latest last; ``trials`` are the times until which one request
@@ -121,14 +121,14 @@
 
 
 def quarantined_part(
-    parts: PromptParts, now: float, head: dialect.RequestHead
+    parts: CrashSubjects, now: float, head: dialect.RequestHead
 ) -> Quarantined | None:
     """Return the part for which a request is refused before its body is read."""
     return _quarantined(parts, now, shared(head), sending=False)
 
 
 def quarantined(
-    parts: PromptParts,
+    parts: CrashSubjects,
     now: float,
     context: gateway_context.Context,
     *,
@@ -145,7 +145,7 @@
 
 
 def _quarantined(
-    parts: PromptParts, now: float, names: tuple[str, ...], *, sending: bool
+    parts: CrashSubjects, now: float, names: tuple[str, ...], *, sending: bool
 ) -> Quarantined | None:
     if not parts.records:
         return None
@@ -168,7 +168,7 @@
     return refused
 
 
-def is_suspected(parts: PromptParts, context: gateway_context.Context) -> bool:
+def is_suspected(parts: CrashSubjects, context: gateway_context.Context) -> bool:
     """Return whether a request has a part of several crashes and no answer here."""
     if not parts.suspects:
         return False
@@ -183,13 +183,13 @@
     return shared(context.head) + fingerprints.names(context)
 
 
-def record_begun(parts: PromptParts, now: float, head: dialect.RequestHead) -> None:
+def record_begun(parts: CrashSubjects, now: float, head: dialect.RequestHead) -> None:
     """Record that the answer to a prompt has begun without a crash."""
     _record_sound(parts.sound, now, shared(head), MAXIMUM_SOUND_PARTS)
 
 
 def record_complete(
-    parts: PromptParts, now: float, context: gateway_context.Context
+    parts: CrashSubjects, now: float, context: gateway_context.Context
 ) -> None:
     """Record that the answer to a request is complete."""
     record_begun(parts, now, context.head)
@@ -211,7 +211,7 @@
 
 
 def record_crash(
-    parts: PromptParts,
+    parts: CrashSubjects,
     now: float,
     context: gateway_context.Context,
     upstream: fleet.UpstreamStatus,
@@ -227,7 +227,7 @@
 
 
 def record_unanswered(
-    parts: PromptParts,
+    parts: CrashSubjects,
     now: float,
     context: gateway_context.Context,
     upstream: fleet.UpstreamStatus,
@@ -241,7 +241,7 @@
 
 
 def record_unanswered_of(
-    parts: PromptParts,
+    parts: CrashSubjects,
     now: float,
     request: str,
     names: tuple[str, ...],
@@ -256,7 +256,7 @@
 
 
 def report_silent_upstreams(
-    parts: PromptParts, now: float, table: upstreams.UpstreamTable
+    parts: CrashSubjects, now: float, table: upstreams.UpstreamTable
 ) -> None:
     """Turn unanswered requests into crashes whose upstreams have been silent since."""
     if not parts.unanswered:
@@ -292,7 +292,7 @@
 
 
 def record_crash_of(
-    parts: PromptParts,
+    parts: CrashSubjects,
     now: float,
     request: str,
     names: tuple[str, ...],
@@ -307,7 +307,7 @@
 
 
 def quarantined_since(
-    parts: PromptParts, now: float, names: list[str], since_s: float
+    parts: CrashSubjects, now: float, names: list[str], since_s: float
 ) -> Quarantined | None:
     """Return the part for which work is refused that was accepted before a time."""
     for part in names:
@@ -319,7 +319,7 @@
 
 
 def crashes_since(
-    parts: PromptParts, now: float, since_s: float
+    parts: CrashSubjects, now: float, since_s: float
 ) -> list[fleet.PromptCrash]:
     """Return the crashes after a time, to be reported to control."""
     while parts.crashes and now - parts.crashes[0].at_s > CRASH_RETENTION_S:
@@ -337,7 +337,7 @@
     ]
 
 
-def sound_reports(parts: PromptParts, now: float) -> list[fleet.SoundPart]:
+def sound_reports(parts: CrashSubjects, now: float) -> list[fleet.SoundPart]:
     """Return the last answers to prompts with suspected or quarantined parts."""
     asked = parts.suspects.union(parts.records)
     ages_s = {part: _sound_age_s(parts, now, part) for part in asked}
@@ -349,7 +349,7 @@
 
 
 def handle_reply(
-    parts: PromptParts, now: float, reply: fleet.HostHeartbeatReply
+    parts: CrashSubjects, now: float, reply: fleet.HostHeartbeatReply
 ) -> list[str]:
     """Take over what control knows; return the parts whose state has changed."""
     if reply.suspects or parts.suspects:
@@ -367,12 +367,12 @@
     ]
 
 
-def _sound_age_s(parts: PromptParts, now: float, part: str) -> float | None:
+def _sound_age_s(parts: CrashSubjects, now: float, part: str) -> float | None:
     sound_s = _sound(parts, part).get(part)
     if sound_s is None or now - sound_s > SOUND_RETENTION_S:
         return None
     return now - sound_s
 
 
-def _sound(parts: PromptParts, part: str) -> collections.OrderedDict[str, float]:
+def _sound(parts: CrashSubjects, part: str) -> collections.OrderedDict[str, float]:
     return parts.sound_requests if quarantine.is_request(part) else parts.sound
--- a/bitternlever/gateway/forward.py
+++ b/bitternlever/gateway/forward.py
@@ -15,10 +15,10 @@
 from bitternlever.gateway import (
     budget,
     context as gateway_context,
+    crash_subjects,
     fingerprints,
     notices,
     placement,
-    prompt_parts,
     rate_shares,
     relay as gateway_relay,
     resumption,
@@ -111,8 +111,8 @@
     upstream = choose(gateway, context, now)
     if upstream is None:
         return None
-    parts = gateway.tables.prompt_parts
-    refused = prompt_parts.quarantined(parts, now, context, sending=True)
+    parts = gateway.tables.crash_subjects
+    refused = crash_subjects.quarantined(parts, now, context, sending=True)
     if refused is not None:
         return sending.Failure(refused.reason, context.sent, 503, refused.left_s)
     if number > 0 and not _may_retry(gateway, context, now):
@@ -134,13 +134,13 @@
     """
     if not (failure.lost and failure.ran):
         return False
-    parts = gateway.tables.prompt_parts
+    parts = gateway.tables.crash_subjects
     now = clocks.boot_time()
     if exchange.lost_together(gateway.pool, now):
         return False
     begun = gateway_relay.has_begun(relay)
-    prompt_parts.record_crash(parts, now, context, upstream, begun=begun)
-    return prompt_parts.is_suspected(parts, context)
+    crash_subjects.record_crash(parts, now, context, upstream, begun=begun)
+    return crash_subjects.is_suspected(parts, context)
 
 
 def _record_unanswered(
@@ -152,8 +152,8 @@
 ) -> None:
     """Remember a request that was sent and got no whole answer in time."""
     if context.sent_to == upstream.upstream:
-        prompt_parts.record_unanswered(
-            gateway.tables.prompt_parts,
+        crash_subjects.record_unanswered(
+            gateway.tables.crash_subjects,
             clocks.boot_time(),
             context,
             upstream,
@@ -229,7 +229,7 @@
         ran=failure.ran,
         lost=failure.lost,
         events=relay.splitter.events - relay.events_before,
-        parts=prompt_parts.shared(context.head)[:MAXIMUM_LOGGED_PARTS],
+        parts=crash_subjects.shared(context.head)[:MAXIMUM_LOGGED_PARTS],
         subject=fingerprints.names(context)[-1],
         reason=failure.reason,
     )
@@ -310,7 +310,7 @@
     else:
         placement.record_success(health, clocks.boot_time() - started_s)
         if 200 <= outcome.status < 300:
-            prompt_parts.record_complete(
-                gateway.tables.prompt_parts, clocks.boot_time(), context
+            crash_subjects.record_complete(
+                gateway.tables.crash_subjects, clocks.boot_time(), context
             )
     return outcome
--- a/bitternlever/gateway/measures.py
+++ b/bitternlever/gateway/measures.py
@@ -125,7 +125,7 @@
         limit.per_s is not None for limit in tables.rate_limits.values()
     )
     values["parts_refused"] = sum(
-        record.quarantined for record in tables.prompt_parts.records.values()
+        record.quarantined for record in tables.crash_subjects.records.values()
     )
     for service, queue in tables.batchers.items():
         values[f"waiting.{service}"] = sum(
--- a/bitternlever/gateway/relay.py
+++ b/bitternlever/gateway/relay.py
@@ -10,8 +10,8 @@
 from bitternlever.core import clocks
 from bitternlever.gateway import (
     context as gateway_context,
+    crash_subjects,
     event_stream,
-    prompt_parts,
     resumption,
     sending,
     state,
@@ -135,8 +135,8 @@
             stream_watch.record_event(watch, clocks.boot_time())
         if not begun and has_begun(relay):
             begun = True
-            parts = gateway.tables.prompt_parts
-            prompt_parts.record_begun(parts, clocks.boot_time(), context.head)
+            parts = gateway.tables.crash_subjects
+            crash_subjects.record_begun(parts, clocks.boot_time(), context.head)
     failure = _incomplete(splitter, attempt.head)
     if failure is None and splitter.incomplete and resumable:
         await relay.response.write(bytes(splitter.incomplete))
@@ -176,4 +176,4 @@
 def has_begun(relay: sending.Relay) -> bool:
     """Return whether the answer of the present attempt has gone beyond its start."""
     events_of_attempt = relay.splitter.events - relay.events_before
-    return events_of_attempt >= prompt_parts.BEGUN_EVENTS
+    return events_of_attempt >= crash_subjects.BEGUN_EVENTS
--- a/bitternlever/gateway/requests.py
+++ b/bitternlever/gateway/requests.py
@@ -13,11 +13,11 @@
 from bitternlever.gateway import (
     budget,
     context as gateway_context,
+    crash_subjects,
     drains,
     forward,
     handover,
     measures,
-    prompt_parts,
     resumption,
     schedule,
     stages,
@@ -103,15 +103,15 @@
     if drains.refuses(gateway.drain, arrived_s, context.deadline_s):
         reason = "the host stops before the request's deadline"
         return gateway_context.Refusal(503, reason, STALE_RETRY_S)
-    parts = gateway.tables.prompt_parts
-    refused = prompt_parts.quarantined_part(parts, arrived_s, context.head)
+    parts = gateway.tables.crash_subjects
+    refused = crash_subjects.quarantined_part(parts, arrived_s, context.head)
     if refused is not None:
         return gateway_context.Refusal(503, refused.reason, refused.left_s)
     body = await _read_body(gateway, request, context.catalog.limits)
     if body.is_err():
         return body.err()
     context.body = body.ok()
-    refused = prompt_parts.quarantined(parts, arrived_s, context, sending=False)
+    refused = crash_subjects.quarantined(parts, arrived_s, context, sending=False)
     if refused is not None:
         return gateway_context.Refusal(503, refused.reason, refused.left_s)
     return None
--- a/bitternlever/gateway/shell.py
+++ b/bitternlever/gateway/shell.py
@@ -165,7 +165,7 @@
     match message:
         case fleet.HostHeartbeatReply():
             parts = sync.handle_heartbeat_reply(gateway.tables, now, link, message)
-            _log_prompt_parts(gateway, parts)
+            _log_crash_subjects(gateway, parts)
             _become_ready(gateway, now)
         case fleet.CatalogPushed():
             _apply_catalog(gateway, message)
@@ -177,9 +177,9 @@
             batching.receive(gateway, now, link, message)
 
 
-def _log_prompt_parts(gateway: state.Gateway, parts: list[str]) -> None:
+def _log_crash_subjects(gateway: state.Gateway, parts: list[str]) -> None:
     for part in parts:
-        record = gateway.tables.prompt_parts.records.get(part)
+        record = gateway.tables.crash_subjects.records.get(part)
         refused = record is not None and record.quarantined
         event = events.PART_REFUSED if refused else events.PART_ALLOWED
         event.log(logger, part=part)
--- a/bitternlever/gateway/sync.py
+++ b/bitternlever/gateway/sync.py
@@ -19,7 +19,7 @@
     stream_origins,
     upstreams,
 )
-from bitternlever.gateway import prompt_parts, rate_shares, tables as gateway_tables
+from bitternlever.gateway import crash_subjects, rate_shares, tables as gateway_tables
 from bitternlever.messages import fleet
 
 HEARTBEAT_INTERVAL_S = 0.25
@@ -59,11 +59,11 @@
     version = None if tables.catalog is None else tables.catalog.version
     pauses = fleet_pauses.current(tables.pauses, now)
     rate_shares.remove_ended(tables, now)
-    parts = tables.prompt_parts
-    prompt_parts.report_silent_upstreams(parts, now, tables.upstreams)
+    parts = tables.crash_subjects
+    crash_subjects.report_silent_upstreams(parts, now, tables.upstreams)
     quarantined = quarantine.current(parts.records, now)
     stream_origins.remove_expired(tables.stream_origins, now)
-    sound = prompt_parts.sound_reports(parts, now)
+    sound = crash_subjects.sound_reports(parts, now)
     return [
         (
             control.link,
@@ -76,7 +76,7 @@
                 loads=loads,
                 ended=_ends_to_report(tables, control),
                 pauses=pauses,
-                crashes=prompt_parts.crashes_since(
+                crashes=crash_subjects.crashes_since(
                     parts, now, control.reported_until_s
                 ),
                 quarantine=quarantined,
@@ -131,7 +131,7 @@
         rate_limits.merge(tables.rate_limits, now, limit)
     if reply.current and _has_version(tables, reply.catalog_version):
         tables.catalog_current_s = max(tables.catalog_current_s or 0.0, reply.sent_s)
-    return prompt_parts.handle_reply(tables.prompt_parts, now, reply)
+    return crash_subjects.handle_reply(tables.crash_subjects, now, reply)
 
 
 def record_load(
--- a/bitternlever/gateway/tables.py
+++ b/bitternlever/gateway/tables.py
@@ -13,7 +13,7 @@
     stream_origins as fleet_stream_origins,
     upstreams as fleet_upstreams,
 )
-from bitternlever.gateway import prompt_parts as gateway_prompt_parts
+from bitternlever.gateway import crash_subjects as gateway_crash_subjects
 from bitternlever.messages import fleet
 
 
@@ -134,7 +134,7 @@
     of the time to the first piece of a service's answer. ``pauses`` are those that
     upstreams asked this host for and ``pause_hints`` those that they asked any host
     for, both by upstream. ``rate_limits`` are those that upstreams name in their
-    answers, and ``rate_shares`` this host's parts of them. ``prompt_parts`` are those
+    answers, and ``rate_shares`` this host's parts of them. ``crash_subjects`` are those
     that may crash upstreams. ``stream_origins`` are those of the streams that this host
     began or took up.
     """
@@ -168,6 +168,6 @@
     stream_origins: fleet_stream_origins.StreamOrigins = dataclasses.field(
         default_factory=dict
     )
-    prompt_parts: gateway_prompt_parts.PromptParts = dataclasses.field(
-        default_factory=gateway_prompt_parts.PromptParts
+    crash_subjects: gateway_crash_subjects.CrashSubjects = dataclasses.field(
+        default_factory=gateway_crash_subjects.CrashSubjects
     )
--- a/tests/gateway/test_prompt_parts.py
+++ b/tests/gateway/test_crash_subjects.py
@@ -8,9 +8,9 @@
 from bitternlever.catalog import tables as catalog_tables
 from bitternlever.fleet import quarantine, upstreams as fleet_upstreams
 from bitternlever.gateway import (
+    crash_subjects,
     dialect,
     fingerprints,
-    prompt_parts,
     sync,
     tables as gateway_tables,
 )
@@ -41,10 +41,12 @@
     return fleet.HostHeartbeatReply(**fields)
 
 
-def quarantined(*names) -> prompt_parts.PromptParts:
-    parts = prompt_parts.PromptParts()
+def quarantined(*names) -> crash_subjects.CrashSubjects:
+    parts = crash_subjects.CrashSubjects()
     records = [fleet.PromptPart(name, 1, 100.0) for name in names]
-    assert prompt_parts.handle_reply(parts, NOW, reply(quarantine=records)) == [*names]
+    assert crash_subjects.handle_reply(parts, NOW, reply(quarantine=records)) == [
+        *names
+    ]
     return parts
 
 
@@ -54,18 +56,18 @@
 
 def refused_for_s(parts, now, *names, sending=False):
     if not sending:
-        refused = prompt_parts.quarantined_part(parts, now, head(*names))
+        refused = crash_subjects.quarantined_part(parts, now, head(*names))
         if refused is not None:
-            assert refused == prompt_parts.quarantined(
+            assert refused == crash_subjects.quarantined(
                 parts, now, context(*names), sending=False
             )
     else:
-        refused = prompt_parts.quarantined(parts, now, context(*names), sending=True)
+        refused = crash_subjects.quarantined(parts, now, context(*names), sending=True)
     return None if refused is None else refused.left_s
 
 
 def crash(parts, now, upstream, *names, begun=False, **fields):
-    prompt_parts.record_crash(
+    crash_subjects.record_crash(
         parts, now, context(*names, **fields), upstream, begun=begun
     )
 
@@ -90,7 +92,7 @@
 
 def test_one_request_uses_up_a_trial_when_it_is_sent():
     parts = quarantined(DEADLY)
-    prompt_parts.handle_reply(parts, NOW, reply(trials=[DEADLY]))
+    crash_subjects.handle_reply(parts, NOW, reply(trials=[DEADLY]))
 
     assert refused_for_s(parts, NOW, DEADLY, "own") is None
     assert refused_for_s(parts, NOW, DEADLY, "own", sending=True) is None
@@ -100,7 +102,7 @@
 
 def test_a_request_that_is_refused_for_another_part_leaves_the_trial_unused():
     parts = quarantined(DEADLY, "other")
-    prompt_parts.handle_reply(parts, NOW, reply(trials=[DEADLY]))
+    crash_subjects.handle_reply(parts, NOW, reply(trials=[DEADLY]))
 
     assert refused_for_s(parts, NOW, DEADLY, "other", "own", sending=True) is not None
     assert refused_for_s(parts, NOW, DEADLY, "own", sending=True) is None
@@ -109,28 +111,28 @@
 def test_unused_trials_are_dropped():
     parts = quarantined(DEADLY)
     for number in range(9):
-        now = NOW + number * prompt_parts.TRIAL_GRANT_S
-        prompt_parts.handle_reply(parts, now, reply(trials=[f"part{number}"]))
+        now = NOW + number * crash_subjects.TRIAL_GRANT_S
+        crash_subjects.handle_reply(parts, now, reply(trials=[f"part{number}"]))
 
     assert list(parts.trials) == ["part8"]
 
 
 def test_a_trial_that_is_not_used_in_time_is_void():
     parts = quarantined(DEADLY)
-    prompt_parts.handle_reply(parts, NOW, reply(trials=[DEADLY]))
+    crash_subjects.handle_reply(parts, NOW, reply(trials=[DEADLY]))
 
-    late_s = NOW + prompt_parts.TRIAL_GRANT_S
+    late_s = NOW + crash_subjects.TRIAL_GRANT_S
     assert refused_for_s(parts, late_s, DEADLY, "own", sending=True) is not None
 
 
 def test_crashes_are_reported_with_the_last_answers_until_they_are_old():
-    parts = prompt_parts.PromptParts()
+    parts = crash_subjects.CrashSubjects()
     upstream = samples.upstream_status("u1", started_ms=7)
-    prompt_parts.record_begun(parts, NOW - 1.0, head("a", "own"))
+    crash_subjects.record_begun(parts, NOW - 1.0, head("a", "own"))
     crash(parts, NOW, upstream, "a", "b", "own", request="r")
     crash(parts, NOW, upstream, "own", request="s")
 
-    first, second = prompt_parts.crashes_since(parts, NOW + 2.0, NOW - 0.1)
+    first, second = crash_subjects.crashes_since(parts, NOW + 2.0, NOW - 0.1)
     (name,) = fingerprints.names(context("own"))
     assert first == fleet.PromptCrash(
         request="r",
@@ -140,9 +142,9 @@
         age_s=2.0,
     )
     assert second.parts == [(name, None)]
-    assert prompt_parts.crashes_since(parts, NOW + 2.0, NOW) == []
-    late_s = NOW + prompt_parts.CRASH_RETENTION_S + 1.0
-    assert prompt_parts.crashes_since(parts, late_s, 0.0) == []
+    assert crash_subjects.crashes_since(parts, NOW + 2.0, NOW) == []
+    late_s = NOW + crash_subjects.CRASH_RETENTION_S + 1.0
+    assert crash_subjects.crashes_since(parts, late_s, 0.0) == []
 
 
 SENT_S = NOW - 0.6
@@ -154,8 +156,8 @@
         announcement=samples.host_announcement(), seeds=("tcp://c:1",)
     )
     see(tables, seen_s, "u1")
-    prompt_parts.record_unanswered(
-        tables.prompt_parts,
+    crash_subjects.record_unanswered(
+        tables.crash_subjects,
         NOW,
         context("a", "own"),
         samples.upstream_status("u1"),
@@ -183,8 +185,8 @@
     for number in range(5):
         now = NOW + number * 0.5
         see(tables, now, "u2")
-        assert crashes_reported(tables, now) == (now - SENT_S > prompt_parts.SILENT_S)
-    (crash,) = tables.prompt_parts.crashes
+        assert crashes_reported(tables, now) == (now - SENT_S > crash_subjects.SILENT_S)
+    (crash,) = tables.crash_subjects.crashes
     assert crash.parts == ("a", *fingerprints.names(context("own")))
 
 
@@ -194,7 +196,7 @@
     for number in range(20):
         see(tables, NOW + number * 0.5, "u2")
         assert crashes_reported(tables, NOW + number * 0.5) == 0
-    assert not tables.prompt_parts.unanswered
+    assert not tables.crash_subjects.unanswered
 
 
 def test_an_unanswered_request_is_no_crash_if_its_upstream_has_left():
@@ -206,7 +208,7 @@
 
 
 def test_a_request_to_an_upstream_that_was_silent_before_has_not_crashed_it():
-    tables = unanswered_tables(seen_s=SENT_S - prompt_parts.SILENT_S - 0.1)
+    tables = unanswered_tables(seen_s=SENT_S - crash_subjects.SILENT_S - 0.1)
     see(tables, NOW + 4.0, "u2")
 
     assert crashes_reported(tables, NOW + 4.0) == 0
@@ -230,44 +232,44 @@
 def test_answers_are_reported_for_suspects_only():
     parts = quarantined("c")
     answered = context("a", "b", "c", "own", target=b"/a/x?q")
-    prompt_parts.record_complete(parts, NOW, answered)
+    crash_subjects.record_complete(parts, NOW, answered)
     path, target = fingerprints.names(answered)
-    prompt_parts.handle_reply(parts, NOW, reply(suspects=["a", "x", path]))
+    crash_subjects.handle_reply(parts, NOW, reply(suspects=["a", "x", path]))
 
-    reports = prompt_parts.sound_reports(parts, NOW + 1.0)
+    reports = crash_subjects.sound_reports(parts, NOW + 1.0)
     assert sorted(report.part for report in reports) == ["a", "c", path]
     assert {report.age_s for report in reports} == {1.0}
-    late_s = NOW + prompt_parts.SOUND_RETENTION_S + 1.0
-    assert prompt_parts.sound_reports(parts, late_s) == []
+    late_s = NOW + crash_subjects.SOUND_RETENTION_S + 1.0
+    assert crash_subjects.sound_reports(parts, late_s) == []
 
 
 def test_what_is_kept_is_bounded():
-    parts = prompt_parts.PromptParts()
+    parts = crash_subjects.CrashSubjects()
     upstream = samples.upstream_status("u1")
-    for number in range(prompt_parts.MAXIMUM_SOUND_PARTS + 99):
+    for number in range(crash_subjects.MAXIMUM_SOUND_PARTS + 99):
         names = [f"{number} {place}" for place in range(99)]
         target = b"/a/%d?q" % number
-        prompt_parts.record_complete(parts, NOW, context(*names, target=target))
+        crash_subjects.record_complete(parts, NOW, context(*names, target=target))
         crash(parts, NOW, upstream, *names, target=target)
 
-    assert len(parts.sound) == prompt_parts.MAXIMUM_SOUND_PARTS
-    assert len(parts.sound_requests) == prompt_parts.MAXIMUM_SOUND_REQUESTS
-    assert len(parts.crashes) == prompt_parts.MAXIMUM_CRASHES
-    assert len(parts.crashes[0].parts) == prompt_parts.MAXIMUM_PARTS + 2
+    assert len(parts.sound) == crash_subjects.MAXIMUM_SOUND_PARTS
+    assert len(parts.sound_requests) == crash_subjects.MAXIMUM_SOUND_REQUESTS
+    assert len(parts.crashes) == crash_subjects.MAXIMUM_CRASHES
+    assert len(parts.crashes[0].parts) == crash_subjects.MAXIMUM_PARTS + 2
 
 
 def test_long_names_from_callers_neither_fill_the_memory_nor_the_heartbeats():
-    parts = prompt_parts.PromptParts()
+    parts = crash_subjects.CrashSubjects()
     upstream = samples.upstream_status("u1")
     long = "x" * 16_000
     names = [f"{place}{long}" for place in range(9)]
     for number in range(50):
         prompt = [*names, "short", "own"]
-        prompt_parts.record_begun(parts, NOW, head(*prompt))
+        crash_subjects.record_begun(parts, NOW, head(*prompt))
         crash(parts, NOW, upstream, *prompt, request=f"{number}{long}")
 
     assert list(parts.sound) == ["short"]
-    reports = prompt_parts.crashes_since(parts, NOW, 0.0)
+    reports = crash_subjects.crashes_since(parts, NOW, 0.0)
     followed = [part for part, _ in reports[0].parts]
     assert followed == ["short", *fingerprints.names(context())]
     assert len(msgspec.msgpack.encode(reports)) < 10_000
@@ -317,7 +319,7 @@
     status = samples.upstream_status("u1", address=server.address)
     async with entry_host.running(catalog(), status) as (gateway, port):
         await entry_host.call(port, request("a", "b", "own"))
-        parts = gateway.tables.prompt_parts
+        parts = gateway.tables.crash_subjects
 
     prompts = [
         tuple(part for part in crash.parts if not quarantine.is_request(part))
@@ -347,7 +349,7 @@
     status = samples.upstream_status("u1", address=server.address)
     async with entry_host.running(catalog(), status) as (gateway, port):
         await entry_host.call(port, request("own"))
-        parts = gateway.tables.prompt_parts
+        parts = gateway.tables.crash_subjects
 
     assert len(parts.crashes) == crashed
     assert len(parts.sound_requests) == sound
@@ -358,7 +360,7 @@
     status = samples.upstream_status("u1", address=server.address)
     deadly = {"method": "POST", "body": b"deadly"}
     async with entry_host.running(samples.catalog(), status) as (gateway, port):
-        parts = gateway.tables.prompt_parts
+        parts = gateway.tables.crash_subjects
         caller = catalog_tables.Workspace("w", None)
         (name,) = fingerprints.names(
             samples.context(method=b"POST", body=b"deadly", workspace=caller)
@@ -383,7 +385,7 @@
     status = samples.upstream_status("u1", address=server.address)
     async with entry_host.running(catalog(), status) as (gateway, port):
         quarantine.change(
-            gateway.tables.prompt_parts.records,
+            gateway.tables.crash_subjects.records,
             gateway.pool.clock(),
             DEADLY,
             quarantined=True,
@@ -408,12 +410,12 @@
     ]
     resumable = catalog(resumable=True, maximum_attempts=2)
     async with entry_host.running(resumable, *statuses) as (gateway, port):
-        gateway.tables.prompt_parts.suspects = frozenset({DEADLY})
+        gateway.tables.crash_subjects.suspects = frozenset({DEADLY})
         await entry_host.call(port, request("a", DEADLY, "own"))
         assert sum(len(server.received) for server in servers) == 1
 
-        gateway.tables.prompt_parts.suspects = frozenset({"b"})
-        gateway.tables.prompt_parts.sound["b"] = 0.0
+        gateway.tables.crash_subjects.suspects = frozenset({"b"})
+        gateway.tables.crash_subjects.sound["b"] = 0.0
         await entry_host.call(port, request("a", "b", "own"))
         assert sum(len(server.received) for server in servers) == 3
 
@@ -423,7 +425,7 @@
         announcement=samples.host_announcement(), seeds=("tcp://c:1",)
     )
     upstream = samples.upstream_status("u1")
-    crash(tables.prompt_parts, NOW, upstream, "a", "own")
+    crash(tables.crash_subjects, NOW, upstream, "a", "own")
 
     def crashes_sent(now):
         ((_, beat),) = sync.heartbeats(tables, now, fleet.HostState.READY, [])
@@ -451,7 +453,7 @@
         call = asyncio.ensure_future(entry_host.call(port, request("a", DEADLY, "own")))
         await asyncio.sleep(0.1)
         quarantine.change(
-            gateway.tables.prompt_parts.records,
+            gateway.tables.crash_subjects.records,
             gateway.pool.clock(),
             DEADLY,
             quarantined=True,
@@ -483,7 +485,7 @@
     sync.merge_upstream_statuses(tables, NOW + 0.1, update)
     fleet_upstreams.mark_leaving(tables.upstreams, NOW + 0.1, "u1")
     upstream = samples.upstream_status("u2")
-    crash(tables.prompt_parts, NOW + 0.1, upstream, "a", "own")
+    crash(tables.crash_subjects, NOW + 0.1, upstream, "a", "own")
     assert len(send(NOW + 0.2).ended) == 1
     answer(NOW + 0.25, NOW + 0.2, "1")
     for sent_s in (NOW + 0.3, NOW + 0.6):
--- a/tests/gateway/test_cut_off.py
+++ b/tests/gateway/test_cut_off.py
@@ -284,4 +284,4 @@
         await sending
 
     # The first connection of those that are lost together may count.
-    assert len(hosts.gateway.tables.prompt_parts.crashes) <= 1
+    assert len(hosts.gateway.tables.crash_subjects.crashes) <= 1
--- a/tests/gateway/test_decisions.py
+++ b/tests/gateway/test_decisions.py
@@ -209,7 +209,7 @@
     assert spend(host_budget, NOW + 12.0, hosts=1) == 35
 
 
-def test_the_same_prompt_parts_find_the_same_engine_on_each_host():
+def test_the_same_crash_subjects_find_the_same_engine_on_each_host():
     upstreams = [samples.upstream_status(f"e{n}", slots=64) for n in range(6)]
     chosen = {
         placement.choose(make_tables(), NOW, upstreams, set(), f"part-{n}").upstream
