--- a/tests/platform/test_codecs.py
+++ b/tests/platform/test_codecs.py
@@ -407,3 +407,31 @@
     data = msgspec.msgpack.encode(update)
 
     assert msgspec.msgpack.decode(data, type=fleet.Message) == update
+
+
+def test_a_request_for_another_host_keeps_what_the_caller_sent():
+    sent = [
+        (b"Host", b"h.example"),
+        (b"Connection", b"close, X-Hop"),
+        (b"X-Hop", b"1"),
+        (b"Authorization", b"Bearer k1"),
+        (b"X-Bitternlever-Request-Id", b"id"),
+        (b"X-Bitternlever-Deadline-Ms", b"4000"),
+        (b"Last-Event-Id", b"9"),
+        (b"Resumes", b"first"),
+        (b"Content-Length", b"4"),
+    ]
+    handed_over = headers.handover_headers(sent, 1.5, 4)
+
+    assert dict(handed_over) == {
+        b"Host": b"h.example",
+        b"Authorization": b"Bearer k1",
+        b"X-Bitternlever-Request-Id": b"id",
+        b"X-Bitternlever-Deadline-Ms": b"1500",
+        b"Last-Event-Id": b"9",
+        b"Resumes": b"first",
+        b"Content-Length": b"4",
+        b"X-Bitternlever-Handed-Over": b"1",
+    }
+    head = headers.read_request(handed_over)
+    assert (head.handed_over, head.api_key, head.deadline_s) == (True, "k1", 1.5)
