--- a/tests/platform/test_brittle_upstreams.py
+++ b/tests/platform/test_brittle_upstreams.py
@@ -76,7 +76,7 @@
 @pytest.mark.parametrize("queue", [3, 1], ids=["short queue", "shorter later"])
 async def test_brittle_upstreams_stay_up_under_twice_their_load(tmp_path, queue):
     upstreams = [Upstream(f"u{number}", 2, 3) for number in range(UPSTREAMS)]
-    async with fleet_system.running(tmp_path, 65, upstreams) as system:
+    async with fleet_system.running(tmp_path, 56, upstreams) as system:
         sending = system.start(
             system.send(per_s=2 * CAPACITY_PER_S, for_s=13.0, method="POST")
         )
--- a/tests/platform/test_stream_versions.py
+++ b/tests/platform/test_stream_versions.py
@@ -108,7 +108,7 @@
 )
 async def test_a_stream_is_taken_up_only_at_the_version_that_began_it(tmp_path, killed):
     servers = upstreams("v1", "v2", "v1", "v2")
-    async with running(tmp_path, 60, servers) as system:
+    async with running(tmp_path, 51, servers) as system:
         requests = await begin(system)
         await restart(system, *killed)
         # The statuses of all upstreams reach a host with its first heartbeats.
@@ -130,7 +130,7 @@
 async def test_the_third_take_up_goes_on_at_the_version_that_began_the_stream(tmp_path):
     """Each take-up names the request that brought the first event, not the last one."""
     servers = upstreams("v1", "v2", "v1", "v2")
-    async with running(tmp_path, 61, servers) as system:
+    async with running(tmp_path, 52, servers) as system:
         requests = await begin(system)
         for number, request in enumerate(requests):
             for attempt in range(3):
@@ -149,7 +149,7 @@
 
 async def test_a_stream_whose_version_has_left_is_refused_at_once(tmp_path):
     servers = upstreams("v1", "v2")
-    async with running(tmp_path, 62, servers) as system:
+    async with running(tmp_path, 53, servers) as system:
         requests = await begin(system)
         old = servers[0]
         left = [request for request in requests if request in old.began]
@@ -175,7 +175,7 @@
 @pytest.mark.parametrize("resumes", ["unknown", ""], ids=["unknown", "not named"])
 async def test_a_stream_of_an_unknown_version_is_refused(tmp_path, resumes):
     servers = upstreams("v1", "v1")
-    async with running(tmp_path, 63, servers) as system:
+    async with running(tmp_path, 54, servers) as system:
         await begin(system)
         answer, took_s = await resume(system, fleet_system.HOSTS[0], resumes, "r")
 
@@ -187,7 +187,7 @@
 async def test_a_host_goes_on_only_at_the_version_that_began_the_stream(tmp_path):
     """The upstream fails within the answer, and the host sends the request again."""
     servers = upstreams("v1", "v2", "v1", "v2")
-    async with running(tmp_path, 64, servers, TWO_ATTEMPTS) as system:
+    async with running(tmp_path, 55, servers, TWO_ATTEMPTS) as system:
         answers = await asyncio.gather(
             *(
                 system.call(host, post(f"s{number}"))
