--- a/bitternlever/gateway/rate_shares.py
+++ b/bitternlever/gateway/rate_shares.py
@@ -9,6 +9,9 @@
 longer listed is not used for some time: the list of a control process that has just
 started is short.
 
+An upstream that falls over after a few rejections is divided in the same way: each host
+has a part of its slots, and a smaller one for some time after a rejection.
+
 Load pattern: any number of hosts, and limits of far less or more than one request per
 second for each of them.
 """
