--- a/review/harness/platform.py
+++ b/review/harness/platform.py
@@ -21,6 +21,8 @@
 FIRST_LINK_OFFSET = 10
 LINK_PORTS = 15
 GRACE_S = 8.0
+METRICS_PORTS = (9180, 9181)
+ATTEMPTS = 20
 
 BOUNDS = {
     "seed_lag_s": 3,
@@ -76,18 +78,21 @@
 
     def __init__(self, folder: pathlib.Path, entries: int = 3, controls: int = 3):
         self.folder = folder
-        self.network = random.randrange(2, 250)
-        self.port = random.randrange(20_000, 30_000)
         self.started_s = time.monotonic()
         self.ends: list[End] = []
         self.closed = False
         self.revision = 0
-        self.machines = {}
-        for number in range(controls):
-            self._add("core", "control", number, number + 1)
-        for number in range(entries):
-            self._add("front", "entry", number, number + 11)
-        self._check_addresses()
+        for _ in range(ATTEMPTS):
+            self.network = random.randrange(2, 250)
+            self.port = random.randrange(20_000, 30_000)
+            self.machines: dict[str, Machine] = {}
+            for number in range(controls):
+                self._add("core", "control", number, number + 101)
+            for number in range(entries):
+                self._add("front", "entry", number, number + 111)
+            if self._is_free():
+                return
+        raise OSError("no free network of loopback addresses")
 
     def _add(self, kind: str, role: str, number: int, last_byte: int) -> None:
         zone = ZONES[number % len(ZONES)]
@@ -95,13 +100,19 @@
         ip = f"127.{self.network}.1.{last_byte}"
         self.machines[name] = Machine(name, role, zone, ip)
 
-    def _check_addresses(self) -> None:
-        """Take other ports if one is in use."""
+    def _is_free(self) -> bool:
+        """Return whether no address of the deployment is in use."""
+        offsets = range(FIRST_LINK_OFFSET + LINK_PORTS)
+        ports = [*METRICS_PORTS, *(self.port + offset for offset in offsets)]
         for machine in self.machines.values():
-            for offset in range(FIRST_LINK_OFFSET + LINK_PORTS):
+            for port in ports:
                 with socket.socket() as probe:
                     probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-                    probe.bind((machine.ip, self.port + offset))
+                    try:
+                        probe.bind((machine.ip, port))
+                    except OSError:
+                        return False
+        return True
 
     def now(self) -> float:
         """Return the seconds since the run began."""
