--- a/review/harness/case.py
+++ b/review/harness/case.py
@@ -48,14 +48,21 @@
         self.tries: list[client.Try] = []
         self.tasks: list[asyncio.Task] = []
 
-    async def start_servers(self, service: str, count: int, **fields) -> None:
+    async def start_servers(
+        self,
+        service: str,
+        count: int,
+        kind: type[server.Server] = server.Server,
+        version: str = "v1",
+    ) -> None:
         """Start some servers of a service."""
         for _ in range(count):
             number = len(self.servers) + 1
             ip = f"127.{self.platform.network}.2.{number}"
             zone = platform.ZONES[number % len(platform.ZONES)]
             controls = self.platform.controls()
-            started = server.Server(service, controls, ip, zone, **fields)
+            started = kind(service, controls, ip, zone, now=self.platform.now)
+            started.version = version
             await started.start()
             self.servers.append(started)
             self.record.write("server", name=started.name, address=started.address)
@@ -66,33 +73,50 @@
         self.record.write("config", version=body["version"], acknowledged_s=took_s)
         return took_s
 
-    def start_clients(self, path: str, per_s: float, deadline_s: float = 2.0) -> None:
-        """Send requests at a rate until the end of the run."""
+    def start_clients(
+        self,
+        path: str,
+        per_s: float,
+        deadline_s: float = 2.0,
+        method: str = "GET",
+        kept_s: float = 1.0,
+        more: dict[str, str] | None = None,
+    ) -> None:
+        """Send requests at a rate until the end of the run, from one client.
+
+        It keeps a response of the directory for ``kept_s``.
+        """
+
+        async def send(address: str) -> None:
+            now = self.platform.now()
+            attempt = await client.send(address, path, deadline_s, now, method, more)
+            self._record(attempt, path)
+
         self.tasks.append(
-            asyncio.ensure_future(self._send_requests(path, per_s, deadline_s))
+            asyncio.ensure_future(self._send_requests(send, per_s, kept_s))
         )
 
-    async def _send_requests(self, path: str, per_s: float, deadline_s: float) -> None:
+    async def _send_requests(
+        self, send: Callable[[str], Awaitable[None]], per_s: float, kept_s: float
+    ) -> None:
         entries = self.platform.of_role("entry")
         directories = [self.platform.address(name, "directory") for name in entries]
         addresses: list[str] = []
-        looked_up_s = -1.0
+        looked_up_s = -kept_s
         sending = set()
+        await asyncio.sleep(random.random() * kept_s)
         while True:
             now = self.platform.now()
-            if now - looked_up_s > 1.0:
+            if now - looked_up_s > kept_s:
                 looked_up_s = now
                 addresses = await client.resolve(directories) or addresses
             if addresses:
-                target = random.choice(addresses)
-                one = asyncio.ensure_future(self._send(target, path, deadline_s))
+                one = asyncio.ensure_future(send(random.choice(addresses)))
                 sending.add(one)
                 one.add_done_callback(sending.discard)
             await asyncio.sleep(1.0 / per_s)
 
-    async def _send(self, address: str, path: str, deadline_s: float) -> None:
-        now = self.platform.now()
-        attempt = await client.send(address, path, deadline_s, now)
+    def _record(self, attempt: client.Try, path: str) -> None:
         attempt.path = path
         self.tries.append(attempt)
         ran_at = [at.name for at in self.servers if attempt.identity in at.runs]
@@ -100,8 +124,9 @@
             "request",
             id=attempt.identity,
             path=path,
-            to=address,
+            to=attempt.address,
             sent_s=round(attempt.at_s, 3),
+            took_s=round(attempt.took_s, 3),
             status=attempt.status,
             ran_at=ran_at,
         )
--- a/review/harness/client.py
+++ b/review/harness/client.py
@@ -34,8 +34,15 @@
     return []
 
 
-async def send(address: str, path: str, deadline_s: float, now: float) -> Try:
-    """Send one request on a new channel."""
+async def send(
+    address: str,
+    path: str,
+    deadline_s: float,
+    now: float,
+    method: str = "GET",
+    more: dict[str, str] | None = None,
+) -> Try:
+    """Send one request on a new channel; ``more`` are further headers."""
     identity = secrets.token_hex(8)
     loop = asyncio.get_running_loop()
     started_s = loop.time()
@@ -47,11 +54,12 @@
         "X-Bitternlever-Request-Id": identity,
         "X-Bitternlever-Deadline-Ms": str(round(deadline_s * 1_000)),
         "Authorization": f"Bearer {KEY}",
+        **(more or {}),
     }
     try:
         async with asyncio.timeout(deadline_s + 0.5):
             reader, writer = await asyncio.open_connection(host, int(port))
-            writer.write(http.encode(f"GET {path} HTTP/1.1", headers))
+            writer.write(http.encode(f"{method} {path} HTTP/1.1", headers))
             answer = await http.read_head(reader)
             answer.body = await http.read_body(reader, answer)
             status = answer.status
--- a/review/harness/server.py
+++ b/review/harness/server.py
@@ -5,6 +5,7 @@
 import itertools
 import secrets
 import time
+from collections.abc import Callable
 
 from review.harness import http
 
@@ -22,6 +23,7 @@
     ip: str
     zone: str = "hall-a"
     work_s: float = 0.02
+    version: str = "v1"
     name: str = ""
     born: int = 0
     call_seq: int = 0
@@ -30,6 +32,7 @@
     runs: dict[str, int] = dataclasses.field(default_factory=dict)
     listener: asyncio.Server | None = None
     beating: asyncio.Task | None = None
+    now: Callable[[], float] = time.monotonic
 
     async def start(self) -> None:
         """Listen at a free port and begin to send heartbeats."""
@@ -52,7 +55,7 @@
             "service": self.service,
             "address": self.address,
             "zone": self.zone,
-            "version": "v1",
+            "version": self.version,
             "slot_count": SLOTS,
             "state": "ready",
             "cold_left_ms": 0,
@@ -81,14 +84,15 @@
             while True:
                 request = await http.read_head(reader)
                 request.body = await http.read_body(reader, request)
-                writer.write(await self._answer(request))
+                await self.answer(request, writer)
                 await writer.drain()
         except (OSError, asyncio.IncompleteReadError):
             pass
         finally:
             writer.close()
 
-    async def _answer(self, request: http.Message) -> bytes:
+    async def answer(self, request: http.Message, writer: asyncio.StreamWriter) -> None:
+        """Run a plain request and write its answer."""
         identity = request.headers.get("x-bitternlever-request-id", "")
         headers = {
             "X-Bitternlever-Request-Id": identity,
@@ -97,9 +101,10 @@
         expected = request.headers.get("x-bitternlever-expect-instance", self.name)
         if expected != self.name:
             headers["X-Bitternlever-Not-Run"] = "1"
-            return http.encode("HTTP/1.1 421 Misdirected Request", headers)
+            writer.write(http.encode("HTTP/1.1 421 Misdirected Request", headers))
+            return
         self.runs[identity] = self.runs.get(identity, 0) + 1
         await asyncio.sleep(self.work_s)
         headers["X-Bitternlever-Response-Seal"] = f"{identity}.{self.name}"
         body = f"answer to {identity}".encode()
-        return http.encode("HTTP/1.1 200 OK", headers, body)
+        writer.write(http.encode("HTTP/1.1 200 OK", headers, body))
