--- a/review/harness/server.py
+++ b/review/harness/server.py
@@ -23,6 +23,7 @@
     ip: str
     zone: str = "hall-a"
     work_s: float = 0.02
+    slots: int = SLOTS
     version: str = "v1"
     name: str = ""
     born: int = 0
@@ -56,7 +57,7 @@
             "address": self.address,
             "zone": self.zone,
             "version": self.version,
-            "slot_count": SLOTS,
+            "slot_count": self.slots,
             "state": "ready",
             "cold_left_ms": 0,
             "born": self.born,
