Refuse numbers beyond 64 bits where they arrive, and drop such messages alone

Cause: JSON has integers of any size, MessagePack those of 64 bits. The numbers of a heartbeat were decoded without a range, kept, and sent to hosts; encoding the frame raised OverflowError in the flush, which the runner takes for a broken invariant.

Evidence: the traceback in the control process's log (codec.encode, from links.flush). Ruled out: the order of statuses (the tick had returned), memory.

Change: heartbeats and notices of an end with numbers outside 0 to 2**63 - 1, and configs whose version does not fit into 64 bits, are refused with 400. Other numbers of a config are bounded when decoded: an older build may have committed such a config, so that refusing it would keep this host on the one before. A message that cannot be encoded is dropped alone with event 204; the other messages of its frame and all other peers get theirs. The end of a start with the largest number keeps that number.

It works because no such number gets past the decoder, and one that an older process could pass on costs no more than its own message.

--- a/bitternlever/fleet/upstreams.py
+++ b/bitternlever/fleet/upstreams.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from bitternlever.messages import fleet
+from bitternlever.messages import fleet, integers
 
 ENDED_RETENTION_S = 120.0
 """Longer than a heartbeat can be late, so that it can't revive an ended upstream."""
@@ -172,7 +172,8 @@
     started_ms = status.started_ms or known.started_ms
     sequence = status.sequence
     if started_ms == known.started_ms:
-        sequence = max(status.sequence, known.sequence + 1)
+        next_sequence = min(known.sequence + 1, integers.MAXIMUM)
+        sequence = max(status.sequence, next_sequence)
     return msgspec.structs.replace(
         known,
         state=fleet.UpstreamState.GONE,
--- a/bitternlever/platform/catalog.py
+++ b/bitternlever/platform/catalog.py
@@ -4,10 +4,14 @@
 import result
 
 from bitternlever.catalog import tables
+from bitternlever.messages import integers
 
 MILLISECONDS_PER_SECOND = 1_000
 BYTES_PER_MB = 1_000_000
 BITS_PER_BYTE = 8
+MAXIMUM_PRIORITY = 1_000_000
+"""Keeps ranks that are computed from priorities within 64 bits."""
+
 REPEATABILITY_BY_KIND = {
     "idempotent": tables.Repeatability.IDEMPOTENT,
     "non_idempotent": tables.Repeatability.ONCE,
@@ -118,6 +122,12 @@
 
 
 def _config_fault(config: _Config) -> tables.CatalogFault | None:
+    if not integers.fits(config.version):
+        reason = (
+            f"version {config.version} must be from {integers.MINIMUM}"
+            f" to {integers.MAXIMUM}"
+        )
+        return tables.CatalogFault("$.version", reason)
     service_names = {service.name for service in config.services}
     matched: set[tuple[str, str]] = set()
     for number, route in enumerate(config.routes):
@@ -192,8 +202,8 @@
         routes=routes,
         services={service.name: _service(service) for service in config.services},
         limits=tables.ClientLimits(
-            header_bytes=limits.header_bytes,
-            body_bytes=limits.body_bytes,
+            header_bytes=integers.clamp(limits.header_bytes),
+            body_bytes=integers.clamp(limits.body_bytes),
             header_timeout_s=limits.header_timeout_ms / MILLISECONDS_PER_SECOND,
             idle_timeout_s=limits.idle_timeout_ms / MILLISECONDS_PER_SECOND,
         ),
@@ -205,12 +215,19 @@
     if tenants is None:
         return None
     return {
-        key: tables.Workspace(name=tenant.name, priority=tenant.priority)
+        key: tables.Workspace(
+            name=tenant.name,
+            priority=None if tenant.priority is None else _priority(tenant.priority),
+        )
         for tenant in tenants
         for key in tenant.api_keys
     }
 
 
+def _priority(value: int) -> int:
+    return integers.clamp(value, -MAXIMUM_PRIORITY, MAXIMUM_PRIORITY)
+
+
 def _route(route: _Route) -> tables.Route:
     return tables.Route(
         name=route.name,
@@ -220,18 +237,18 @@
         resumable=route.resumable,
         timeout_s=route.timeout_ms / MILLISECONDS_PER_SECOND,
         objective_s=(route.goal_ms or route.timeout_ms) / MILLISECONDS_PER_SECOND,
-        priority=route.priority,
+        priority=_priority(route.priority),
         targets=tuple(
             tables.Target(service=target.service, weight=target.weight)
             for target in _targets(route)
         ),
-        maximum_attempts=max(1, route.max_attempts),
+        maximum_attempts=integers.clamp(route.max_attempts, minimum=1),
         stages=tuple(
             tables.Stage(
                 number=number,
                 service=stage.service,
                 after=tuple(stage.after),
-                result_bytes=int(stage.bytes),
+                result_bytes=integers.clamp(stage.bytes),
             )
             for number, stage in enumerate(route.stages)
         ),
@@ -245,22 +262,22 @@
     return tables.Service(
         name=service.name,
         health_path=service.health_path,
-        maximum_connections=service.max_conns,
+        maximum_connections=integers.clamp(service.max_conns),
         stage=None if service.pieces is None else _stage_capacity(service.pieces),
         engine=None
         if service.engine is None
         else tables.EngineCapacity(
-            concurrency=service.engine.slot_count,
-            memory_tokens=service.engine.kv_capacity,
+            concurrency=integers.clamp(service.engine.slot_count),
+            memory_tokens=integers.clamp(service.engine.kv_capacity),
         ),
     )
 
 
 def _stage_capacity(pieces: _Pieces) -> tables.StageCapacity:
     return tables.StageCapacity(
-        concurrency=max(1, pieces.slot_count),
-        queue=pieces.queue,
-        batch=max(1, pieces.batch),
+        concurrency=integers.clamp(pieces.slot_count, minimum=1),
+        queue=integers.clamp(pieces.queue),
+        batch=integers.clamp(pieces.batch, minimum=1),
         call_s=pieces.call_ms / MILLISECONDS_PER_SECOND,
         item_s=pieces.item_ms / MILLISECONDS_PER_SECOND,
         result_memory_bytes=pieces.room_mb * BYTES_PER_MB,
--- a/bitternlever/platform/upstreams.py
+++ b/bitternlever/platform/upstreams.py
@@ -3,7 +3,7 @@
 import msgspec
 import result
 
-from bitternlever.messages import fleet
+from bitternlever.messages import fleet, integers
 
 MILLISECONDS_PER_SECOND = 1_000
 MAXIMUM_BYTES = 65_536
@@ -24,16 +24,16 @@
     address: str
     zone: str
     state: str
-    call_seq: int
-    slot_count: int
-    born: int = 0
+    call_seq: integers.Count
+    slot_count: integers.Count
+    born: integers.Count = 0
     cold_left_ms: float = 0.0
     version: str = ""
 
 
 class _Leave(msgspec.Struct):
-    born: int = 0
-    call_seq: int = 0
+    born: integers.Count = 0
+    call_seq: integers.Count = 0
 
 
 _heartbeat_decoder = msgspec.json.Decoder(_Heartbeat)
--- a/bitternlever/telemetry/events.py
+++ b/bitternlever/telemetry/events.py
@@ -78,6 +78,12 @@
     logging.WARNING,
     "A peer acknowledges no frames: redialling it.",
 )
+MESSAGE_DROPPED = register(
+    204,
+    "message-dropped",
+    logging.ERROR,
+    "A message to a peer cannot be encoded: it is dropped.",
+)
 CALL_REFUSED = register(301, "call-refused", logging.INFO, "A call was refused.")
 UPSTREAM_CALL_FAILED = register(
     401,
--- a/bitternlever/transport/codec.py
+++ b/bitternlever/transport/codec.py
@@ -2,6 +2,7 @@
 
 import hashlib
 import hmac
+from typing import Any
 
 import msgspec
 import result
@@ -11,6 +12,9 @@
 MAC_BYTES = 16
 MAXIMUM_FRAME_BYTES = 16_000_000
 
+ENCODE_ERRORS = (OverflowError, RecursionError, TypeError, UnicodeEncodeError)
+"""Raised for messages with values that MessagePack does not have."""
+
 encoder = msgspec.msgpack.Encoder()
 decoder = msgspec.msgpack.Decoder(frames.Frame)
 
@@ -27,7 +31,10 @@
 
 
 def encode(key: bytes, frame: frames.Frame) -> bytes:
-    """Encode a frame, preceded by its keyed BLAKE2b MAC."""
+    """Encode a frame, preceded by its keyed BLAKE2b MAC.
+
+    Raise one of ``ENCODE_ERRORS`` if a message of it cannot be encoded.
+    """
     payload = encoder.encode(frame)
     return _mac(key, payload) + payload
 
@@ -50,5 +57,14 @@
     return result.Ok(frame)
 
 
+def fault(message: Any) -> str | None:
+    """Return why a message cannot be encoded, None if it can."""
+    try:
+        encoder.encode(message)
+    except ENCODE_ERRORS as error:
+        return f"{type(error).__name__}: {error}"
+    return None
+
+
 def _mac(key: bytes, payload: bytes) -> bytes:
     return hashlib.blake2b(payload, key=key, digest_size=MAC_BYTES).digest()
--- a/bitternlever/transport/links.py
+++ b/bitternlever/transport/links.py
@@ -209,22 +209,20 @@
 
 
 def _send_frame(links: Links, peer: Peer) -> None:
+    """Send the queued messages, or an acknowledgement if there are none."""
     now = links.clock()
     messages = peer.queued
     peer.queued = []
+    try:
+        data = _encode(links, peer, messages)
+    except codec.ENCODE_ERRORS:
+        messages = _without_faulty(links, peer, messages)
+        if not messages:
+            return
+        data = _encode(links, peer, messages)
     if messages:
         peer.sent_sequence += 1
         peer.last_used_s = now
-    frame = frames.Frame(
-        version=frames.PROTOCOL_VERSION,
-        sender=links.node,
-        link=links.link,
-        incarnation=links.incarnation,
-        sequence=peer.sent_sequence if messages else 0,
-        messages=messages,
-        acknowledged=peer.received_sequence,
-    )
-    data = codec.encode(links.key, frame)
     try:
         peer.socket.send(data, block=False)
     except pynng.exceptions.TryAgain:
@@ -240,6 +238,35 @@
         peer.unacknowledged_since_s = now
 
 
+def _encode(links: Links, peer: Peer, messages: list[Any]) -> bytes:
+    """Encode the next frame for a peer."""
+    frame = frames.Frame(
+        version=frames.PROTOCOL_VERSION,
+        sender=links.node,
+        link=links.link,
+        incarnation=links.incarnation,
+        sequence=peer.sent_sequence + 1 if messages else 0,
+        messages=messages,
+        acknowledged=peer.received_sequence,
+    )
+    return codec.encode(links.key, frame)
+
+
+def _without_faulty(links: Links, peer: Peer, messages: list[Any]) -> list[Any]:
+    """Drop the messages that cannot be encoded, so that the others are sent."""
+    sound = []
+    for message in messages:
+        fault = codec.fault(message)
+        if fault is None:
+            sound.append(message)
+            continue
+        links.dropped += 1
+        events.MESSAGE_DROPPED.log(
+            logger, node=peer.node, message=type(message).__name__, reason=fault
+        )
+    return sound
+
+
 def _receive_burst(links: Links) -> None:
     for _ in range(RECEIVE_BURST_FRAMES):
         try:
--- a/tests/fleet/test_upstreams.py
+++ b/tests/fleet/test_upstreams.py
@@ -2,10 +2,11 @@
 
 import itertools
 
+import msgspec
 import pytest
 
 from bitternlever.fleet import upstreams
-from bitternlever.messages import fleet
+from bitternlever.messages import fleet, integers
 from tests.gateway import samples
 
 READY = fleet.UpstreamState.READY
@@ -214,3 +215,16 @@
     assert names(0.0, leaving_only=False) == ["u1", "u2"]
     assert names(0.0, leaving_only=True) == ["u2"]
     assert names(3.0, leaving_only=False) == []
+
+
+def test_the_end_of_a_start_with_the_largest_number_can_be_sent():
+    """The number after it ended the process that sent it to its peers."""
+    table = upstreams.UpstreamTable()
+    largest = samples.upstream_status("u1", sequence=integers.MAXIMUM)
+    upstreams.merge_status(table, 1.0, largest)
+
+    upstreams.mark_leaving(table, 2.0, "u1")
+
+    [ended] = upstreams.ended_since(table, 0.0, leaving_only=True)
+    assert msgspec.msgpack.encode(ended)
+    assert ended.state is fleet.UpstreamState.GONE
--- a/tests/platform/test_codecs.py
+++ b/tests/platform/test_codecs.py
@@ -8,7 +8,7 @@
 import pytest
 
 from bitternlever.batching import tables as batching_tables
-from bitternlever.catalog import tables as catalog_tables
+from bitternlever.catalog import routes, tables as catalog_tables
 from bitternlever.gateway import dialect
 from bitternlever.messages import fleet
 from bitternlever.platform import catalog, headers, settings, stages, upstreams
@@ -198,6 +198,8 @@
     "no version": json.dumps({**CONFIG, "version": None}).encode(),
     "a name that is no text": changed_route(name=5),
     "deep nesting": b'{"version":' + b"[" * 100_000,
+    "a version beyond 64 bits": config(version=2**64),
+    "a version below 64 bits": config(version=-(2**63) - 1),
 }
 
 
@@ -209,6 +211,60 @@
     assert refused.reason
 
 
+def test_a_version_of_64_bits_is_decoded():
+    assert catalog.decode(config(version=2**64 - 1)).unwrap().version == 2**64 - 1
+
+
+@pytest.mark.parametrize(
+    "number",
+    [2**64, 10**400, -(10**400)],
+    ids=["just above", "far above", "far below"],
+)
+def test_numbers_beyond_64_bits_in_a_config_can_be_computed_with(number):
+    """Catalogs with such numbers ended the hosts that used or passed them on."""
+    body = config(
+        routes=[
+            {
+                **CONFIG["routes"][0],
+                "priority": number,
+                "max_attempts": number,
+                "stages": [{"service": "encode", "bytes": 1e300}],
+            }
+        ],
+        services=[
+            {
+                "name": name,
+                "max_conns": number,
+                "engine": {"slot_count": number, "kv_capacity": number},
+                "pieces": {"slot_count": number, "queue": number, "batch": number},
+            }
+            for name in ("engines", "encode", "other")
+        ],
+        limits={"header_bytes": number, "body_bytes": number},
+        tenants=[{"name": "w", "api_keys": ["k"], "priority": number}],
+    )
+
+    decoded = catalog.decode(body).unwrap()
+
+    [route] = decoded.routes["h.example"]
+    stage = decoded.services["encode"].stage
+    engine = decoded.services["encode"].engine
+    numbers = [
+        routes.rank(route, decoded.workspaces["k"]),
+        route.maximum_attempts,
+        route.stages[0].result_bytes,
+        stage.concurrency,
+        stage.queue,
+        stage.batch,
+        engine.concurrency,
+        engine.memory_tokens,
+        decoded.services["encode"].maximum_connections,
+        decoded.limits.header_bytes,
+        decoded.limits.body_bytes,
+    ]
+    assert msgspec.msgpack.decode(msgspec.msgpack.encode(numbers)) == numbers
+
+
 def test_a_config_without_tenants_asks_for_no_keys():
     without = {name: value for name, value in CONFIG.items() if name != "tenants"}
 
@@ -258,6 +314,12 @@
     "no service": {"service": ""},
     "a version of another type": {"version": 5},
     "a version that is too long": {"version": "v" * 300},
+    "a call number beyond 64 bits": {"call_seq": 2**127},
+    "a call number below 0": {"call_seq": -1},
+    "a start beyond 64 bits": {"born": 2**64},
+    "a start below 0": {"born": -(2**63) - 1},
+    "slots beyond 64 bits": {"slot_count": 2**64},
+    "a cold start beyond all numbers": {"cold_left_ms": 10**400},
 }
 
 
@@ -280,6 +342,14 @@
     assert upstreams.decode_leave("i-1", b"\xff").is_err()
 
 
+@pytest.mark.parametrize("field", ["born", "call_seq"])
+def test_an_end_with_a_number_beyond_64_bits_is_refused(field):
+    """A control process that passed on such a number ended."""
+    body = json.dumps({field: 2**64}).encode()
+
+    assert upstreams.decode_leave("i-1", body).is_err()
+
+
 def test_a_request_head_is_decoded():
     head = headers.read_request(
         [
--- a/tests/transport/test_links.py
+++ b/tests/transport/test_links.py
@@ -12,6 +12,7 @@
 from standins import relay
 
 TIMEOUT_S = 15.0
+BEYOND_64_BITS = 2**64
 
 
 def free_port() -> int:
@@ -80,6 +81,44 @@
     assert second.links.frames_received == 1
 
 
+async def test_a_message_that_cannot_be_encoded_costs_no_other_message(pair):
+    """An integer beyond 64 bits in a message ended the process that sent it."""
+    first, second = pair
+    third = Process("entry-c")
+    for number in (0, BEYOND_64_BITS, 1):
+        message = calls.OrphansWaiting(group=1, count=number)
+        links.send(
+            first.links,
+            frames.SendToPeer(node="entry-b", message=message, link=second.link),
+        )
+    message = calls.OrphansWaiting(group=1, count=2)
+    links.send(
+        first.links,
+        frames.SendToPeer(node="entry-c", message=message, link=third.link),
+    )
+
+    links.flush(first.links)
+
+    await until(lambda: second.numbers() == [0, 1])
+    await until(lambda: third.numbers() == [2])
+    assert first.links.dropped == 1
+    first.send("entry-b", second.link, 3)
+    await until(lambda: second.numbers() == [0, 1, 3])
+    links.close(third.links)
+
+
+async def test_a_frame_of_messages_that_cannot_be_encoded_is_not_sent(pair):
+    """An integer beyond 64 bits in a message ended the process that sent it."""
+    first, second = pair
+
+    first.send("entry-b", second.link, BEYOND_64_BITS)
+    first.send("entry-b", second.link, 1)
+
+    await until(lambda: second.numbers() == [1])
+    assert first.links.dropped == 1
+    assert second.links.frames_received == 1
+
+
 async def test_a_peer_can_answer_a_sender_that_it_did_not_know(pair):
     first, second = pair
     first.send("entry-b", second.link, 1)
