Refuse addresses that cannot be dialled, and read no numbers of hundreds of digits

Seen in the new tests: callers got status 500 while an upstream was known whose port is above 65535 (dialling raises OverflowError, which is no OSError), where a deadline or a count had hundreds of digits (int and float conversion raise), and in place of an answer whose Keep-Alive names such a timeout. A request that declares a million pieces or more made a list of them all.

Change: a heartbeat must name IP:PORT with a port from 1 to 65535 and names of at most 256 characters; a dial that raises OverflowError fails as a refused one does; numbers in headers have at most 18 digits, others count as absent as unreadable ones do; an idle timeout is an hour at most; a request of more than 4,096 pieces gets 400 at once.

--- a/bitternlever/gateway/requests.py
+++ b/bitternlever/gateway/requests.py
@@ -41,6 +41,9 @@
 STALE_RETRY_S = 0.3
 """A caller that retries reaches another host."""
 
+MAXIMUM_PIECES = 4_096
+"""Pieces of a request in all its stages; no fleet runs more within a deadline."""
+
 STAGE_ROUNDS = 2
 """A request reruns its stages once if results were lost with their producer."""
 
@@ -300,6 +303,8 @@
         workspace = catalog.workspaces.get(head.api_key or "")
         if workspace is None:
             return _err(401, "the API key is unknown")
+    if sum(head.pieces[: len(route.stages)]) > MAXIMUM_PIECES:
+        return _err(400, f"more than {MAXIMUM_PIECES} pieces")
     wait_s = route.timeout_s
     if head.deadline_s is not None:
         wait_s = min(wait_s, head.deadline_s)
--- a/bitternlever/platform/headers.py
+++ b/bitternlever/platform/headers.py
@@ -24,6 +24,9 @@
 RATE_LIMIT = b"server-limit"
 BRITTLE = b"server-brittle"
 MAXIMUM_SHOWN_BYTES = 32
+MAXIMUM_DIGITS = 18
+"""Numbers with more digits do not fit into 64 bits."""
+
 LAST_EVENT = b"last-event-id"
 RESUMES = b"resumes"
 HANDED_OVER = b"x-bitternlever-handed-over"
@@ -183,7 +186,7 @@
     parts = []
     for entry in value.split(b","):
         part, _, tokens = entry.strip().partition(b":")
-        if part and tokens.isdigit():
+        if part and _is_number(tokens):
             parts.append(dialect.PromptPart(_text(part), int(tokens)))
     return tuple(parts)
 
@@ -207,10 +210,14 @@
 def _numbers(value: bytes) -> tuple[int, ...]:
     """Decode a comma-separated list of whole numbers; empty if it is malformed."""
     parts = [part.strip() for part in value.split(b",")] if value else []
-    if not all(part.isdigit() for part in parts):
+    if not all(_is_number(part) for part in parts):
         return ()
     return tuple(int(part) for part in parts)
 
 
+def _is_number(value: bytes) -> bool:
+    return value.isdigit() and len(value) <= MAXIMUM_DIGITS
+
+
 def _text(value: bytes) -> str:
     return value.decode("latin-1")
--- a/bitternlever/platform/upstreams.py
+++ b/bitternlever/platform/upstreams.py
@@ -1,5 +1,7 @@
 """Decode the heartbeats of upstreams and the notices of their end."""
 
+import ipaddress
+
 import msgspec
 import result
 
@@ -8,6 +10,7 @@
 MILLISECONDS_PER_SECOND = 1_000
 MAXIMUM_BYTES = 65_536
 MAXIMUM_NAME_LENGTH = 256
+MAXIMUM_PORT = 65_535
 STATES = {
     "ready": fleet.UpstreamState.READY,
     "draining": fleet.UpstreamState.DRAINING,
@@ -36,6 +39,8 @@
     call_seq: integers.Count = 0
 
 
+INVALID_ID = "an id that is empty, too long, or not printable"
+
 _heartbeat_decoder = msgspec.json.Decoder(_Heartbeat)
 _leave_decoder = msgspec.json.Decoder(_Leave)
 
@@ -44,21 +49,21 @@
 
 def decode_heartbeat(name: str, body: bytes) -> Decoded:
     """Decode a heartbeat; one with any invalid field is refused as a whole."""
-    if not name or len(name) > MAXIMUM_NAME_LENGTH:
-        return result.Err("an id that is empty or too long")
+    if not _is_id(name):
+        return result.Err(INVALID_ID)
     try:
         heartbeat = _heartbeat_decoder.decode(body)
     except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
         return result.Err(f"a heartbeat that cannot be read: {error}")
-    host, _, port = heartbeat.address.rpartition(":")
-    if not host or not port.isdigit():
+    names = (heartbeat.service, heartbeat.address, heartbeat.zone, heartbeat.version)
+    if max(map(len, names)) > MAXIMUM_NAME_LENGTH:
+        return result.Err(f"a name of more than {MAXIMUM_NAME_LENGTH} characters")
+    if not _is_address(heartbeat.address):
         return result.Err(f"address {heartbeat.address!r} is not IP:PORT")
     if heartbeat.state not in STATES:
         return result.Err(f"state {heartbeat.state!r} is unknown")
     if not heartbeat.service or heartbeat.slot_count < 1:
         return result.Err("no service or no slots")
-    if len(heartbeat.version) > MAXIMUM_NAME_LENGTH:
-        return result.Err("a version that is too long")
     return result.Ok(
         fleet.UpstreamStatus(
             upstream=name,
@@ -77,8 +82,8 @@
 
 def decode_leave(name: str, body: bytes) -> Decoded:
     """Decode the notice of an upstream's end; its body is optional."""
-    if not name or len(name) > MAXIMUM_NAME_LENGTH:
-        return result.Err("an id that is empty or too long")
+    if not _is_id(name):
+        return result.Err(INVALID_ID)
     notice = _Leave()
     if body.strip():
         try:
@@ -97,3 +102,19 @@
             sequence=notice.call_seq,
         ),
     )
+
+
+def _is_id(name: str) -> bool:
+    """Return whether a name can be sent in a header, as the id of an upstream is."""
+    return 0 < len(name) <= MAXIMUM_NAME_LENGTH and name.isprintable()
+
+
+def _is_address(text: str) -> bool:
+    host, _, port = text.rpartition(":")
+    if not (port.isascii() and port.isdigit() and 0 < int(port) <= MAXIMUM_PORT):
+        return False
+    try:
+        ipaddress.ip_address(host.strip("[]"))
+    except ValueError:
+        return False
+    return True
--- a/bitternlever/transport/exchange.py
+++ b/bitternlever/transport/exchange.py
@@ -28,6 +28,9 @@
 DEFAULT_IDLE_S = 2.0
 """Idle timeout of a connection if the upstream sends none."""
 
+MAXIMUM_IDLE_S = 3_600.0
+"""Bounds the idle timeout that an upstream names; few connections idle for so long."""
+
 IDLE_MARGIN_S = 0.5
 """Subtracted from an upstream's idle timeout, so that its close and a request don't
 cross.
@@ -503,6 +506,10 @@
 
 
 async def _connect(pool: Pool, address: str, timeout_s: float) -> Connection:
+    """Dial an address; raise ExchangeError also for one that cannot be dialled.
+
+    A port outside of 16 bits raises OverflowError, a host that is no name ValueError.
+    """
     location, _, port = address.rpartition(":")
     host = location.removeprefix(TLS_PREFIX)
     loop = asyncio.get_running_loop()
@@ -514,7 +521,7 @@
                 int(port),
                 ssl=True if location.startswith(TLS_PREFIX) else None,
             )
-    except (OSError, TimeoutError, ValueError) as error:
+    except (OSError, TimeoutError, ValueError, OverflowError) as error:
         pool.failed_dials.add(address)
         reason = f"no connection to {address}: {error!r}"
         raise ExchangeError(reason, sent=False) from None
@@ -534,5 +541,5 @@
     for part in value.split(b","):
         name, _, seconds = part.strip().partition(b"=")
         if name.lower() == b"timeout" and seconds.strip().isdigit():
-            return int(seconds) - IDLE_MARGIN_S
+            return min(float(seconds), MAXIMUM_IDLE_S) - IDLE_MARGIN_S
     return DEFAULT_IDLE_S
--- a/tests/gateway/test_requests.py
+++ b/tests/gateway/test_requests.py
@@ -15,6 +15,8 @@
 
 ONCE = catalog_tables.Repeatability.ONCE
 STREAM = catalog_tables.Repeatability.STREAM
+MANY_PIECES = 1_000_000
+"""Enough to be refused, and few enough to leave a host that takes them alive."""
 
 
 def upstream_status(
@@ -623,3 +625,50 @@
     assert answer.status == 503
     assert "retry-after" in answer.headers
     assert engine.received == []
+
+
+async def test_an_upstream_whose_port_does_not_exist_is_a_refused_dial():
+    """Dialling such a port raised an error: callers got status 500."""
+    odd = samples.upstream_status("u1", address="127.0.0.1:65536")
+    async with entry_host.running(with_route(), odd) as (_, port):
+        answer = await entry_host.call(port, entry_host.request())
+
+    assert answer.status == 503
+    assert "retry-after" in answer.headers
+
+
+@pytest.mark.parametrize("digits", [20, 400, 5_000])
+async def test_an_idle_timeout_of_many_digits_costs_no_answer(digits):
+    """The number raised an error after the answer: callers got status 500."""
+    lines = (scripted_upstream.SEAL, f"Keep-Alive: timeout={'9' * digits}")
+    server = await scripted_upstream.start("u1", scripted_upstream.answer(lines=lines))
+
+    answer = await ask(with_route(), [server])
+
+    assert (answer.status, answer.body) == (200, b"done")
+
+
+async def test_a_request_of_more_pieces_than_can_be_run_is_refused_at_once():
+    """A list of all pieces was made: a number of 12 digits ended the host."""
+    stage = catalog_tables.Stage(0, "encode", (), 1_000)
+    catalog = samples.catalog(
+        routes={"h.example": [samples.route(stages=(stage,))]},
+        services={
+            "plain": catalog_tables.Service("plain", "", 100),
+            "encode": samples.stage_service(),
+        },
+    )
+    server = await scripted_upstream.start("u1")
+    encoder = samples.upstream_status("e1", service="encode", address="127.0.0.1:9")
+    data = entry_host.request(
+        X_Bitternlever_Pieces=str(MANY_PIECES), X_Bitternlever_Piece_Key="7c"
+    )
+    async with entry_host.running(catalog, upstream_status(server), encoder) as (
+        _,
+        port,
+    ):
+        answer = await entry_host.call(port, data, within_s=1.0)
+
+    assert answer.status == 400
+    assert b"pieces" in answer.body
+    assert server.received == []
--- a/tests/platform/test_codecs.py
+++ b/tests/platform/test_codecs.py
@@ -320,6 +320,15 @@
     "a start below 0": {"born": -(2**63) - 1},
     "slots beyond 64 bits": {"slot_count": 2**64},
     "a cold start beyond all numbers": {"cold_left_ms": 10**400},
+    "a port above all ports": {"address": "10.1.1.1:65536"},
+    "a port below all ports": {"address": "10.1.1.1:0"},
+    "a port with a digit that is no decimal": {"address": "10.1.1.1:8\u00b2"},
+    "a port with digits of another script": {"address": "10.1.1.1:\u0668\u0660"},
+    "a port of many digits": {"address": "10.1.1.1:" + "9" * 5_000},
+    "an address with a zero byte": {"address": "10.1.1.1\0:80"},
+    "an address that is a name": {"address": "u1.example:80"},
+    "a service that is too long": {"service": "s" * 300},
+    "a zone that is too long": {"zone": "z" * 300},
 }
 
 
@@ -336,6 +345,14 @@
     assert upstreams.decode_heartbeat("", json.dumps(HEARTBEAT).encode()).is_err()
 
 
+@pytest.mark.parametrize("name", ["u\n1", "u\0", "u" * 300])
+def test_an_id_that_no_header_can_hold_is_refused(name):
+    body = json.dumps(HEARTBEAT).encode()
+
+    assert upstreams.decode_heartbeat(name, body).is_err()
+    assert upstreams.decode_leave(name, b"").is_err()
+
+
 def test_a_notice_of_the_end_may_come_with_or_without_a_start():
     assert upstreams.decode_leave("i-1", b"").unwrap().state is fleet.UpstreamState.GONE
     assert upstreams.decode_leave("i-1", b'{"born":5}').unwrap().started_ms == 5
@@ -378,14 +395,34 @@
     assert head.resumes == "9c41d07be2a35f68"
 
 
-@pytest.mark.parametrize("value", [b"", b"x", b"-1", b"1.5", b"1,x"])
+@pytest.mark.parametrize(
+    "value",
+    [b"", b"x", b"-1", b"1.5", b"1,x", b"9" * 400, b"9" * 5_000],
+    ids=["empty", "x", "-1", "1.5", "1,x", "400 digits", "5000 digits"],
+)
 def test_numbers_that_cannot_be_read_count_as_absent(value):
+    """Numbers of hundreds of digits raised an error: callers got status 500."""
     head = headers.read_request(
-        [(b"X-Bitternlever-Deadline-Ms", value), (b"X-Bitternlever-Pieces", value)]
+        [
+            (b"X-Bitternlever-Deadline-Ms", value),
+            (b"X-Bitternlever-Pieces", value),
+            (b"X-Bitternlever-Token-Count", value),
+        ]
     )
 
     assert head.deadline_s is None
     assert head.pieces == ()
+    assert head.prompt_tokens == 0
+
+
+@pytest.mark.parametrize("digits", [400, 5_000])
+def test_a_prompt_part_of_countless_tokens_counts_as_absent(digits):
+    """Its number raised an error: callers got status 500."""
+    value = b"5c:800,91:" + b"9" * digits
+
+    head = headers.read_request([(b"X-Bitternlever-Prompt-Prefix", value)])
+
+    assert [part.part for part in head.prompt] == ["5c"]
 
 
 def test_a_stage_call_is_encoded_and_its_answer_decoded():
