Own interface: refuse or bound numbers that no message can carry

Shown by the new tests: a deadline beyond 64 bits, an announcement with such a number or a load of 1e308, and usage beyond 64 bits in an upstream's answer got into the core; computing with them or passing them on raises OverflowError, which ends the host.

Change: deadlines and announcements are refused with 400 and the reason; a load is bounded when it is passed on; usage that no message can carry counts as none (event 418), since the answer itself is sound. Ranges stand on the decoders of HTTP bodies only: the types between processes are as before, so an older host's messages are read as before.

Failed before: 12 new tests in tests/gossip, tests/http and tests/transport.

--- a/bitternlever/gossip/upstreams.py
+++ b/bitternlever/gossip/upstreams.py
@@ -9,7 +9,11 @@
 import msgspec
 
 from bitternlever.gossip import tables as gossip_tables
-from bitternlever.messages import gossip, upstream as upstream_messages
+from bitternlever.messages import (
+    gossip,
+    integers,
+    upstream as upstream_messages,
+)
 
 MAXIMUM_UPSTREAMS = 4_000
 MAXIMUM_UPDATES_IN_MESSAGE = 256
@@ -229,7 +233,8 @@
     load = announcement.load
     load_age_ms = -1
     if load is not None and known.load_reported_s is not None:
-        load_age_ms = max(0, int((known.last_seen_s - known.load_reported_s) * 1_000))
+        load_age_s = known.last_seen_s - known.load_reported_s
+        load_age_ms = integers.clamp(load_age_s * 1_000, minimum=0)
     return gossip.UpstreamUpdate(
         name=announcement.name,
         incarnation=announcement.incarnation,
@@ -239,7 +244,7 @@
         leaving=announcement.leaving,
         running=load.running if load is not None else 0,
         waiting=load.waiting if load is not None else 0,
-        step_us=int(load.step_ms * 1_000) if load is not None else 0,
+        step_us=integers.clamp(load.step_ms * 1_000) if load is not None else 0,
         load_age_ms=load_age_ms,
         cache_events=announcement.cache_events,
     )
--- a/bitternlever/http/bodies.py
+++ b/bitternlever/http/bodies.py
@@ -6,7 +6,8 @@
 import result
 from aiohttp import web
 
-from bitternlever.messages import problems
+from bitternlever.messages import integers, problems
+from bitternlever.transport import codec
 
 
 class Submission(msgspec.Struct, forbid_unknown_fields=True):
@@ -15,7 +16,7 @@
     kind: str
     input: Any
     stream: bool = False
-    deadline_ms: int | None = None
+    deadline_ms: integers.Signed | None = None
 
 
 class ReplaceReplica(msgspec.Struct, forbid_unknown_fields=True):
@@ -57,7 +58,11 @@
     body_type: type,
     maximum_depth: int,
 ) -> result.Result[Any, problems.Problem]:
-    """Decode a JSON body of at most ``maximum_depth`` nested levels."""
+    """Decode a JSON body of at most ``maximum_depth`` nested levels.
+
+    The input of a submission is kept as it was sent; all other bodies are passed on
+    to other processes, and refused if a message cannot carry them.
+    """
     try:
         decoded = msgspec.json.decode(data, type=body_type)
     except RecursionError:
@@ -66,8 +71,15 @@
         return result.Err(
             refusal(400, "malformed-body", "The body is malformed", str(error)),
         )
-    if isinstance(decoded, Submission) and depth_exceeds(decoded.input, maximum_depth):
-        return result.Err(_too_deep(maximum_depth))
+    if isinstance(decoded, Submission):
+        if depth_exceeds(decoded.input, maximum_depth):
+            return result.Err(_too_deep(maximum_depth))
+        return result.Ok(decoded)
+    fault = codec.fault(decoded)
+    if fault is not None:
+        return result.Err(
+            refusal(400, "malformed-body", "The body cannot be passed on", fault),
+        )
     return result.Ok(decoded)
 
 
--- a/bitternlever/telemetry/events.py
+++ b/bitternlever/telemetry/events.py
@@ -115,6 +115,12 @@
     logging.WARNING,
     "An upstream sent a Retry-After that cannot be read or is too long.",
 )
+USAGE_FAULTY = register(
+    418,
+    "usage-faulty",
+    logging.WARNING,
+    "The usage that an upstream reports cannot be passed on: it counts as none.",
+)
 BOUND_EXCEEDED = register(
     410,
     "bound-exceeded",
--- a/bitternlever/transport/upstream_client.py
+++ b/bitternlever/transport/upstream_client.py
@@ -21,7 +21,7 @@
 from bitternlever.core import clocks
 from bitternlever.messages import requests, upstream
 from bitternlever.telemetry import events, traces
-from bitternlever.transport import exchange, retry_after
+from bitternlever.transport import codec, exchange, retry_after
 
 CONNECT_TIMEOUT_S = 1.0
 ORDER_TIMEOUT_S = 2.0
@@ -251,7 +251,7 @@
             binding=reply.binding,
             digest=reply.digest,
             output=reply.output,
-            usage=reply.usage,
+            usage=_usable(message, reply.usage),
         ),
     )
 
@@ -323,12 +323,21 @@
             binding=line.binding,
             digest=line.digest,
             length=line.length,
-            usage=line.usage,
+            usage=_usable(message, line.usage),
         ),
     )
     return True
 
 
+def _usable(message: requests.CallUpstream, usage: upstream.Usage) -> upstream.Usage:
+    """Return the usage that an upstream reports, none if it cannot be passed on."""
+    fault = codec.fault(usage)
+    if fault is None:
+        return usage
+    events.USAGE_FAULTY.log(logger, upstream=message.upstream, reason=fault)
+    return upstream.Usage()
+
+
 async def _read_chunk(
     connection: exchange.Connection, timeout_s: float
 ) -> bytes | None:
--- a/tests/gossip/test_upstreams.py
+++ b/tests/gossip/test_upstreams.py
@@ -2,11 +2,12 @@
 
 import hypothesis
 import msgspec
+import pytest
 from hypothesis import strategies
 
 from bitternlever.core import ticks
-from bitternlever.gossip import membership
-from bitternlever.messages import manifest
+from bitternlever.gossip import membership, tables as gossip_tables, upstreams
+from bitternlever.messages import manifest, upstream
 from tests.gossip import network
 
 SILENCE_S = 3.0
@@ -192,3 +193,28 @@
 
     assert len(found(matching_stage)) == 1
     assert found(other_stage) == []
+
+
+@pytest.mark.parametrize(
+    "load", [{"step_ms": 1e308}, {"age_s": 1e308}, {"age_s": 1e30}]
+)
+def test_a_load_beyond_64_bits_can_be_passed_on(load):
+    """The update for the next host raised OverflowError and ended this one."""
+    tables = gossip_tables.MembershipTables()
+    announcement = upstream.Announcement(
+        name="u1",
+        incarnation=1,
+        sequence=1,
+        address="http://127.0.0.1:9",
+        pool="p",
+        zone="a",
+        tasks=[],
+        load=upstream.LoadReport(**load),
+    )
+    upstreams.merge_announcement(tables, announcement, seen_s=10.0)
+    peer = gossip_tables.Peer()
+
+    updates = upstreams.updates_for(tables, peer, now=10.0, silence_s=3.0)
+
+    assert len(updates) == 1
+    assert msgspec.msgpack.encode(updates)
--- a/tests/http/test_calls.py
+++ b/tests/http/test_calls.py
@@ -149,6 +149,35 @@
     await assert_refused(core, response, 400)
 
 
+@pytest.mark.parametrize("number", [2**64, -(10**400)], ids=["above", "far below"])
+async def test_a_deadline_beyond_64_bits_is_refused(core, number):
+    """The deadline computed from it raised OverflowError and ended the host."""
+    body = BODY | {"deadline_ms": number}
+    response = await core.client.post(URL, json=body, headers=bearer())
+
+    assert "deadline_ms" in (await assert_refused(core, response, 400))["detail"]
+
+
+@pytest.mark.parametrize("field", ["incarnation", "sequence", "concurrency"])
+async def test_an_announcement_with_a_number_beyond_64_bits_is_refused(core, field):
+    """Passing it on to another host raised OverflowError and ended this one."""
+    announcement = {
+        "name": "u1",
+        "incarnation": 1,
+        "sequence": 1,
+        "address": "http://127.0.0.1:9",
+        "pool": "p",
+        "zone": "a",
+        "tasks": [],
+        field: 2**64,
+    }
+    response = await core.client.post(
+        "/v1/upstreams", json=announcement, headers=bearer("upstream-token")
+    )
+
+    await assert_refused(core, response, 400)
+
+
 async def test_a_key_too_long_is_refused(core):
     headers = bearer(**{"Idempotency-Key": "k" * 300})
     response = await core.client.post(URL, json=BODY, headers=headers)
--- a/tests/transport/test_upstream_calls.py
+++ b/tests/transport/test_upstream_calls.py
@@ -115,6 +115,27 @@
     assert finished.count(True) >= len(names) // 2
 
 
+@pytest.mark.parametrize("stream", [False, True])
+@pytest.mark.parametrize("tokens", [2**64, 10**400], ids=["above", "far above"])
+async def test_usage_beyond_64_bits_costs_no_answer(stream, tokens):
+    """Computing with it, or passing it on, raised OverflowError and ended the host."""
+
+    def make(received):
+        usage = {"prompt_tokens": tokens, "busy_ms": 1.0}
+        if not stream:
+            return json.dumps({**json.loads(reply(received)), "usage": usage}).encode()
+        *parts, end = lines(received)
+        end = json.dumps({**json.loads(end), "usage": usage}).encode()
+        return b"".join([*parts, end + b"\n"])
+
+    server = await scripted_upstream.start("u", send_slowly(make, 99_999, 0.0))
+
+    (outcome,) = await run_calls(stage_call(server, stream=stream))
+
+    assert isinstance(outcome, requests.UpstreamFinished)
+    assert outcome.usage == upstream.Usage()
+
+
 async def test_a_slow_but_sound_stream_is_not_cut():
     server = await scripted_upstream.start("u", send_lines_slowly(gap_s=GAP_S * 0.6))
 
