Refuse settings that cannot be used instead of failing on them

A file that is no UTF-8 or nests too deep, and a bound that is nan or inf, raised an error while it was read. At a reload that ended the polling: changed settings were never read again. A seed that is no address, or a link port above 65535, was accepted and raised where the first message was sent, which ends a process.

Change: all of these are faults with a name, the value and a remedy; a reload keeps the former settings. The check of IP:PORT stands once, in platform/addresses.

--- a/bitternlever/platform/settings.py
+++ b/bitternlever/platform/settings.py
@@ -1,5 +1,6 @@
 """Decode the platform's settings file into a fleet configuration."""
 
+import math
 import os
 import pathlib
 import tomllib
@@ -8,6 +9,7 @@
 import result
 
 from bitternlever.conf import fleet
+from bitternlever.platform import addresses
 
 PATH_VARIABLE = "BITTERNLEVER_BOOT"
 LINK_BIND_VARIABLE = "BITTERNLEVER_LINK_BOUND"
@@ -77,7 +79,7 @@
     path = os.environ.get(PATH_VARIABLE, "")
     try:
         text = pathlib.Path(path).read_text(encoding="utf-8")
-    except OSError as error:
+    except (OSError, UnicodeDecodeError) as error:
         fault = fleet.SettingFault(
             PATH_VARIABLE,
             repr(path),
@@ -94,7 +96,7 @@
     """
     try:
         boot = msgspec.convert(tomllib.loads(text), _Boot, strict=False)
-    except tomllib.TOMLDecodeError as error:
+    except (tomllib.TOMLDecodeError, RecursionError) as error:
         fault = fleet.SettingFault("settings file", "text", f"make it TOML ({error})")
         return result.Err([fault])
     except msgspec.ValidationError as error:
@@ -102,7 +104,7 @@
         name = field.rstrip("`") or "settings file"
         return result.Err([fleet.SettingFault(name, "as given", reason)])
     faults = _faults(boot, program)
-    if link_bind_address and not _is_address(link_bind_address):
+    if link_bind_address and not addresses.is_address(link_bind_address):
         faults.append(
             fleet.SettingFault(LINK_BIND_VARIABLE, link_bind_address, "write IP:PORT"),
         )
@@ -118,12 +120,19 @@
             fleet.SettingFault("seed_addrs", "[]", "name one control address at least"),
         )
     for seed in boot.seed_addrs:
-        if not _is_address(seed):
+        if not addresses.is_address(seed):
             faults.append(fleet.SettingFault("seed_addrs", seed, "write IP:PORT"))
-    if boot.port_range[1] - boot.port_range[0] < ENTRY_LINK_OFFSET:
+    first_port, last_port = boot.port_range
+    if not 0 < first_port <= last_port - ENTRY_LINK_OFFSET <= addresses.MAXIMUM_PORT:
         faults.append(
             fleet.SettingFault("port_range", str(boot.port_range), "give two ports"),
         )
+    for name in boot.bounds.__struct_fields__:
+        value = getattr(boot.bounds, name)
+        if not math.isfinite(value):
+            faults.append(
+                fleet.SettingFault(f"bounds.{name}", str(value), "give a number"),
+            )
     required = "listen.control" if program == "control" else "listen.front"
     address = boot.listen.control if program == "control" else boot.listen.front
     if not address:
@@ -133,11 +142,6 @@
     return faults
 
 
-def _is_address(text: str) -> bool:
-    host, _, port = text.rpartition(":")
-    return bool(host) and port.isdigit()
-
-
 def _configuration(
     boot: _Boot,
     program: str,
--- a/bitternlever/platform/upstreams.py
+++ b/bitternlever/platform/upstreams.py
@@ -1,16 +1,14 @@
 """Decode the heartbeats of upstreams and the notices of their end."""
 
-import ipaddress
-
 import msgspec
 import result
 
 from bitternlever.messages import fleet, integers
+from bitternlever.platform import addresses
 
 MILLISECONDS_PER_SECOND = 1_000
 MAXIMUM_BYTES = 65_536
 MAXIMUM_NAME_LENGTH = 256
-MAXIMUM_PORT = 65_535
 STATES = {
     "ready": fleet.UpstreamState.READY,
     "draining": fleet.UpstreamState.DRAINING,
@@ -58,7 +56,7 @@
     names = (heartbeat.service, heartbeat.address, heartbeat.zone, heartbeat.version)
     if max(map(len, names)) > MAXIMUM_NAME_LENGTH:
         return result.Err(f"a name of more than {MAXIMUM_NAME_LENGTH} characters")
-    if not _is_address(heartbeat.address):
+    if not addresses.is_address(heartbeat.address):
         return result.Err(f"address {heartbeat.address!r} is not IP:PORT")
     if heartbeat.state not in STATES:
         return result.Err(f"state {heartbeat.state!r} is unknown")
@@ -107,14 +105,3 @@
 def _is_id(name: str) -> bool:
     """Return whether a name can be sent in a header, as the id of an upstream is."""
     return 0 < len(name) <= MAXIMUM_NAME_LENGTH and name.isprintable()
-
-
-def _is_address(text: str) -> bool:
-    host, _, port = text.rpartition(":")
-    if not (port.isascii() and port.isdigit() and 0 < int(port) <= MAXIMUM_PORT):
-        return False
-    try:
-        ipaddress.ip_address(host.strip("[]"))
-    except ValueError:
-        return False
-    return True
--- a/tests/platform/test_codecs.py
+++ b/tests/platform/test_codecs.py
@@ -163,6 +163,36 @@
     assert settings.decode("node = ", "entry").is_err()
 
 
+FAULTY_SETTINGS = {
+    "a port of a seed with a digit that is no decimal": ("8628", "86\u00b2"),
+    "a port of a seed above all ports": ("8628", "65536"),
+    "a seed that is no address": ("10.1.0.43", "a b"),
+    "a link port above all ports": ("[7740,7755]", "[65536,65540]"),
+    "a bound that is no number": ("retry_slack = 52", "retry_slack = nan"),
+    "a bound without end": ("grace_s = 8", "grace_s = inf"),
+    "deep nesting": ("unknown = ", "unknown = " + "[" * 100_000),
+}
+
+
+@pytest.mark.parametrize("fault", FAULTY_SETTINGS, ids=str)
+def test_settings_that_cannot_be_used_are_refused(fault):
+    """They raised an error, after which changed settings were never read again."""
+    usual, odd = FAULTY_SETTINGS[fault]
+    assert usual in BOOT
+
+    assert settings.decode(BOOT.replace(usual, odd), "entry").is_err()
+
+
+def test_a_settings_file_that_is_no_text_is_refused(tmp_path, monkeypatch):
+    """It raised an error, after which changed settings were never read again."""
+    path = tmp_path / "boot.toml"
+    path.write_bytes(b'node = "\xff"')
+    monkeypatch.setenv(settings.PATH_VARIABLE, str(path))
+
+    [fault] = settings.load("entry").err()
+    assert fault.remedy
+
+
 def test_a_config_is_decoded_into_a_catalog():
     decoded = catalog.decode(config()).unwrap()
 
