Keep SIGHUP from ending a process that starts or ends, and SIGTERM from cutting it

Cause: the handler was set by the loop late in the start, and closing the loop restored the default action. SIGTERM was handled a moment after the host listened: a connection that was accepted in between was closed unanswered.

Ruled out: a handler that runs too early, settings that cannot be read (both would log).

Settings are read once more when they are first watched, as a notice may have been ignored, and polling goes on if reading fails. The programs of the own interface handle SIGTERM before they listen, too.

--- a/bitternlever/control/shell.py
+++ b/bitternlever/control/shell.py
@@ -13,7 +13,7 @@
 
 from bitternlever.conf import configuration
 from bitternlever.control import observer, tables as control_tables, tick
-from bitternlever.core import clocks, runner
+from bitternlever.core import clocks, runner, signals
 from bitternlever.messages import consensus, frames
 from bitternlever.storage import store, writer
 from bitternlever.telemetry import events, metrics
@@ -91,8 +91,10 @@
         "bitternlever-control",
         [metrics.links_source(shell.links)],
     )
+    handlers = signals.listen(loop)
+    stop = functools.partial(_handle_signal, shell, signal_events.on_next)
     for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, _handle_signal, shell, signal_events.on_next)
+        signals.handle(handlers, number, stop)
     events.PROGRAM_STARTED.log(logger, program="control", host=settings.host)
     _observe(shell)
     await asyncio.wait(
--- a/bitternlever/core/reloading.py
+++ b/bitternlever/core/reloading.py
@@ -8,6 +8,7 @@
 
 import result
 
+from bitternlever.core import signals
 from bitternlever.telemetry import events
 
 POLL_INTERVAL_S = 1.0
@@ -19,11 +20,15 @@
 
 
 def watch_settings(
-    read: ReadSettings, initial: Any, on_change: Callable[[Any], None]
+    handlers: signals.Handlers,
+    read: ReadSettings,
+    initial: Any,
+    on_change: Callable[[Any], None],
 ) -> None:
     """Call ``on_change`` with the new settings whenever they have changed.
 
-    Invalid settings are not applied, and the same faults are logged only once.
+    They are read at once, since a signal that came earlier was ignored. Invalid
+    settings are not applied, and the same faults are logged only once.
     """
     loop = asyncio.get_running_loop()
     # The settings in force, and the faults logged last: None after valid settings.
@@ -45,8 +50,8 @@
             on_change(outcome.ok())
 
     def poll() -> None:
-        reload(signalled=False)
         loop.call_later(POLL_INTERVAL_S, poll)
+        reload(signalled=False)
 
-    loop.add_signal_handler(signal.SIGHUP, lambda: reload(signalled=True))
-    loop.call_later(POLL_INTERVAL_S, poll)
+    signals.handle(handlers, signal.SIGHUP, lambda: reload(signalled=True))
+    loop.call_soon(poll)
--- a/bitternlever/entry/shell.py
+++ b/bitternlever/entry/shell.py
@@ -17,7 +17,7 @@
 import reactivex.subject
 
 from bitternlever.conf import configuration
-from bitternlever.core import clocks, runner
+from bitternlever.core import clocks, runner, signals
 from bitternlever.entry import observer, tables as entry_tables, tick
 from bitternlever.http import exchanges, server, state
 from bitternlever.messages import frames, requests, telemetry
@@ -82,12 +82,12 @@
         flush=functools.partial(links.flush, shell.links),
         sources=[http_events, peer_events, upstream_events],
     )
+    handlers = signals.listen(loop)
+    drain = functools.partial(_request_drain, shell, http_events.on_next)
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signals.handle(handlers, number, drain)
     listener = await server.start(_http_state(settings, shell, http_events.on_next))
     stop_metrics = metrics.start(settings, "bitternlever-entry", _metric_sources(shell))
-    for signal_number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(
-            signal_number, _request_drain, shell, http_events.on_next
-        )
     events.PROGRAM_STARTED.log(logger, program="entry", host=settings.host)
     _observe(shell)
     exit_code = await _wait(shell, running)
--- a/bitternlever/fleet/shell.py
+++ b/bitternlever/fleet/shell.py
@@ -14,7 +14,7 @@
 from aiohttp import web
 
 from bitternlever.conf import fleet as fleet_settings
-from bitternlever.core import clocks, reloading, runner
+from bitternlever.core import clocks, reloading, runner, signals
 from bitternlever.fleet import measures, quarantine, tables as fleet_tables, tick
 from bitternlever.messages import consensus, fleet, frames
 from bitternlever.storage import quarantine_file, store, writer as storage_writer
@@ -102,13 +102,15 @@
         sources=[source],
         clock=clocks.boot_time,
     )
+    handlers = signals.listen(loop)
+    signals.handle(handlers, signal.SIGTERM, functools.partial(_request_stop, shell))
     exposed = exposition.Exposition(measures.sources(shell, logs.bounded_handler()))
     servers = [
         await _serve(settings.control_address, api(shell)),
         await _serve(settings.metrics_address, exposition.handler(exposed)),
     ]
-    loop.add_signal_handler(signal.SIGTERM, _request_stop, shell)
     reloading.watch_settings(
+        handlers,
         read_settings,
         settings,
         lambda changed: setattr(shell.tables, "seed_links", changed.seeds),
--- a/bitternlever/gateway/shell.py
+++ b/bitternlever/gateway/shell.py
@@ -11,7 +11,7 @@
 from aiohttp import web
 
 from bitternlever.conf import fleet as fleet_settings
-from bitternlever.core import clocks, reloading
+from bitternlever.core import clocks, reloading, signals
 from bitternlever.gateway import (
     batching,
     dialect as gateway_dialect,
@@ -100,6 +100,8 @@
         on_message=lambda received: _receive(gateway, received),
         bind_address=settings.link_bind_address,
     )
+    handlers = signals.listen(loop)
+    signals.handle(handlers, signal.SIGTERM, functools.partial(_drain, gateway))
     callers_listener = await _listen(settings.callers_address, apis.callers(gateway))
     gateway.stop_listening = functools.partial(listeners.stop, callers_listener)
     servers = [
@@ -115,8 +117,8 @@
             ),
         ),
     ]
-    loop.add_signal_handler(signal.SIGTERM, _drain, gateway)
     reloading.watch_settings(
+        handlers,
         read_settings,
         settings,
         lambda changed: setattr(gateway.tables, "seeds", changed.seeds),
--- a/tests/platform/test_processes.py
+++ b/tests/platform/test_processes.py
@@ -165,8 +165,8 @@
 
 def test_a_start_reads_no_certificate_authorities():
     code = (
-        "from bitternlever.platform import __main__ as program\n"
-        "program.skip_certificate_authorities()\n"
+        "from bitternlever.platform import programs\n"
+        "programs.skip_certificate_authorities()\n"
         "from aiohttp import connector\n"
         "print(len(connector._SSL_CONTEXT_VERIFIED.get_ca_certs()))\n"
     )
