Never send a request again on a connection that has carried it

Report of other operators: a faulty upstream writes an earlier refusal once more on a kept connection, and callers are told «not run» for requests that run. But an engine that refused a request for lost inputs (409) and got it again, on the same connection, could refuse it once more with the earlier answer: the caller got 503 while the engine ran the request.

Cause: the echoed id tells requests apart, not two sends of one request.

Change: connections that have carried a request are not used for it again.

Failed before: test_an_earlier_refusal_of_the_same_request_does_not_refuse_its_next_send.

--- a/bitternlever/gateway/context.py
+++ b/bitternlever/gateway/context.py
@@ -6,6 +6,7 @@
 from bitternlever.catalog import tables as catalog_tables
 from bitternlever.gateway import dialect
 from bitternlever.messages import fleet
+from bitternlever.transport import exchange
 
 
 @dataclasses.dataclass(slots=True)
@@ -21,7 +22,8 @@
     answer arrived. ``sent`` is set once any byte of the request itself was sent to an
     upstream that did not report it as not run, ``sent_to`` is the last upstream to
     which any was sent. ``priority`` is passed on to an engine.
-    ``may_have_run_on`` and ``tried`` are upstreams. ``fingerprints`` are the names of
+    ``may_have_run_on`` and ``tried`` are upstreams, ``connections`` those on which the
+    request was sent. ``fingerprints`` are the names of
     the request once they are needed. ``origin`` is where its stream began, None before
     that; ``recording`` is done once a control process has recorded it.
     """
@@ -50,6 +52,7 @@
     attempts: int = 0
     may_have_run_on: set[str] = dataclasses.field(default_factory=set)
     tried: set[str] = dataclasses.field(default_factory=set)
+    connections: list[exchange.Connection] = dataclasses.field(default_factory=list)
     fingerprints: tuple[str, ...] | None = None
     origin: fleet.StreamOrigin | None = None
     recording: asyncio.Task | None = None
--- a/bitternlever/gateway/sending.py
+++ b/bitternlever/gateway/sending.py
@@ -105,9 +105,11 @@
             gateway.dialect.forwarded_headers(context.raw_headers, fields),
             context.body,
             maximum_idle_s=maximum_idle_s(repeatable=repeatable),
+            carried_before=context.connections,
         )
     except exchange.ExchangeError as error:
         return Failure(error.reason, error.sent)
+    context.connections.append(connection)
     sent_before = context.sent
     context.sent = True
     context.sent_to = upstream.upstream
--- a/bitternlever/transport/exchange.py
+++ b/bitternlever/transport/exchange.py
@@ -13,7 +13,7 @@
 import collections
 import dataclasses
 import socket
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Collection
 
 import h11
 
@@ -306,14 +306,17 @@
     maximum_idle_s: float,
     before_write: Callable[[], None] | None = None,
     connect_timeout_s: float = CONNECT_TIMEOUT_S,
+    carried_before: Collection[Connection] = (),
 ) -> Connection:
     """Send a request and return its connection: an idle one of the pool, or a new one.
 
-    A connection that was idle for longer than ``maximum_idle_s`` is not used. Raise
+    A connection that was idle for longer than ``maximum_idle_s`` is not used, nor is
+    one of ``carried_before``, which have carried this request: the answer to the
+    earlier send may come once more, and would be taken for that to this one. Raise
     ExchangeError with ``sent`` False if no connection can be opened. ``before_write``
     is called when the connection stands; if it raises, nothing is sent.
     """
-    connection = _take_idle(pool, address, maximum_idle_s)
+    connection = _take_idle(pool, address, maximum_idle_s, carried_before)
     if connection is None:
         connection = await _connect(pool, address, connect_timeout_s)
     if before_write is not None:
@@ -489,7 +492,12 @@
             del pool.idle[address]
 
 
-def _take_idle(pool: Pool, address: str, maximum_idle_s: float) -> Connection | None:
+def _take_idle(
+    pool: Pool,
+    address: str,
+    maximum_idle_s: float,
+    carried_before: Collection[Connection],
+) -> Connection | None:
     connections = pool.idle.get(address)
     now = pool.clock()
     while connections:
@@ -497,6 +505,9 @@
         if connection.error is not None or now >= connection.idle_until_s:
             connection.abort("idle")
             continue
+        if connection in carried_before:
+            connection.abort("has carried this request")
+            continue
         if now - connection.last_used_s > maximum_idle_s:
             connections.append(connection)
             return None
