Continue a stream only with events, and break it otherwise

Report of other operators: a stream broke off, the next upstream answered with an error, and callers found its text in their stream or a stream that looked complete. Shown here: after the first event, a signed 200 of another media type was appended (JSON whole, a text with its empty lines), and one without an event ended the stream as complete. Answers with other statuses broke it, as they must.

Cause: only the status of a continuation was checked, and events were counted over all attempts of the answer.

Change: a continuation must be an event stream, or have the media type of the first answer; one that ends without an event breaks the stream, since only its caller can tell whether something is missing.

--- a/bitternlever/gateway/relay.py
+++ b/bitternlever/gateway/relay.py
@@ -35,6 +35,11 @@
         exchange.discard(attempt.connection)
         return sending.Failure("a success without a signature", True)
     is_stream = context.route.repeatability is catalog_tables.Repeatability.STREAM
+    content_type = attempt.head.get(b"content-type")
+    if succeeded and relay.response is not None and not _goes_on(relay, content_type):
+        exchange.discard(attempt.connection)
+        reason = f"the stream cannot go on: content type {content_type!r}"
+        return sending.Failure(reason, True)
     try:
         if succeeded and is_stream:
             return await _relay_stream(gateway, context, relay, attempt)
@@ -45,9 +50,7 @@
         exchange.discard(attempt.connection)
         raise
     sending.release(gateway, attempt)
-    if succeeded and event_stream.is_broken_off(
-        attempt.head.get(b"content-type"), body
-    ):
+    if succeeded and event_stream.is_broken_off(content_type, body):
         lost = not exchange.has_framing(attempt.head)
         return sending.Failure("the stream ended inside an event", True, lost=lost)
     if relay.response is not None:
@@ -57,6 +60,16 @@
     return await _relay_complete_answer(gateway, relay, attempt, body)
 
 
+def _goes_on(relay: sending.Relay, content_type: bytes | None) -> bool:
+    """Return whether an answer of this media type may continue a stream.
+
+    An upstream's error page may come with success.
+    """
+    if event_stream.is_declared(content_type):
+        return True
+    return content_type is not None and content_type == relay.content_type
+
+
 async def _relay_complete_answer(
     gateway: state.Gateway,
     relay: sending.Relay,
@@ -81,6 +94,7 @@
         resumption.begin(gateway, clocks.boot_time(), context, attempt.upstream)
     if relay.response is None:
         relay.response = web.StreamResponse(status=attempt.head.status)
+        relay.content_type = attempt.head.get(b"content-type")
         if state.is_draining(gateway):
             relay.response.force_close()
         for name, value in gateway.dialect.answer_headers(attempt.head.headers):
@@ -137,22 +151,29 @@
             begun = True
             parts = gateway.tables.crash_subjects
             crash_subjects.record_begun(parts, clocks.boot_time(), context.head)
-    failure = _incomplete(splitter, attempt.head)
+    failure = _incomplete(relay, attempt.head)
     if failure is None and splitter.incomplete and resumable:
         await relay.response.write(bytes(splitter.incomplete))
     return failure
 
 
-def _incomplete(
-    splitter: event_stream.Splitter, head: exchange.Head
-) -> sending.Failure | None:
-    """Return the failure of a stream that has ended but is not complete."""
+def _incomplete(relay: sending.Relay, head: exchange.Head) -> sending.Failure | None:
+    """Return the failure of a stream that has ended but is not complete.
+
+    One that has begun and ends without a further event may have been broken off at
+    its last event or cut short: only its caller, who takes it up, can tell.
+    """
+    splitter = relay.splitter
     framed = exchange.has_framing(head)
     declared = event_stream.is_declared(head.get(b"content-type"))
     if splitter.is_inside_event and (declared or not framed):
         return sending.Failure(
             "the stream ended inside an event", True, lost=not framed
         )
+    if 0 < splitter.events == relay.events_before:
+        return sending.Failure(
+            "the stream ended without a further event", True, lost=not framed
+        )
     if splitter.events == 0 and not framed:
         return sending.Failure(
             "the stream ended before its first event", True, lost=True
--- a/bitternlever/gateway/sending.py
+++ b/bitternlever/gateway/sending.py
@@ -48,7 +48,8 @@
     """The answer to the caller, as far as it has been relayed.
 
     ``transport`` is the caller's; the request forgets it when the host stops.
-    ``events_before`` is the number of events before the present attempt.
+    ``events_before`` is the number of events before the present attempt, and
+    ``content_type`` that of the first answer.
     """
 
     request: web.BaseRequest
@@ -59,6 +60,7 @@
         default_factory=event_stream.Splitter,
     )
     events_before: int = 0
+    content_type: bytes | None = None
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -283,3 +283,55 @@
 
     splitter.feed(b"id: 7\n\n")
     assert (splitter.events, splitter.last_event_id) == (1, "7")
+
+
+BROKEN = scripted_upstream.stream(event(1), complete=False, reset=True)
+TEXT = b"HTTP/1.1 500 X\r\nX-More: 1\r\n\r\nout of memory\n\n"
+
+
+def typed(content_type: str, body: bytes) -> scripted_upstream.Behaviour:
+    """Return a behaviour that answers with success and a body of a media type."""
+    lines = (scripted_upstream.SEAL, f"Content-Type: {content_type}")
+    return scripted_upstream.answer(200, body, lines=lines)
+
+
+ODD_CONTINUATIONS = {
+    "a failure": scripted_upstream.answer(500, TEXT),
+    "a failure that is an event stream": scripted_upstream.answer(
+        500, TEXT, lines=(scripted_upstream.SEAL, "Content-Type: text/event-stream")
+    ),
+    "a refusal": scripted_upstream.refuse(503),
+    "an error of the caller": scripted_upstream.answer(404, TEXT),
+    "a redirect": scripted_upstream.answer(302, TEXT),
+    "no stream": typed("application/json", b'{"error":"out of memory"}'),
+    "a text": typed("text/plain", TEXT),
+    "no media type": scripted_upstream.answer(200, TEXT),
+    "no event": scripted_upstream.stream(),
+    "only a comment": scripted_upstream.stream(b": ping\n\n"),
+    "an empty body": typed("text/event-stream", b""),
+}
+
+
+@pytest.mark.parametrize("kind", ODD_CONTINUATIONS, ids=str)
+async def test_a_stream_that_has_begun_goes_on_with_events_or_breaks(kind):
+    """The text of another answer followed, or the stream ended as if complete."""
+
+    async def behave(server, received, writer):
+        begun = "last-event-id" in received.headers
+        respond = ODD_CONTINUATIONS[kind] if begun else BROKEN
+        await respond(server, received, writer)
+
+    servers = [await scripted_upstream.start(f"u{n}", behave) for n in range(2)]
+    statuses = [
+        samples.upstream_status(server.name, address=server.address)
+        for server in servers
+    ]
+    with_two = catalog(resumable=True, maximum_attempts=2)
+    async with entry_host.running(with_two, *statuses) as (_, port):
+        answer = await entry_host.call(port, entry_host.request("POST"))
+
+    assert sum(len(server.received) for server in servers) == 2
+    assert answer.status == 200
+    comments = b": ping\n\n" if kind == "only a comment" else b""
+    assert answer.body == event(1) + comments
+    assert not answer.whole
