Bind each take-up of a stream to its version, whatever the host's catalog says

Report of other operators: streams of a new version were taken up at a host that was out of step and went on at another version. A host whose catalog does not say yet that the route's streams may be resumed sent the take-up, with its Last-Event-Id, to any upstream.

Cause: whether a request takes up a stream was decided by the host's own catalog.

Change: a request for a stream that names the last event is a take-up.

--- a/bitternlever/gateway/resumption.py
+++ b/bitternlever/gateway/resumption.py
@@ -55,13 +55,13 @@
 
 
 def _is_take_up(context: gateway_context.Context) -> bool:
-    """Return whether a request takes up a stream of which its caller has events."""
-    route = context.route
-    return (
-        bool(context.head.last_event)
-        and route.resumable
-        and route.repeatability is catalog_tables.Repeatability.STREAM
-    )
+    """Return whether a request takes up a stream of which its caller has events.
+
+    The catalog of a host that is out of step may not say yet that streams of the route
+    may be resumed.
+    """
+    is_stream = context.route.repeatability is catalog_tables.Repeatability.STREAM
+    return is_stream and bool(context.head.last_event)
 
 
 async def resolve(
--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -335,3 +335,16 @@
     comments = b": ping\n\n" if kind == "only a comment" else b""
     assert answer.body == event(1) + comments
     assert not answer.whole
+
+
+@pytest.mark.parametrize("resumable", [False, True])
+@pytest.mark.parametrize("headers", [{"Resumes": "id-0"}, {}], ids=["named", "not"])
+async def test_a_take_up_of_an_unknown_stream_reaches_no_upstream(resumable, headers):
+    """A host whose catalog is older may not know yet that streams may be resumed."""
+    server = await scripted_upstream.start("u1", scripted_upstream.stream(event(2)))
+    data = entry_host.request("POST", Last_Event_Id="1", **headers)
+    async with running(server, resumable=resumable) as (_, port):
+        answer = await entry_host.call(port, data)
+
+    assert answer.status == 503
+    assert server.received == []
--- a/tests/platform/test_stream_versions.py
+++ b/tests/platform/test_stream_versions.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import dataclasses
+import signal
 import time
 
 import pytest
@@ -202,3 +203,56 @@
     )
     assert joined == {True: len(answers)}
     assert all(answer.whole for answer in answers)
+
+
+async def test_a_host_that_stood_still_joins_no_stream_to_another_version(tmp_path):
+    """While it stands still, upstreams of another version join and begin streams."""
+    servers = upstreams("v1", "v1")
+    late = [Upstream(f"late{number}", "v2") for number in range(2)]
+    frozen, *others = fleet_system.HOSTS
+    async with running(tmp_path, 57, servers) as system:
+        system.fleet.processes[frozen].send_signal(signal.SIGSTOP)
+        for upstream in late:
+            upstream.server = await scripted_upstream.start(
+                upstream.name, upstream.behave
+            )
+            system.start(fleet_system.announce(system.fleet, upstream, "plain"))
+        await asyncio.sleep(1.0)
+        requests = await begin(system, hosts=others)
+        system.fleet.processes[frozen].send_signal(signal.SIGCONT)
+        await asyncio.gather(
+            *(resume(system, frozen, request, f"r-{request}") for request in requests)
+        )
+        await asyncio.sleep(2.0)
+        later = await asyncio.gather(
+            *(resume(system, frozen, request, f"l-{request}") for request in requests)
+        )
+
+    every = [*servers, *late]
+    assert any(server.began for server in late)
+    for request in requests:
+        began = version_of(every, request, "began")
+        for prefix in ("r-", "l-"):
+            joined = version_of(every, f"{prefix}{request}", "resumed")
+            assert joined in (None, began)
+    assert sum(answer.status == 200 for answer, _ in later) >= 0.9 * STREAMS
+
+
+async def test_a_host_out_of_reach_of_control_joins_no_stream_to_another_version(
+    tmp_path,
+):
+    """It knows neither the new upstreams nor where streams began elsewhere."""
+    servers = upstreams("v1", "v2", "v1", "v2")
+    first, *others = fleet_system.HOSTS
+    async with running(tmp_path, 57, servers) as system:
+        requests = await begin(system, hosts=others)
+        for control in fleet_system.CONTROLS:
+            system.fleet.processes[control].send_signal(signal.SIGSTOP)
+        answers = await asyncio.gather(
+            *(resume(system, first, request, f"r-{request}") for request in requests)
+        )
+
+    for request in requests:
+        joined = version_of(servers, f"r-{request}", "resumed")
+        assert joined in (None, version_of(servers, request, "began"))
+    assert {answer.status for answer, _ in answers if answer} <= {200, 503}
