Refuse requests that wait for their stages before a stopping host exits

Cause: the exit cuts off all that is in flight, also what no upstream has got.

Failed before: the new test in tests/gateway/test_requests.

--- a/bitternlever/gateway/drains.py
+++ b/bitternlever/gateway/drains.py
@@ -3,7 +3,8 @@
 Callers keep the addresses of hosts for some seconds, and new requests arrive until
 then. A host that served them to its end would cut off those that it took last. So it
 first leaves the directory and serves on; when callers have left it refuses requests
-that might outlast it. Once idle it closes its listening socket, answers what still
+that might outlast it; those that still wait for their stages before it must exit are
+refused as well. Once idle it closes its listening socket, answers what still
 arrives on connections that were being opened, and exits. All functions are pure.
 """
 
@@ -44,12 +45,20 @@
 
 def may_stop_listening(drain: Drain, now: float, *, idle: bool) -> bool:
     """Return whether new connections are refused; ``idle`` without work in flight."""
-    if now >= drain.latest_s - SETTLE_S:
+    if refuses_waiting(drain, now):
         return True
     callers_left_s = drain.started_s + CALLER_ADDRESS_CACHE_S + LISTEN_MARGIN_S
     return idle and now >= callers_left_s
 
 
+def refuses_waiting(drain: Drain, now: float) -> bool:
+    """Return whether requests that no upstream has got yet are given up.
+
+    Their refusals, which say that they have not run, arrive before the exit.
+    """
+    return now >= drain.latest_s - SETTLE_S
+
+
 def may_exit(
     drain: Drain, now: float, listened_until_s: float | None, *, idle: bool
 ) -> bool:
--- a/bitternlever/gateway/requests.py
+++ b/bitternlever/gateway/requests.py
@@ -218,13 +218,16 @@
     awaiting = gateway.tables.rate_shares.awaiting
     try:
         awaiting[context.service] += 1
+        limit = asyncio.timeout(_stage_time_left_s(context))
         try:
-            async with asyncio.timeout(_stage_time_left_s(context)):
+            async with limit:
+                gateway.stage_limits.add(limit)
                 outcome = await stages.run(gateway, context, results)
         except TimeoutError:
             reason = "the stages are not done in time"
             return gateway_context.Refusal(503, reason, LOST_RETRY_S)
         finally:
+            gateway.stage_limits.discard(limit)
             awaiting[context.service] -= 1
         if outcome.is_err():
             refusal = outcome.err()
--- a/bitternlever/gateway/shell.py
+++ b/bitternlever/gateway/shell.py
@@ -265,6 +265,15 @@
     state.run_in_background(gateway, _exit_when_drained(gateway, gateway.drain))
 
 
+def _refuse_waiting(gateway: state.Gateway) -> None:
+    """End the stages of all requests, which are then refused as not run."""
+    now = asyncio.get_running_loop().time()
+    for limit in gateway.stage_limits:
+        if not limit.expired():
+            limit.reschedule(now)
+    gateway.stage_limits.clear()
+
+
 async def _exit_when_drained(gateway: state.Gateway, drain: drains.Drain) -> None:
     listened_until_s = None
     while True:
@@ -276,6 +285,8 @@
         ):
             listened_until_s = now
             await gateway.stop_listening()
+        if drains.refuses_waiting(drain, now):
+            _refuse_waiting(gateway)
         if drains.may_exit(drain, now, listened_until_s, idle=idle):
             break
     if gateway.in_flight:
--- a/bitternlever/gateway/state.py
+++ b/bitternlever/gateway/state.py
@@ -42,7 +42,7 @@
     heartbeats at once. ``host_pool`` has the connections to other hosts.
     ``stop_listening`` refuses new connections of callers. ``started_s`` and ``drain``
     are on the boot clock. ``control_calls`` are the calls to control that wait for a
-    reply, by number.
+    reply, by number. ``stage_limits`` end the stages of requests that wait for them.
     """
 
     settings: fleet_settings.FleetConfiguration
@@ -60,6 +60,7 @@
     in_flight: int = 0
     arriving_bytes: int = 0
     closing: bool = False
+    stage_limits: set[asyncio.Timeout] = dataclasses.field(default_factory=set)
     drain: drains.Drain | None = None
     stop_listening: Callable[[], Awaitable[None]] | None = None
     flush_scheduled: bool = False
--- a/tests/gateway/test_requests.py
+++ b/tests/gateway/test_requests.py
@@ -8,13 +8,14 @@
 
 from bitternlever.catalog import tables as catalog_tables
 from bitternlever.core import clocks
-from bitternlever.gateway import sync
+from bitternlever.gateway import drains, shell as gateway_shell, sync
 from bitternlever.messages import fleet
 from standins import scripted_upstream
 from tests.gateway import entry_host, samples
 
 ONCE = catalog_tables.Repeatability.ONCE
 STREAM = catalog_tables.Repeatability.STREAM
+EXIT_IN_S = 0.6
 MANY_PIECES = 1_000_000
 """Enough to be refused, and few enough to leave a host that takes them alive."""
 
@@ -672,3 +673,36 @@
     assert answer.status == 400
     assert b"pieces" in answer.body
     assert server.received == []
+
+
+async def test_a_request_that_waits_for_stages_when_its_host_ends_is_refused():
+    """Its connection was closed at the end of the host, without an answer."""
+    stage = await scripted_upstream.start("s1", scripted_upstream.silent())
+    engine = await scripted_upstream.start("e1", scripted_upstream.stream(b"id: 1\n\n"))
+    upstreams = [
+        upstream_status(stage, service="encode"),
+        upstream_status(engine, service="engines"),
+    ]
+    data = entry_host.request(
+        "POST", X_Bitternlever_Pieces="1,1", X_Bitternlever_Piece_Key="thing"
+    )
+    async with entry_host.running(staged_catalog(), *upstreams) as (gateway, port):
+        asking = asyncio.ensure_future(entry_host.call(port, data))
+        while not stage.received:
+            await asyncio.sleep(0.005)
+        now = clocks.boot_time()
+        drain = drains.Drain(started_s=now - 6.0, latest_s=now + EXIT_IN_S)
+        gateway.state = fleet.HostState.DRAINING
+        gateway.drain = drain
+        gateway.stop_listening = no_listener
+        await gateway_shell._exit_when_drained(gateway, drain)
+        answer = await asyncio.wait_for(asking, 0.1)
+
+    assert gateway.stopped.done()
+    assert answer.status == 503
+    assert "retry-after" in answer.headers
+    assert engine.received == []
+
+
+async def no_listener():
+    """Stand in for closing a listener."""
