Let no heartbeat of another service displace an upstream that is alive

Cause: of two upstreams at an address the one that started last counted, whatever its service, and the other's heartbeats were ignored.

Change: an upstream of another service takes an address only from one that has been silent for two heartbeats.

--- a/bitternlever/fleet/upstreams.py
+++ b/bitternlever/fleet/upstreams.py
@@ -4,7 +4,8 @@
 lower sequence number, never replaces a newer one. The end of a start is final: no later
 status of the same start makes it usable again. Of two upstreams at one address only the
 one that started last is present; where start times are unknown, the one whose newest
-status arrived last.
+status arrived last. Those of two services both count while both send heartbeats, since
+one of them may have been announced by somebody else.
 """
 
 import dataclasses
@@ -17,6 +18,9 @@
 ENDED_RETENTION_S = 120.0
 """Longer than a heartbeat can be late, so that it can't revive an ended upstream."""
 
+CLAIM_SILENCE_S = 2.4
+"""Two heartbeats; an upstream of another service takes the address of a silent one."""
+
 MAXIMUM_UPSTREAMS = 20_000
 """Bounds memory; about thirty times the largest planned deployment."""
 
@@ -66,7 +70,7 @@
         else:
             upstreams.stale += 1
         return False
-    if not _claim_address(upstreams, status):
+    if not _claim_address(upstreams, now, status):
         upstreams.stale += 1
         return False
     changed = _without_volatile_fields(known.status) != _without_volatile_fields(status)
@@ -149,7 +153,7 @@
     if len(upstreams.entries) >= MAXIMUM_UPSTREAMS:
         return False
     entry = Entry(status=status, last_seen_s=seen_s)
-    if not _claim_address(upstreams, status):
+    if not _claim_address(upstreams, now, status):
         entry.superseded = True
         entry.status = msgspec.structs.replace(status, state=fleet.UpstreamState.GONE)
     elif status.state is fleet.UpstreamState.GONE:
@@ -198,12 +202,21 @@
     return msgspec.structs.replace(status, sequence=0, age_s=0.0, cold_s=0.0)
 
 
-def _claim_address(upstreams: UpstreamTable, status: fleet.UpstreamStatus) -> bool:
+def _claim_address(
+    upstreams: UpstreamTable, now: float, status: fleet.UpstreamStatus
+) -> bool:
     """Claim an address; return False if an upstream that started later holds it."""
     if not status.address or status.state is fleet.UpstreamState.GONE:
         return True
     current = upstreams.entries.get(holder(upstreams, status.address) or "")
     if current is not None and current.status.upstream != status.upstream:
+        is_alive = now - current.last_seen_s < CLAIM_SILENCE_S
+        if (
+            current.status.service != status.service
+            and is_alive
+            and current.ended_s is None
+        ):
+            return True
         if current.status.started_ms > status.started_ms:
             return False
         if current.status.address == status.address and current.ended_s is None:
--- a/tests/fleet/test_upstreams.py
+++ b/tests/fleet/test_upstreams.py
@@ -228,3 +228,44 @@
     [ended] = upstreams.ended_since(table, 0.0, leaving_only=True)
     assert msgspec.msgpack.encode(ended)
     assert ended.state is fleet.UpstreamState.GONE
+
+
+def test_an_upstream_is_not_displaced_by_one_of_another_service_at_its_address():
+    """Heartbeats of another writer took sound upstreams out of use."""
+    table = upstreams.UpstreamTable()
+    for number in range(1, 6):
+        now = float(number)
+        sound = samples.upstream_status(
+            "u1", address="x:80", started_ms=1_000, sequence=number
+        )
+        foreign = samples.upstream_status(
+            "f1",
+            service="inventory",
+            address="x:80",
+            started_ms=9_000,
+            sequence=number,
+        )
+        upstreams.merge_status(table, now, sound)
+        upstreams.merge_status(table, now + 0.5, foreign)
+
+        assert state_of(table, "u1") is READY
+
+
+def test_an_upstream_of_another_service_takes_the_address_of_a_silent_one():
+    table = upstreams.UpstreamTable()
+    old = samples.upstream_status("u1", address="x:80", started_ms=1_000)
+    upstreams.merge_status(table, 1.0, old)
+    for number in range(1, 4):
+        now = 1.0 + upstreams.CLAIM_SILENCE_S * number / 2
+        new = samples.upstream_status(
+            "u2",
+            service="other",
+            address="x:80",
+            started_ms=2_000,
+            sequence=number,
+        )
+        upstreams.merge_status(table, now, new)
+
+    assert state_of(table, "u1") is GONE
+    assert state_of(table, "u2") is READY
+    assert upstreams.holder(table, "x:80") == "u2"
