--- a/tests/gateway/test_cut_off.py
+++ b/tests/gateway/test_cut_off.py
@@ -24,6 +24,8 @@
 """Without control the catalog counts as current for the time of a test."""
 
 REFUSED, SILENT, NEW_REFUSED = "refused", "silent", "new connections refused"
+ACCEPTED_RESET, ACCEPTED_SILENT = "accepted, then reset", "accepted, then silent"
+"""Cuts above TCP, as by a proxy or address translation on the way."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -36,13 +38,16 @@
     writers: set[asyncio.StreamWriter] = dataclasses.field(default_factory=set)
     blocking: list[socket.socket] = dataclasses.field(default_factory=list)
     silent: bool = False
+    resets: bool = False
 
     async def open(self) -> None:
         """Accept connections; the cut ends."""
         for blocking in self.blocking:
             blocking.close()
         self.blocking.clear()
-        self.silent = False
+        self.silent = self.resets = False
+        if self.listener is not None and self.listener.is_serving():
+            return
         self.listener = await asyncio.start_server(
             self._relay, "127.0.0.1", self.port, reuse_address=True
         )
@@ -50,12 +55,15 @@
 
     def cut(self, how: str) -> None:
         """Cut off those that dial it; ``how`` tells what they see."""
+        self.silent = how in (SILENT, ACCEPTED_SILENT)
+        self.resets = how == ACCEPTED_RESET
+        if how in (ACCEPTED_RESET, ACCEPTED_SILENT):
+            return
         self.listener.close()
         if how == REFUSED:
             for writer in list(self.writers):
                 scripted_upstream.abort(writer)
         if how == SILENT:
-            self.silent = True
             self._drop_new_connections()
 
     def _drop_new_connections(self) -> None:
@@ -84,6 +92,10 @@
     async def _copy(self, reader, writer) -> None:
         with contextlib.suppress(ConnectionError):
             while data := await reader.read(65_536):
+                if self.resets:
+                    for each in self.writers:
+                        scripted_upstream.abort(each)
+                    break
                 while self.silent:
                     await asyncio.sleep(0.02)
                 writer.write(data)
@@ -197,6 +209,19 @@
     assert hosts.other.measures.attempts["sent"] == sent
 
 
+@pytest.mark.parametrize("how", [ACCEPTED_RESET, ACCEPTED_SILENT])
+async def test_callers_of_a_host_whose_connections_are_accepted_in_vain_are_served(how):
+    """A dial that is accepted counts as reach, so that the host finds no cut."""
+    async with running() as hosts:
+        assert served(await send(hosts.port, 0.5, prefix="before")) == 1.0
+        hosts.cut(how)
+        await send(hosts.port, CONTACT_S, prefix="early")
+        during = await send(hosts.port, MEASURED_S, prefix="during")
+
+    assert served(during) >= 0.95
+    assert max(took_s for _, took_s in during.values()) < 1.0
+
+
 async def test_requests_of_a_host_that_is_cut_off_run_once():
     route = samples.route(repeatability=catalog_tables.Repeatability.ONCE)
     catalog = samples.catalog(routes={"h.example": [route]})
