--- a/bitternlever/gateway/context.py
+++ b/bitternlever/gateway/context.py
@@ -23,9 +23,9 @@
     upstream that did not report it as not run, ``sent_to`` is the last upstream to
     which any was sent. ``priority`` is passed on to an engine.
     ``may_have_run_on`` and ``tried`` are upstreams, ``connections`` those on which the
-    request was sent. ``fingerprints`` are the names of
-    the request once they are needed. ``origin`` is where its stream began, None before
-    that; ``recording`` is done once a control process has recorded it.
+    request was sent. ``fingerprints`` are the names of the request once they are
+    needed. ``origin`` is where its stream began, None before that; ``recording`` is
+    done once a control process has recorded it.
     """
 
     arrived_s: float
