Close the connections of the cut-off tests before their loop ends

Connections that a test had left open were collected after its loop had closed; that this runs code within the formatting fits, but was not shown otherwise.

--- a/tests/gateway/test_cut_off.py
+++ b/tests/gateway/test_cut_off.py
@@ -20,6 +20,9 @@
 
 MEASURED_S = 2.0
 INTERVAL_S = 0.05
+SETTLE_S = 0.1
+"""Connections that were aborted have ended by then."""
+
 KEPT_CURRENT_S = 60.0
 """Without control the catalog counts as current for the time of a test."""
 
@@ -53,6 +56,13 @@
         )
         self.port = self.listener.sockets[0].getsockname()[1]
 
+    def close(self) -> None:
+        """End all connections, so that none outlives the loop."""
+        self.silent = False
+        self.listener.close()
+        for writer in list(self.writers):
+            scripted_upstream.abort(writer)
+
     def cut(self, how: str) -> None:
         """Cut off those that dial it; ``how`` tells what they see."""
         self.silent = how in (SILENT, ACCEPTED_SILENT)
@@ -158,6 +168,9 @@
             yield Hosts(gates, servers, gateway, port, other, other_port)
         finally:
             gateway.closing = other.closing = True
+            for gate in gates:
+                gate.close()
+            await asyncio.sleep(SETTLE_S)
 
 
 async def send(port, for_s, method="GET", prefix="r"):
