Read faulty settings again at a start, since they may be being written

Cause: a file that is replaced at any moment is read once at a start.

Change: a start reads faulty settings again for a second before it ends with 2.

Failed before: the new test in tests/platform/test_signals.

--- a/bitternlever/platform/programs.py
+++ b/bitternlever/platform/programs.py
@@ -9,6 +9,7 @@
 import logging
 import os
 import sys
+import time
 
 from bitternlever.core import signals
 from bitternlever.platform import settings
@@ -17,6 +18,10 @@
 EXIT_INVALID_SETTINGS = 2
 EXIT_ADDRESS_IN_USE = 75
 PROGRAMS = ("entry", "control")
+READS = 10
+READ_INTERVAL_S = 0.1
+"""Writing takes milliseconds; a start with faulty settings ends after a second."""
+
 
 logger = logging.getLogger(__name__)
 
@@ -28,7 +33,7 @@
         return EXIT_INVALID_SETTINGS
     program = arguments[0]
     skip_certificate_authorities()
-    loaded = settings.load(program)
+    loaded = _load(program)
     if loaded.is_err():
         for fault in loaded.err():
             print(fault, file=sys.stderr)
@@ -44,6 +49,16 @@
         handler.flush()
 
 
+def _load(program: str) -> settings.Loaded:
+    """Read the settings; read faulty ones again, since they may be being written."""
+    for _ in range(READS):
+        loaded = settings.load(program)
+        if loaded.is_ok():
+            break
+        time.sleep(READ_INTERVAL_S)
+    return loaded
+
+
 def skip_certificate_authorities() -> None:
     """Keep the import of aiohttp from loading the certificate authorities.
 
--- a/tests/platform/test_signals.py
+++ b/tests/platform/test_signals.py
@@ -16,6 +16,9 @@
 SIGNAL_INTERVAL_S = 0.002
 PROGRAMS = ("entry-a", "control-a")
 STARTS = 3
+WRITING_S = 0.2
+"""Several times what writing the file takes, and below what is waited for it."""
+
 CONNECT_INTERVAL_S = 0.0005
 
 
@@ -131,3 +134,27 @@
         except ConnectionError:
             assert time.monotonic() < deadline_s, "nothing listens"
             await asyncio.sleep(CONNECT_INTERVAL_S)
+
+
+@pytest.mark.parametrize("name", PROGRAMS)
+async def test_settings_that_are_being_written_at_a_start_are_read_again(
+    tmp_path, name
+):
+    """A process that met a half-written file ended with exit code 2."""
+    fleet = fleet_processes.create(tmp_path, NETWORK)
+    path = tmp_path / f"{name}.toml"
+    try:
+        fleet.start(name)
+        whole = path.read_text()
+        path.write_text(whole[: len(whole) // 2])
+        await fleet_processes.wait_until(lambda: has_msgspec(fleet, name))
+        await asyncio.sleep(WRITING_S)
+        path.write_text(whole)
+        await fleet_processes.wait_until(lambda: "program-started" in fleet.log(name))
+    finally:
+        fleet_processes.end(fleet)
+
+
+def has_msgspec(fleet, name) -> bool:
+    """Return whether a process has begun to import what reads its settings."""
+    return "msgspec" in process_file(fleet, name, "maps")
