--- a/bitternlever/gateway/requests.py
+++ b/bitternlever/gateway/requests.py
@@ -42,7 +42,7 @@
 """A caller that retries reaches another host."""
 
 MAXIMUM_PIECES = 4_096
-"""Pieces of a request in all its stages; no fleet runs more within a deadline."""
+"""Pieces of a request in all its stages; bounds the memory that one request takes."""
 
 STAGE_ROUNDS = 2
 """A request reruns its stages once if results were lost with their producer."""
