Log and count the bytes of batching hosts and the age of unacknowledged frames

Logs told none of these apart: no bytes to upstreams, no age of what waits to be acknowledged, and a suspected host looked the same whether it was silent or only slow to accept.

New: event 420 batching-load once a second on a host that batches, silent_s in host-suspected, bytes_sent of upstream connections, oldest_unacknowledged_s. No decision changes.

--- a/bitternlever/gateway/batching.py
+++ b/bitternlever/gateway/batching.py
@@ -26,7 +26,7 @@
 from bitternlever.messages import fleet
 from bitternlever.routing import affinity
 from bitternlever.telemetry import events
-from bitternlever.transport import exchange
+from bitternlever.transport import exchange, links
 
 ACCEPT_TIMEOUT_S = 0.3
 """A hundred round trips between zones, since a busy host answers late."""
@@ -34,6 +34,8 @@
 RESEND_INTERVAL_S = 0.8
 """Interval at which accepted work is resent, since its host may have restarted."""
 
+REPORT_INTERVAL_S = 1.0
+
 SUSPECT_DURATION_S = 1.5
 """How long an unresponsive host is skipped; control has noticed its loss by then."""
 
@@ -179,6 +181,29 @@
         _pump_service(gateway, now, queue)
 
 
+def report(gateway: state.Gateway, now: float) -> None:
+    """Log at intervals what the batching of each service takes of this host."""
+    if now < gateway.batching.next_report_s:
+        return
+    gateway.batching.next_report_s = now + REPORT_INTERVAL_S
+    for queue in gateway.tables.batchers.values():
+        if queue.works or queue.calls:
+            events.BATCHING_LOAD.log(
+                logger,
+                service=queue.service,
+                upstreams=len(queue.upstreams),
+                works=len(queue.works),
+                waiting=sum(len(work.waiting) for work in queue.works.values()),
+                calls=len(queue.calls),
+                link_bytes_sent=gateway.links.bytes_sent,
+                link_bytes_received=gateway.links.bytes_received,
+                upstream_bytes_sent=gateway.pool.bytes_sent,
+                oldest_unacknowledged_s=round(
+                    links.oldest_unacknowledged_s(gateway.links, now), 3
+                ),
+            )
+
+
 async def _receive_within(mailbox: asyncio.Queue, timeout_s: float) -> Any:
     try:
         async with asyncio.timeout(timeout_s):
@@ -190,7 +215,13 @@
 def _mark_suspect(gateway: state.Gateway, now: float, link: str) -> None:
     if link != gateway.settings.link:
         gateway.tables.suspects[link] = now + SUSPECT_DURATION_S
-        events.HOST_SUSPECTED.log(logger, link=link, waited_s=ACCEPT_TIMEOUT_S)
+        silent_s = links.silent_s(gateway.links, link, now)
+        events.HOST_SUSPECTED.log(
+            logger,
+            link=link,
+            waited_s=ACCEPT_TIMEOUT_S,
+            silent_s=None if silent_s is None else round(silent_s, 3),
+        )
 
 
 def _handle_work(
--- a/bitternlever/gateway/measures.py
+++ b/bitternlever/gateway/measures.py
@@ -7,7 +7,7 @@
 
 from bitternlever.core import clocks
 from bitternlever.telemetry import bounded, metrics
-from bitternlever.transport import exchange
+from bitternlever.transport import exchange, links
 
 if typing.TYPE_CHECKING:
     from bitternlever.gateway import state
@@ -97,10 +97,14 @@
     """Return the source of the counters of upstream connections."""
     return metrics.Source(
         instrument="entry.connections",
-        description="Connections to upstreams, opened and used again.",
+        description="Connections to upstreams, opened and used again, and their bytes.",
         unit="1",
         is_counter=True,
-        read=lambda: {"opened": pool.opened, "reused": pool.reused},
+        read=lambda: {
+            "opened": pool.opened,
+            "reused": pool.reused,
+            "bytes_sent": pool.bytes_sent,
+        },
     )
 
 
@@ -127,6 +131,10 @@
     values["parts_refused"] = sum(
         record.quarantined for record in tables.crash_subjects.records.values()
     )
+    if gateway.links is not None:
+        values["oldest_unacknowledged_s"] = links.oldest_unacknowledged_s(
+            gateway.links, now
+        )
     for service, queue in tables.batchers.items():
         values[f"waiting.{service}"] = sum(
             len(work.waiting) for work in queue.works.values()
--- a/bitternlever/gateway/shell.py
+++ b/bitternlever/gateway/shell.py
@@ -250,6 +250,7 @@
     exchange.close_expired(gateway.host_pool)
     reachability.check_later(gateway, clocks.boot_time())
     batching.pump(gateway)
+    batching.report(gateway, clocks.boot_time())
     asyncio.get_running_loop().call_later(EXPIRE_INTERVAL_S, _expire, gateway)
 
 
--- a/bitternlever/gateway/state.py
+++ b/bitternlever/gateway/state.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import dataclasses
+import math
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -32,6 +33,7 @@
     )
     pump_scheduled: bool = False
     collected_handles: dict[str, list[str]] = dataclasses.field(default_factory=dict)
+    next_report_s: float = -math.inf
 
 
 @dataclasses.dataclass(slots=True)
--- a/bitternlever/telemetry/events.py
+++ b/bitternlever/telemetry/events.py
@@ -237,6 +237,12 @@
     logging.INFO,
     "A stage upstream could not be told to free results that are no longer needed.",
 )
+BATCHING_LOAD = register(
+    420,
+    "batching-load",
+    logging.INFO,
+    "This host batches the calls of a stage service.",
+)
 PART_REFUSED = register(
     411,
     "part-refused",
--- a/bitternlever/transport/exchange.py
+++ b/bitternlever/transport/exchange.py
@@ -271,7 +271,8 @@
     ``whole_bytes`` are the sizes of the answers that are being read whole.
     ``failed_dials`` are the addresses that could not be dialled since a connection was
     last established, ``lost_s`` tells when the last connection to an address was lost.
-    ``awaiting_since_s`` is when a request was sent after which no byte has come.
+    ``awaiting_since_s`` is when a request was sent after which no byte has come;
+    ``bytes_sent`` counts those of all requests.
     """
 
     clock: Callable[[], float]
@@ -282,6 +283,7 @@
     whole_bytes_total: int = 0
     opened: int = 0
     reused: int = 0
+    bytes_sent: int = 0
     failed_dials: set[str] = dataclasses.field(default_factory=set)
     lost_s: dict[str, float] = dataclasses.field(default_factory=dict)
     awaiting_since_s: float | None = None
@@ -339,6 +341,7 @@
         connection.abort("a request that HTTP does not allow")
         raise ExchangeError(str(error), sent=False) from None
     connection.transport.write(data)
+    pool.bytes_sent += len(data)
     if pool.awaiting_since_s is None:
         pool.awaiting_since_s = pool.clock()
     return connection
--- a/bitternlever/transport/links.py
+++ b/bitternlever/transport/links.py
@@ -47,7 +47,7 @@
     ``unacknowledged_bytes`` counts the bytes sent since the peer last had acknowledged
     everything. A link given by the core is kept; one learned from the peer's frames
     (``link_learned``) is updated by them. ``incarnation`` is that of the peer's last
-    frame, empty before the first.
+    frame, empty before the first; ``last_received_s`` is when that frame came.
     """
 
     node: str
@@ -63,6 +63,7 @@
     received_sequence: int = 0
     acknowledgement_due_since_s: float | None = None
     last_used_s: float = 0.0
+    last_received_s: float | None = None
 
 
 @dataclasses.dataclass(slots=True)
@@ -160,6 +161,26 @@
         peer.socket.close()
 
 
+def silent_s(links: Links, link: str, now: float) -> float | None:
+    """Return the time since the last frame of a peer, None if it sent none."""
+    peer = links.peers.get(links.node_by_link.get(link, link))
+    if peer is None or peer.last_received_s is None:
+        return None
+    return now - peer.last_received_s
+
+
+def oldest_unacknowledged_s(links: Links, now: float) -> float:
+    """Return how long the slowest peer has acknowledged nothing that it was sent."""
+    return max(
+        (
+            now - peer.unacknowledged_since_s
+            for peer in links.peers.values()
+            if peer.unacknowledged_since_s is not None
+        ),
+        default=0.0,
+    )
+
+
 def _get_or_add_peer(
     links: Links, node: str, link: str | None, link_learned: bool
 ) -> Peer | None:
@@ -301,6 +322,7 @@
     if peer is None:
         return
     now = links.clock()
+    peer.last_received_s = now
     if peer.incarnation != frame.incarnation:
         _redial_after_restart(links, peer)
         peer.incarnation = frame.incarnation
