--- a/tests/transport/test_upstream_calls.py
+++ b/tests/transport/test_upstream_calls.py
@@ -191,6 +191,22 @@
     assert outcome.sent is requests.Sent.UNKNOWN
 
 
+@pytest.mark.parametrize("sent", [b"HTTP", b"HTTP/1.1 200 OK\r\nContent-Le"])
+async def test_a_head_that_breaks_off_is_no_answer(sent):
+    async def behave(server, received, writer):
+        writer.write(sent)
+        await writer.drain()
+        writer.close()
+        raise ConnectionResetError
+
+    server = await scripted_upstream.start("u", behave)
+
+    (outcome,) = await run_calls(stage_call(server))
+
+    assert isinstance(outcome, requests.UpstreamFailed)
+    assert outcome.sent is requests.Sent.UNKNOWN
+
+
 @pytest.mark.parametrize("idempotent", [False, True])
 async def test_a_call_whose_lease_ends_while_it_connects_is_not_sent(idempotent):
     server = await scripted_upstream.start("u")
