--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -42,6 +42,7 @@
 
     With ``relayed`` each process binds its link to another port than the one that its
     peers dial, where a relay listens. ``network`` is the second byte of the addresses.
+    The output of processes is dropped unless the fleet is ``logged``.
     """
 
     folder: pathlib.Path
@@ -49,6 +50,7 @@
     port: int
     tolerated_losses: int = 1
     relayed: bool = False
+    logged: bool = True
     processes: dict[str, subprocess.Popen] = dataclasses.field(default_factory=dict)
 
     def ip(self, name: str) -> str:
@@ -108,7 +110,8 @@
         environment = {**os.environ, "BITTERNLEVER_BOOT": str(path)}
         if self.relayed:
             environment["BITTERNLEVER_LINK_BOUND"] = self.link_bind_address(name)
-        with (self.folder / f"{name}.log").open("ab") as log:
+        log_path = self.folder / f"{name}.log" if self.logged else os.devnull
+        with open(log_path, "ab") as log:
             self.processes[name] = subprocess.Popen(
                 [sys.executable, "-m", "bitternlever.platform", program],
                 cwd=ROOT,
