Take no host for lost that answers late, and cancel work that moves on

Cause: a host that had not accepted stage work within 0.3 s was skipped for 1.5 s, whatever else came from it. Its work went on to the next host by rank, and stayed queued at the first: two hosts then filled the same upstreams, and the link that had been too full to accept in time carried every message again.

Ruled out: a longer time limit. It would delay the takeover of hosts that are lost, which also has to be fast.

Change: a host that has sent any frame since the work was sent is not suspected, a suspected one that is heard of again is not skipped any more, and work that goes to another host is cancelled at the one before.

Why it works: a lost host sends nothing; the check needs no clock of the other side. That the link is full is another fault, and not mended by this.

--- a/bitternlever/gateway/batching.py
+++ b/bitternlever/gateway/batching.py
@@ -1,9 +1,9 @@
-"""Stage work across hosts: select the batching host and call the stage upstreams.
+"""Stage work across hosts: send it to its batching host, call the stage upstreams.
 
-The host that batches a service is selected by rendezvous hashing over the ready hosts.
 Work is resent until it is answered; if its host does not respond, the next one takes
-over. For a short time two hosts may send calls to the same upstreams: the upstream's
-own queue absorbs them, and producing a piece twice is harmless.
+over, and the work is cancelled at the first. For a short time two hosts may send calls
+to the same upstreams: the upstream's own queue absorbs them, and producing a piece
+twice is harmless.
 """
 
 import asyncio
@@ -16,6 +16,7 @@
 from bitternlever.core import clocks
 from bitternlever.fleet import upstreams as fleet_upstreams
 from bitternlever.gateway import (
+    batch_owners,
     crash_subjects,
     dialect as gateway_dialect,
     notices,
@@ -24,7 +25,6 @@
     sync,
 )
 from bitternlever.messages import fleet
-from bitternlever.routing import affinity
 from bitternlever.telemetry import events
 from bitternlever.transport import exchange, links
 
@@ -36,9 +36,6 @@
 
 REPORT_INTERVAL_S = 1.0
 
-SUSPECT_DURATION_S = 1.5
-"""How long an unresponsive host is skipped; control has noticed its loss by then."""
-
 MAXIMUM_KEPT_ANSWERS = 512
 """Number of answers kept to be resent if their work is requested again."""
 
@@ -83,11 +80,10 @@
     try:
         while True:
             now = clocks.boot_time()
-            target = owner(gateway, now, work.service)
-            state.send(gateway, target, with_time_left(work, now))
+            target = _send_work(gateway, now, target, with_time_left(work, now))
             answer = await _receive_within(mailbox, ACCEPT_TIMEOUT_S)
             if answer is None:
-                _mark_suspect(gateway, now, target)
+                _suspect_if_silent(gateway, now, target)
                 continue
             while isinstance(answer, fleet.StageAccepted | fleet.StageWorkStarted):
                 if isinstance(answer, fleet.StageWorkStarted):
@@ -106,30 +102,12 @@
 
 def release(gateway: state.Gateway, service: str, handles: list[str]) -> None:
     """Tell the host that batches a service that results are no longer needed."""
-    target = owner(gateway, clocks.boot_time(), service)
+    target = batch_owners.owner(gateway, clocks.boot_time(), service)
     state.send(
         gateway, target, fleet.StageResultsFreed(service=service, handles=handles)
     )
 
 
-def owner(gateway: state.Gateway, now: float, service: str) -> str:
-    """Return the link of the host that batches a service."""
-    links = [
-        host.link
-        for host in gateway.tables.hosts.listed
-        if host.state is fleet.HostState.READY
-        and gateway.tables.suspects.get(host.link, 0.0) <= now
-        and not _is_cut_off(gateway, host)
-    ]
-    return affinity.owner(service, links) or gateway.settings.link
-
-
-def _is_cut_off(gateway: state.Gateway, host: fleet.HostAnnouncement) -> bool:
-    if host.link == gateway.settings.link:
-        return gateway.tables.reachability.cut_off
-    return host.cut_off
-
-
 def receive(gateway: state.Gateway, now: float, link: str, message: Any) -> None:
     """Handle a message about stage work, from another host or from this one."""
     match message:
@@ -163,7 +141,7 @@
     return [
         batcher.load(queue, now)
         for queue in gateway.tables.batchers.values()
-        if owner(gateway, now, queue.service) == gateway.settings.link
+        if batch_owners.owner(gateway, now, queue.service) == gateway.settings.link
     ]
 
 
@@ -212,10 +190,31 @@
         return None
 
 
-def _mark_suspect(gateway: state.Gateway, now: float, link: str) -> None:
-    if link != gateway.settings.link:
-        gateway.tables.suspects[link] = now + SUSPECT_DURATION_S
-        silent_s = links.silent_s(gateway.links, link, now)
+def _send_work(
+    gateway: state.Gateway,
+    now: float,
+    previous: str | None,
+    work: fleet.StageWork,
+) -> str:
+    """Send work to its batching host; return its link.
+
+    If it was sent to a ``previous`` host that may only be slow, it is cancelled there.
+    """
+    target = batch_owners.owner(gateway, now, work.service)
+    if previous is not None and previous != target:
+        state.send(gateway, previous, fleet.StageCancelled(work=work.work))
+    state.send(gateway, target, work)
+    return target
+
+
+def _suspect_if_silent(gateway: state.Gateway, sent_s: float, link: str) -> None:
+    """Skip a host that has sent nothing since it was sent work, as it may be lost."""
+    now = clocks.boot_time()
+    if link == gateway.settings.link:
+        return
+    silent_s = links.silent_s(gateway.links, link, now)
+    if not batch_owners.heard_since(gateway, now, link, sent_s):
+        batch_owners.mark_suspect(gateway, now, link)
         events.HOST_SUSPECTED.log(
             logger,
             link=link,
--- a/tests/gateway/test_cut_off.py
+++ b/tests/gateway/test_cut_off.py
@@ -11,7 +11,7 @@
 
 from bitternlever.catalog import tables as catalog_tables
 from bitternlever.core import clocks
-from bitternlever.gateway import batching as gateway_batching, shell as gateway_shell
+from bitternlever.gateway import batch_owners, shell as gateway_shell
 from standins import scripted_upstream
 from tests.gateway import entry_host, samples
 
@@ -306,7 +306,7 @@
         hosts.other.tables.hosts.listed = (cut_off, hosts.other.tables.announcement)
         now = clocks.boot_time()
         owners = {
-            gateway_batching.owner(hosts.other, now, f"service-{number}")
+            batch_owners.owner(hosts.other, now, f"service-{number}")
             for number in range(20)
         }
 
