Divide services whose calls are more than one host's link can carry

Cause: one host batched all work of a service, and its link carried every call. Each piece also named all inputs of its stage again in the message between hosts. Class: a role that one host plays for all grows with the fleet, and nothing bounds what it takes of that host.

Ruled out: the processor (an earlier trial with wide links and the same cores), and smaller messages alone: in the call each piece must name its inputs.

Change: upstreams of a service are divided into as many groups as the announced rate of the hosts' links requires, each with a host of its own; work names its group, and goes to the shorter of two queues or stays in the zone of its inputs. Messages name the inputs of a stage once. Work that waits moves to a much shorter queue.

Why it works: what a host carries no longer depends on the size of the service.

--- a/bench/stage_world.py
+++ b/bench/stage_world.py
@@ -330,7 +330,8 @@
         service=stage.service,
         stage=stage.number,
         key="",
-        pieces=[fleet.StagePiece(number, inputs) for number in range(count)],
+        pieces=[fleet.StagePiece(number, []) for number in range(count)],
+        inputs=inputs,
         priority=routes.rank(context.route, context.workspace),
         depth=len(request.done),
         objective_left_s=schedule.objective_left_s(
@@ -344,7 +345,7 @@
     )
     queue = emulation.batchers[stage.service]
     refused = batcher.submit(queue, now, work, "host")
-    emulation.tables.loads[stage.service] = gateway_tables.ReportedLoad(
+    emulation.tables.loads[stage.service, ""] = gateway_tables.ReportedLoad(
         batcher.load(queue, now), now
     )
     if refused is not None:
@@ -395,7 +396,7 @@
     produced_count = 0
     for item in call.items:
         work = queue.works[item.work]
-        inputs = work.message.pieces[item.index].inputs
+        inputs = work.message.inputs
         if any(_has_expired(emulation, queue, handle) for handle in inputs):
             lost_input_outcome = batching_tables.ItemOutcome(
                 None, "gone", lost_input=True
--- a/bitternlever/batching/batcher.py
+++ b/bitternlever/batching/batcher.py
@@ -78,9 +78,9 @@
 """Half-life of the estimated memory that results unknown to this host occupy."""
 
 
-def create(service: catalog_tables.Service) -> tables.Batcher:
-    """Create the empty queue of a stage service."""
-    return tables.Batcher(service=service.name, capacity=service.stage)
+def create(service: catalog_tables.Service, group: str = "") -> tables.Batcher:
+    """Create the empty queue of a group of a stage service's upstreams."""
+    return tables.Batcher(service=service.name, capacity=service.stage, group=group)
 
 
 def submit(
@@ -163,6 +163,7 @@
         backlog_s=backlog_s(batcher, batcher.works.values()),
         on_time_backlog_s=backlog_s(batcher, order.on_time_works(batcher, now)),
         wait_s=estimates.decayed_upper_bound_s(batcher.wait_estimate, now),
+        group=batcher.group,
     )
 
 
--- a/bitternlever/batching/tables.py
+++ b/bitternlever/batching/tables.py
@@ -102,7 +102,7 @@
 
 @dataclasses.dataclass(slots=True)
 class Batcher:
-    """The queue of one service.
+    """The queue of one group of a service's upstreams; of all if it has no name.
 
     ``abandoned_handles`` lists results that nothing will read, by the address of their
     producer. ``mean_result_retention_s`` is the moving average of the time from the
@@ -123,6 +123,7 @@
         default_factory=lambda: estimates.Estimate(0.0),
     )
     abandoned_handles: dict[str, list[str]] = dataclasses.field(default_factory=dict)
+    group: str = ""
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/bitternlever/conf/fleet.py
+++ b/bitternlever/conf/fleet.py
@@ -26,7 +26,7 @@
     time. An address is empty if the process does not serve it. ``region_of_zone``
     contains all availability zones. ``link_bind_address`` is the address to which the
     link's socket is bound; it differs from ``link`` only if a forwarder listens on
-    ``link``.
+    ``link``. ``link_bytes_per_s`` is the rate of the host's network link.
     """
 
     host: str
@@ -46,6 +46,7 @@
     region_of_zone: dict[str, str]
     bounds: Bounds
     descriptors: int
+    link_bytes_per_s: float
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/bitternlever/fleet/feed.py
+++ b/bitternlever/fleet/feed.py
@@ -53,7 +53,8 @@
     hosts.merge_announcement(tables.hosts, now, heartbeat.announcement)
     hosts.refresh(tables.hosts, now)
     for load in heartbeat.loads:
-        tables.loads[load.service] = fleet_tables.ReportedLoad(load, now)
+        reported = fleet_tables.ReportedLoad(load, now)
+        tables.loads[load.service, load.group] = reported
     for status in heartbeat.ended:
         handle_upstream_status(tables, now, status)
     for pause in heartbeat.pauses:
@@ -203,10 +204,10 @@
 def _current_loads(
     tables: fleet_tables.FleetTables, now: float
 ) -> list[fleet.ServiceLoad]:
-    """Return the loads of services with their age; drop expired reports."""
-    for service, report in list(tables.loads.items()):
+    """Return the loads of services and groups with their age; drop expired reports."""
+    for key, report in list(tables.loads.items()):
         if now - report.received_s > SERVICE_LOAD_EXPIRY_S:
-            del tables.loads[service]
+            del tables.loads[key]
     return [
         msgspec.structs.replace(report.load, age_s=now - report.received_s)
         for report in tables.loads.values()
--- a/bitternlever/fleet/tables.py
+++ b/bitternlever/fleet/tables.py
@@ -146,7 +146,7 @@
         default_factory=fleet_hosts.HostDirectory
     )
     join_candidates: dict[str, JoinCandidate] = dataclasses.field(default_factory=dict)
-    loads: dict[str, ReportedLoad] = dataclasses.field(default_factory=dict)
+    loads: dict[tuple[str, str], ReportedLoad] = dataclasses.field(default_factory=dict)
     pauses: dict[str, fleet_pauses.Pause] = dataclasses.field(default_factory=dict)
     rate_limits: fleet_rate_limits.RateLimits = dataclasses.field(default_factory=dict)
     stream_origins: fleet_stream_origins.StreamOrigins = dataclasses.field(
--- a/bitternlever/gateway/batch_owners.py
+++ b/bitternlever/gateway/batch_owners.py
@@ -1,10 +1,15 @@
-"""Which host batches the calls of a stage service.
+"""Which host batches which group of stage upstreams, and which group gets new work.
 
-Every host derives the same owner from the same list, by rendezvous hashing over the
-ready hosts.
+Every host derives the same owners from the same lists, by rendezvous hashing over the
+ready hosts. A host owns a second group only if all others own one: its link carries
+the work, the calls and the results of all callers of its group.
 """
 
-from bitternlever.gateway import state
+import collections
+import random
+
+from bitternlever.batching import batcher, groups
+from bitternlever.gateway import state, sync, tables as gateway_tables
 from bitternlever.messages import fleet
 from bitternlever.routing import affinity
 from bitternlever.transport import links
@@ -12,17 +17,138 @@
 SUSPECT_DURATION_S = 1.5
 """How long an unresponsive host is skipped; control has noticed its loss by then."""
 
+ZONE_WAIT_SHARE = 0.25
+"""Part of the time that work has to spare; reports of the waits are upper bounds."""
+
+WHOLE_SERVICE = ""
+"""The group of a service that one host batches alone."""
+
+
+def divided(
+    tables: gateway_tables.GatewayTables, now: float, service: str
+) -> tuple[groups.Group, ...]:
+    """Return the groups of a service's usable upstreams; none if it is not divided.
+
+    It is not while a host is listed that knows no groups, and would fill all upstreams.
+    """
+    rates = [host.link_bytes_per_s for host in tables.hosts.listed]
+    declared = None if tables.catalog is None else tables.catalog.services.get(service)
+    if None in rates or not rates or declared is None or declared.stage is None:
+        return ()
+    zone_by_upstream = {
+        upstream.upstream: upstream.zone
+        for upstream in sync.usable_upstreams(tables, now, service)
+    }
+    count = groups.needed(declared.stage, len(zone_by_upstream), min(rates))
+    return groups.divide(zone_by_upstream, count) if count > 1 else ()
 
-def owner(gateway: state.Gateway, now: float, service: str) -> str:
-    """Return the link of the host that batches a service."""
-    candidates = [
-        host.link
-        for host in gateway.tables.hosts.listed
+
+def owner(
+    gateway: state.Gateway, now: float, service: str, group: str = WHOLE_SERVICE
+) -> str:
+    """Return the link of the host that batches a group of a service."""
+    tables = gateway.tables
+    candidates = {
+        host.link: host.zone
+        for host in tables.hosts.listed
         if host.state is fleet.HostState.READY
         and not is_suspect(gateway, now, host.link)
         and not _is_cut_off(gateway, host)
-    ]
-    return affinity.owner(service, candidates) or gateway.settings.link
+    }
+    if group == WHOLE_SERVICE:
+        return affinity.owner(service, candidates) or gateway.settings.link
+    services = [] if tables.catalog is None else tables.catalog.services.values()
+    all_groups = {
+        (declared.name, part.name): part.zones
+        for declared in services
+        if declared.stage is not None
+        for part in divided(tables, now, declared.name)
+    }
+    key = (candidates, all_groups)
+    if tables.group_owners.basis != key:
+        tables.group_owners = gateway_tables.GroupOwners(
+            basis=key, links=assign(all_groups, candidates)
+        )
+    return (
+        tables.group_owners.links.get((service, group))
+        or affinity.owner(service, candidates)
+        or gateway.settings.link
+    )
+
+
+def assign(
+    zones_by_group: dict[tuple[str, str], frozenset[str]],
+    zone_by_link: dict[str, str],
+) -> dict[tuple[str, str], str]:
+    """Return the link of the host that batches each group.
+
+    A host of the group's zones is preferred, so that its calls do not cross zones.
+    """
+    assigned: dict[tuple[str, str], str] = {}
+    taken = collections.Counter()
+    for group in sorted(zones_by_group):
+        zones = zones_by_group[group]
+        near = [link for link, zone in zone_by_link.items() if zone in zones]
+        free = [link for link in near if not taken[link]] or list(zone_by_link)
+        fewest = min((taken[link] for link in free), default=0)
+        link = affinity.owner(
+            "/".join(group), [link for link in free if taken[link] == fewest]
+        )
+        if link is not None:
+            assigned[group] = link
+            taken[link] += 1
+    return assigned
+
+
+def choose_group(
+    tables: gateway_tables.GatewayTables,
+    now: float,
+    work: fleet.StageWork,
+) -> str:
+    """Return the group that gets new work: its preferred zone's, or a short queue.
+
+    Reports of the queues are some 0.3 s old, and all hosts read the same ones: the
+    shorter of two random queues keeps hosts from choosing the same one together.
+    """
+    parts = divided(tables, now, work.service)
+    if not parts:
+        return WHOLE_SERVICE
+    sizes = [len(part.upstreams) for part in parts]
+    drawn = random.choices(parts, weights=sizes, k=2)
+    shortest = min(
+        drawn, key=lambda part: reported_wait_s(tables, now, work.service, part.name)
+    )
+    near = groups.of_zone(parts, work.preferred_zone)
+    if not near:
+        return shortest.name
+    home = min(
+        near, key=lambda part: reported_wait_s(tables, now, work.service, part.name)
+    )
+    home_wait_s = reported_wait_s(tables, now, work.service, home.name)
+    wait_s = reported_wait_s(tables, now, work.service, shortest.name)
+    if home_wait_s - wait_s > _bearable_wait_s(tables, work):
+        return shortest.name
+    return home.name
+
+
+def _bearable_wait_s(
+    tables: gateway_tables.GatewayTables, work: fleet.StageWork
+) -> float:
+    """Return how much longer work may wait for its results to stay in their zone."""
+    declared = tables.catalog.services[work.service].stage
+    items = min(len(work.pieces), declared.batch)
+    spare_s = work.objective_left_s - declared.call_s - declared.item_s * items
+    if spare_s < 0:
+        return batcher.LATE_ZONE_WAIT_S
+    return ZONE_WAIT_SHARE * spare_s
+
+
+def reported_wait_s(
+    tables: gateway_tables.GatewayTables, now: float, service: str, group: str
+) -> float:
+    """Return the expected wait at a group, as its host reported it."""
+    reported = tables.loads.get((service, group))
+    return 0.0 if reported is None else gateway_tables.expected_wait_s(reported, now)
 
 
 def mark_suspect(gateway: state.Gateway, now: float, link: str) -> None:
@@ -45,6 +171,14 @@
     return silent_s is not None and now - silent_s > since_s
 
 
+def knows_groups(tables: gateway_tables.GatewayTables, link: str) -> bool:
+    """Return whether a host understands work with a group and with shared inputs."""
+    return any(
+        host.link == link and host.link_bytes_per_s is not None
+        for host in tables.hosts.listed
+    )
+
+
 def _is_cut_off(gateway: state.Gateway, host: fleet.HostAnnouncement) -> bool:
     if host.link == gateway.settings.link:
         return gateway.tables.reachability.cut_off
--- a/bitternlever/gateway/batching.py
+++ b/bitternlever/gateway/batching.py
@@ -12,7 +12,9 @@
 from collections.abc import Callable
 from typing import Any
 
-from bitternlever.batching import batcher, tables as batching_tables
+import msgspec
+
+from bitternlever.batching import batcher, groups, tables as batching_tables
 from bitternlever.core import clocks
 from bitternlever.fleet import upstreams as fleet_upstreams
 from bitternlever.gateway import (
@@ -34,6 +36,9 @@
 RESEND_INTERVAL_S = 0.8
 """Interval at which accepted work is resent, since its host may have restarted."""
 
+MOVE_ADVANTAGE_S = 0.5
+"""Wait saved by another group; pieces that are in a call already are run again."""
+
 REPORT_INTERVAL_S = 1.0
 
 MAXIMUM_KEPT_ANSWERS = 512
@@ -77,6 +82,8 @@
     gateway.batching.waiting[work.work] = mailbox
     target = None
     answer = None
+    now = clocks.boot_time()
+    work = _with_group(gateway, now, with_time_left(work, now))
     try:
         while True:
             now = clocks.boot_time()
@@ -94,6 +101,7 @@
                 answer = await _receive_within(mailbox, RESEND_INTERVAL_S)
             if answer is not None:
                 return answer
+            work = _with_shorter_queue(gateway, clocks.boot_time(), work)
     finally:
         del gateway.batching.waiting[work.work]
         if target is not None and answer is None:
@@ -101,11 +109,22 @@
 
 
 def release(gateway: state.Gateway, service: str, handles: list[str]) -> None:
-    """Tell the host that batches a service that results are no longer needed."""
-    target = batch_owners.owner(gateway, clocks.boot_time(), service)
-    state.send(
-        gateway, target, fleet.StageResultsFreed(service=service, handles=handles)
-    )
+    """Tell the hosts that batch a service that results are no longer needed."""
+    now = clocks.boot_time()
+    parts = batch_owners.divided(gateway.tables, now, service)
+    by_group: dict[str, list[str]] = {}
+    for handle in handles:
+        address = gateway.dialect.producer_address(handle)
+        producer = gateway.tables.upstreams.upstream_by_address.get(address, "")
+        group = next(
+            (part.name for part in parts if producer in part.upstreams),
+            batch_owners.WHOLE_SERVICE,
+        )
+        by_group.setdefault(group, []).append(handle)
+    for group, freed in by_group.items():
+        target = batch_owners.owner(gateway, now, service, group)
+        message = fleet.StageResultsFreed(service=service, handles=freed)
+        state.send(gateway, target, message)
 
 
 def receive(gateway: state.Gateway, now: float, link: str, message: Any) -> None:
@@ -137,11 +156,12 @@
 
 
 def loads(gateway: state.Gateway, now: float) -> list[fleet.ServiceLoad]:
-    """Return the loads of the services that this host batches."""
+    """Return the loads of the groups of upstreams that this host batches."""
     return [
         batcher.load(queue, now)
         for queue in gateway.tables.batchers.values()
-        if batch_owners.owner(gateway, now, queue.service) == gateway.settings.link
+        if batch_owners.owner(gateway, now, queue.service, queue.group)
+        == gateway.settings.link
     ]
 
 
@@ -190,6 +210,26 @@
         return None
 
 
+def _with_group(
+    gateway: state.Gateway, now: float, work: fleet.StageWork
+) -> fleet.StageWork:
+    """Return the work with the group of upstreams that will run it."""
+    group = batch_owners.choose_group(gateway.tables, now, work)
+    return msgspec.structs.replace(work, group=group)
+
+
+def _with_shorter_queue(
+    gateway: state.Gateway, now: float, work: fleet.StageWork
+) -> fleet.StageWork:
+    """Return the work with another group if the queue of its own is much longer."""
+    other = _with_group(gateway, now, work)
+    wait_s, other_wait_s = (
+        batch_owners.reported_wait_s(gateway.tables, now, work.service, group)
+        for group in (work.group, other.group)
+    )
+    return other if wait_s - other_wait_s > MOVE_ADVANTAGE_S else work
+
+
 def _send_work(
     gateway: state.Gateway,
     now: float,
@@ -200,9 +240,12 @@
 
     If it was sent to a ``previous`` host that may only be slow, it is cancelled there.
     """
-    target = batch_owners.owner(gateway, now, work.service)
+    target = batch_owners.owner(gateway, now, work.service, work.group)
     if previous is not None and previous != target:
         state.send(gateway, previous, fleet.StageCancelled(work=work.work))
+    if work.inputs and not batch_owners.knows_groups(gateway.tables, target):
+        pieces = [fleet.StagePiece(piece.number, work.inputs) for piece in work.pieces]
+        work = msgspec.structs.replace(work, pieces=pieces, inputs=[])
     state.send(gateway, target, work)
     return target
 
@@ -230,7 +273,7 @@
     if kept_answer is not None:
         state.send(gateway, link, kept_answer)
         return
-    queue = _batcher(gateway, message.service)
+    queue = _batcher(gateway, message.service, message.group)
     if queue is None:
         refusal = fleet.StageRefused(message.work, "no such stage service", 1.0)
         state.send(gateway, link, refusal)
@@ -246,25 +289,41 @@
     state.send(gateway, link, accepted)
 
 
-def _batcher(gateway: state.Gateway, service: str) -> batching_tables.Batcher | None:
+def _batcher(
+    gateway: state.Gateway, service: str, group: str
+) -> batching_tables.Batcher | None:
     catalog = gateway.tables.catalog
     if catalog is None:
         return None
     declared = catalog.services.get(service)
     if declared is None or declared.stage is None:
         return None
-    queue = gateway.tables.batchers.get(service)
+    queue = gateway.tables.batchers.get((service, group))
     if queue is None:
-        queue = batcher.create(declared)
-        gateway.tables.batchers[service] = queue
+        queue = batcher.create(declared, group)
+        gateway.tables.batchers[service, group] = queue
     queue.capacity = declared.stage
     return queue
 
 
+def _upstreams_of(
+    gateway: state.Gateway, now: float, queue: batching_tables.Batcher
+) -> list[fleet.UpstreamStatus]:
+    """Return the usable upstreams of a queue's group, all if there are no groups."""
+    usable = sync.usable_upstreams(gateway.tables, now, queue.service)
+    if queue.group == batch_owners.WHOLE_SERVICE:
+        return usable
+    parts = batch_owners.divided(gateway.tables, now, queue.service)
+    group = groups.find(parts, queue.group)
+    if group is None:
+        return usable
+    return [upstream for upstream in usable if upstream.upstream in group.upstreams]
+
+
 def _update_upstreams(
     gateway: state.Gateway, now: float, queue: batching_tables.Batcher
 ) -> None:
-    usable = sync.usable_upstreams(gateway.tables, now, queue.service)
+    usable = _upstreams_of(gateway, now, queue)
     batcher.set_upstreams(
         queue,
         {upstream.upstream: (upstream.address, upstream.zone) for upstream in usable},
@@ -454,10 +513,11 @@
     now: float,
 ) -> gateway_dialect.StageItem:
     work = queue.works[item.work]
+    piece = work.message.pieces[item.index]
     return gateway_dialect.StageItem(
         request=work.message.request,
         stage=work.message.stage,
-        piece=work.message.pieces[item.index],
+        piece=fleet.StagePiece(piece.number, work.message.inputs + piece.inputs),
         left_s=work.deadline_s - now,
         key=work.message.key,
     )
@@ -517,10 +577,10 @@
 
 def _free(gateway: state.Gateway, now: float, message: fleet.StageResultsFreed) -> None:
     """Free results, including those of calls that another host sent before."""
-    queue = gateway.tables.batchers.get(message.service)
-    if queue is not None:
-        batcher.free(queue, now, message.handles)
-        pump_later(gateway)
+    for queue in gateway.tables.batchers.values():
+        if queue.service == message.service:
+            batcher.free(queue, now, message.handles)
+            pump_later(gateway)
     by_address: dict[str, list[str]] = {}
     for handle in message.handles:
         address = gateway.dialect.producer_address(handle)
@@ -576,9 +636,10 @@
         return []
     collected[upstream.address] = handles = list(handles)
     interval_s = CALLS_PER_FREE / per_s
-    queue = gateway.tables.batchers.get(upstream.service)
+    declared = gateway.tables.catalog.services.get(upstream.service)
+    stage = None if declared is None else declared.stage
     try:
-        if queue is None or interval_s > queue.capacity.result_ttl_s:
+        if stage is None or interval_s > stage.result_ttl_s:
             reason = "they expire before the rate limit allows a call"
             events.RESULTS_NOT_FREED.log(
                 logger, address=upstream.address, reason=reason
--- a/bitternlever/gateway/measures.py
+++ b/bitternlever/gateway/measures.py
@@ -135,8 +135,8 @@
         values["oldest_unacknowledged_s"] = links.oldest_unacknowledged_s(
             gateway.links, now
         )
-    for service, queue in tables.batchers.items():
-        values[f"waiting.{service}"] = sum(
-            len(work.waiting) for work in queue.works.values()
-        )
+    for queue in tables.batchers.values():
+        name = f"waiting.{queue.service}"
+        waiting = sum(len(work.waiting) for work in queue.works.values())
+        values[name] = values.get(name, 0) + waiting
     return values
--- a/bitternlever/gateway/schedule.py
+++ b/bitternlever/gateway/schedule.py
@@ -8,6 +8,8 @@
 rejected before its first stage. All functions are pure.
 """
 
+import statistics
+
 from bitternlever.batching import estimates
 from bitternlever.catalog import tables as catalog_tables
 from bitternlever.gateway import (
@@ -18,6 +20,9 @@
 READ_PROMPT_S = 0.15
 """Time from the last stage to an engine's first event, until one is observed."""
 
+REPORT_EXPIRY_S = 2.0
+"""Batching hosts report four times a second."""
+
 START_DELAY_FACTOR = 1.0
 """A first stage waits for a chain of stages at least this many times as long."""
 
@@ -229,13 +234,12 @@
     service: str,
     now: float,
 ) -> float:
-    """Return the expected wait of on-time work: its recent wait or its backlog."""
-    reported = tables.loads.get(service)
-    if reported is None:
-        return 0.0
-    age_s = now - reported.reported_s
-    recent_s = estimates.decay(reported.load.wait_s, age_s)
-    return max(recent_s, reported.load.on_time_backlog_s - age_s)
+    """Return the expected wait of on-time work at the median group of a service."""
+    waits_s = [
+        gateway_tables.expected_wait_s(reported, now)
+        for reported in _reports(tables, service, now)
+    ]
+    return statistics.median_low(waits_s) if waits_s else 0.0
 
 
 def backlog_s(
@@ -243,11 +247,35 @@
     service: str,
     now: float,
 ) -> float:
-    """Return how long a service's queue will take: the last report less its age."""
-    reported = tables.loads.get(service)
-    if reported is None:
-        return 0.0
-    return max(0.0, reported.load.backlog_s - (now - reported.reported_s))
+    """Return how long the queue of a service's median group will take.
+
+    This is its last report less the report's age.
+    """
+    backlogs_s = [
+        max(0.0, reported.load.backlog_s - (now - reported.reported_s))
+        for reported in _reports(tables, service, now)
+    ]
+    return statistics.median_low(backlogs_s) if backlogs_s else 0.0
+
+
+def _reports(
+    tables: gateway_tables.GatewayTables,
+    service: str,
+    now: float,
+) -> list[gateway_tables.ReportedLoad]:
+    """Return the last reports on the groups of a service.
+
+    Those of groups that no host batches any more do not count beside newer ones.
+    """
+    reports = [
+        reported for (name, _), reported in tables.loads.items() if name == service
+    ]
+    newest_s = max((reported.reported_s for reported in reports), default=now)
+    return [
+        reported
+        for reported in reports
+        if newest_s - reported.reported_s <= REPORT_EXPIRY_S
+    ]
 
 
 def first_piece_estimate(
--- a/bitternlever/gateway/shell.py
+++ b/bitternlever/gateway/shell.py
@@ -77,6 +77,7 @@
         started_ms=started_ms,
         sequence=0,
         state=fleet.HostState.STARTING,
+        link_bytes_per_s=settings.link_bytes_per_s,
     )
     gateway = state.Gateway(
         settings=settings,
--- a/bitternlever/gateway/stages.py
+++ b/bitternlever/gateway/stages.py
@@ -133,7 +133,7 @@
         service=stage.service,
         stage=stage.number,
         key=context.head.piece_key,
-        pieces=[fleet.StagePiece(number, inputs) for number in range(count)],
+        pieces=[fleet.StagePiece(number, []) for number in range(count)],
         priority=routes.rank(context.route, workspace),
         depth=sum(bool(handles) for handles in results.handles.values()),
         objective_left_s=0.0,
@@ -144,6 +144,7 @@
         feeds_stage=stage.number in schedule.consumed_stages(context.route),
         preferred_zone=_preferred_zone(gateway, context, stage, count, results),
         fingerprints=list(fingerprints.names(context)),
+        inputs=inputs,
     )
 
 
--- a/bitternlever/gateway/sync.py
+++ b/bitternlever/gateway/sync.py
@@ -139,11 +139,13 @@
     now: float,
     load: fleet.ServiceLoad,
 ) -> None:
-    """Record the load of a service unless a newer one is known."""
+    """Record the load of a group of a service unless a newer one is known."""
     reported_s = now - load.age_s
-    known = tables.loads.get(load.service)
+    known = tables.loads.get((load.service, load.group))
     if known is None or known.reported_s < reported_s:
-        tables.loads[load.service] = gateway_tables.ReportedLoad(load, reported_s)
+        tables.loads[load.service, load.group] = gateway_tables.ReportedLoad(
+            load, reported_s
+        )
 
 
 def apply_catalog(
@@ -339,16 +341,21 @@
 ) -> bool:
     """Return whether the known one is older; within one incarnation, by its state.
 
-    A host counts as cut off until no control process lists it as such.
+    A host counts as cut off until no control process lists it as such. Control
+    processes of version 0.9 do not pass on the rate of its link.
     """
     if known.started_ms != announcement.started_ms:
         return known.started_ms < announcement.started_ms
     order = list(fleet.HostState)
     if known.state is announcement.state:
-        return announcement.cut_off and not known.cut_off
+        return _told(announcement) > _told(known)
     return order.index(known.state) < order.index(announcement.state)
 
 
+def _told(announcement: fleet.HostAnnouncement) -> tuple[bool, bool]:
+    return announcement.cut_off, announcement.link_bytes_per_s is not None
+
+
 def directory(
     tables: gateway_tables.GatewayTables,
     zone: str,
--- a/bitternlever/gateway/tables.py
+++ b/bitternlever/gateway/tables.py
@@ -56,6 +56,17 @@
     reported_s: float
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class GroupOwners:
+    """The links of the hosts that batch, by service and group.
+
+    ``basis`` is what they were derived from.
+    """
+
+    basis: tuple = ()
+    links: dict[tuple[str, str], str] = dataclasses.field(default_factory=dict)
+
+
 @dataclasses.dataclass(slots=True)
 class TokenBucket:
     """This host's share of the rate limit of a start; each request takes a token.
@@ -130,13 +141,13 @@
     be the newest one, None before the first. ``reachable_controls`` are the links of
     the control processes whose lists were merged into ``hosts``. ``suspects`` are the
     links of unresponsive hosts, with the times until which they are skipped. ``loads``
-    are the last reports of batching hosts on their services, ``first_pieces`` estimates
-    of the time to the first piece of a service's answer. ``pauses`` are those that
-    upstreams asked this host for and ``pause_hints`` those that they asked any host
-    for, both by upstream. ``rate_limits`` are those that upstreams name in their
-    answers, and ``rate_shares`` this host's parts of them. ``crash_subjects`` are those
-    that may crash upstreams. ``stream_origins`` are those of the streams that this host
-    began or took up.
+    are the last reports of batching hosts, by service and group like the ``batchers``
+    of this host, ``first_pieces`` estimates of the time to the first piece of a
+    service's answer. ``pauses`` are those that upstreams asked this host for and
+    ``pause_hints`` those that they asked any host for, both by upstream.
+    ``rate_limits`` are those that upstreams name in their answers, and ``rate_shares``
+    this host's parts of them. ``crash_subjects`` are those that may crash upstreams.
+    ``stream_origins`` are those of the streams that this host began or took up.
     """
 
     announcement: fleet.HostAnnouncement
@@ -152,11 +163,12 @@
     )
     reachable_controls: list[str] = dataclasses.field(default_factory=list)
     health: dict[str, Health] = dataclasses.field(default_factory=dict)
-    batchers: dict[str, batching_tables.Batcher] = dataclasses.field(
+    batchers: dict[tuple[str, str], batching_tables.Batcher] = dataclasses.field(
         default_factory=dict,
     )
+    group_owners: GroupOwners = dataclasses.field(default_factory=GroupOwners)
     suspects: dict[str, float] = dataclasses.field(default_factory=dict)
-    loads: dict[str, ReportedLoad] = dataclasses.field(default_factory=dict)
+    loads: dict[tuple[str, str], ReportedLoad] = dataclasses.field(default_factory=dict)
     first_pieces: dict[str, estimates.Estimate] = dataclasses.field(
         default_factory=dict,
     )
@@ -171,3 +183,10 @@
     crash_subjects: gateway_crash_subjects.CrashSubjects = dataclasses.field(
         default_factory=gateway_crash_subjects.CrashSubjects
     )
+
+
+def expected_wait_s(reported: ReportedLoad, now: float) -> float:
+    """Return the expected wait of on-time work: its recent wait or its backlog."""
+    age_s = now - reported.reported_s
+    recent_s = estimates.decay(reported.load.wait_s, age_s)
+    return max(recent_s, reported.load.on_time_backlog_s - age_s)
--- a/bitternlever/messages/fleet.py
+++ b/bitternlever/messages/fleet.py
@@ -23,7 +23,9 @@
 
     Callers connect to ``address``, other hosts to ``link``. Announcements of one host
     are ordered by its start time in Unix milliseconds, then by ``sequence``. One
-    that is ``cut_off`` reaches no upstream.
+    that is ``cut_off`` reaches no upstream. ``link_bytes_per_s`` is the rate of its
+    network link; None in version 0.9, which knows neither groups of upstreams nor the
+    inputs of :class:`StageWork`.
     """
 
     host: str
@@ -35,6 +37,7 @@
     sequence: int
     state: HostState
     cut_off: bool = False
+    link_bytes_per_s: float | None = None
 
 
 class ServiceLoad(msgspec.Struct, frozen=True, array_like=True):
@@ -43,7 +46,8 @@
     ``backlog_s`` is the time needed for all waiting work, ``on_time_backlog_s`` the
     time needed for the part that can still meet its objective. ``wait_s`` is the recent
     wait of such work, plus a margin. ``age_s`` is the report's age when the message was
-    sent.
+    sent. ``group`` names the upstreams of the service that the host fills; empty for
+    all of them.
     """
 
     service: str
@@ -51,6 +55,7 @@
     on_time_backlog_s: float
     wait_s: float
     age_s: float = 0.0
+    group: str = ""
 
 
 class UpstreamState(enum.Enum):
@@ -278,7 +283,9 @@
     stage reads the results, ``notify_start`` if the sender waits for a
     :class:`StageWorkStarted`. ``preferred_zone`` is the zone where the inputs are
     stored or the results will be read; empty if the zone does not matter.
-    ``fingerprints`` name the whole request, as in :class:`PromptCrash`.
+    ``fingerprints`` name the whole request, as in :class:`PromptCrash`. ``group`` names
+    the upstreams that run it, empty for all of the service. ``inputs`` are read by each
+    piece, in addition to its own; empty for hosts that do not know groups.
     """
 
     work: str
@@ -297,6 +304,8 @@
     notify_start: bool = msgspec.field(name="tell_begin", default=False)
     preferred_zone: str = msgspec.field(name="home_zone", default="")
     fingerprints: list[str] = []
+    group: str = ""
+    inputs: list[str] = []
 
 
 class StageAccepted(msgspec.Struct, tag=True, frozen=True):
--- a/bitternlever/platform/settings.py
+++ b/bitternlever/platform/settings.py
@@ -14,6 +14,7 @@
 PATH_VARIABLE = "BITTERNLEVER_BOOT"
 LINK_BIND_VARIABLE = "BITTERNLEVER_LINK_BOUND"
 MILLISECONDS_PER_SECOND = 1_000
+BYTES_PER_S_PER_MBPS = 125_000
 CONTROL_LINK_OFFSET = 0
 ENTRY_LINK_OFFSET = 1
 DIRECTORY_TTL_S = 1.0
@@ -32,6 +33,7 @@
 
 class _Limits(msgspec.Struct):
     max_fds: int = 1_024
+    link_mbps: float = 1_000.0
 
 
 class _Tolerate(msgspec.Struct):
@@ -133,6 +135,11 @@
             faults.append(
                 fleet.SettingFault(f"bounds.{name}", str(value), "give a number"),
             )
+    rate = boot.limits.link_mbps
+    if not (math.isfinite(rate) and rate > 0):
+        faults.append(
+            fleet.SettingFault("limits.link_mbps", str(rate), "give a rate above 0"),
+        )
     required = "listen.control" if program == "control" else "listen.front"
     address = boot.listen.control if program == "control" else boot.listen.front
     if not address:
@@ -182,4 +189,5 @@
             directory_ttl_s=min(DIRECTORY_TTL_S, bounds.ttl_max_s),
         ),
         descriptors=boot.limits.max_fds,
+        link_bytes_per_s=boot.limits.link_mbps * BYTES_PER_S_PER_MBPS,
     )
--- a/tests/gateway/entry_host.py
+++ b/tests/gateway/entry_host.py
@@ -60,6 +60,7 @@
         region_of_zone={"a": "r"},
         bounds=BOUNDS,
         descriptors=1_000,
+        link_bytes_per_s=125_000_000,
     )
 
 
--- a/tests/gateway/linked_hosts.py
+++ b/tests/gateway/linked_hosts.py
@@ -16,6 +16,8 @@
 ZONES = ("a", "b")
 UPSTREAMS = 16
 PIECES = 16
+LINK_BYTES_PER_S = 625_000.0
+"""5 Mbit/s: full calls to all upstreams are more than one host can send."""
 
 
 def staged_catalog() -> catalog_tables.Catalog:
@@ -34,7 +36,7 @@
     )
     services = {
         "encode": samples.stage_service("encode", batch=16),
-        "rerank": samples.stage_service("rerank", batch=32),
+        "rerank": samples.stage_service("rerank", batch=32, item_s=0.004),
         "engines": catalog_tables.Service(
             "engines", "", 100, engine=catalog_tables.EngineCapacity(64, 100_000)
         ),
@@ -61,6 +63,7 @@
                 f"host-{number}",
                 link=f"tcp://127.0.0.1:{free_port()}",
                 zone=ZONES[number % len(ZONES)],
+                link_bytes_per_s=LINK_BYTES_PER_S,
             )
             for number in range(count)
         ]
--- a/tests/gateway/test_decisions.py
+++ b/tests/gateway/test_decisions.py
@@ -377,7 +377,7 @@
 
 def report_load(tables, service, backlog_s, on_time_s=0.0, wait_s=0.0, reported_s=NOW):
     load = fleet.ServiceLoad(service, backlog_s, on_time_s, wait_s)
-    tables.loads[service] = gateway_tables.ReportedLoad(load, reported_s)
+    tables.loads[service, ""] = gateway_tables.ReportedLoad(load, reported_s)
 
 
 def test_the_newest_report_of_a_services_load_counts():
