--- a/bitternlever/gateway/stages.py
+++ b/bitternlever/gateway/stages.py
@@ -10,11 +10,11 @@
 from bitternlever.catalog import routes, tables as catalog_tables
 from bitternlever.core import clocks
 from bitternlever.gateway import (
-    batching,
     context as gateway_context,
     fingerprints,
     measures,
     schedule,
+    stage_work,
     state,
 )
 from bitternlever.messages import fleet
@@ -97,7 +97,7 @@
     if count > 0:
         started_s = clocks.boot_time()
         work = _work(gateway, context, stage, count, results)
-        answer = await batching.run(
+        answer = await stage_work.run(
             gateway,
             work,
             results.started[stage.number],
@@ -235,7 +235,7 @@
     handles = results.handles.get(stage.number)
     if handles and stage.number not in results.freed:
         results.freed.add(stage.number)
-        batching.release(gateway, stage.service, handles)
+        stage_work.release(gateway, stage.service, handles)
 
 
 def retry_after_s(refusal: fleet.StageRefused) -> float:
--- a/tests/gateway/test_batch_groups.py
+++ b/tests/gateway/test_batch_groups.py
@@ -98,7 +98,7 @@
     assert all(owners[group][0] in zones[group] for group in zones)
 
 
-def group_tables(*waits_s: float):
+def group_tables(*waits_s: float, now: float = NOW):
     """Return tables with the waits of groups, which have a zone each: a, b, ..."""
     tables = fleet_tables()
     zones = "abcdef"[: len(waits_s)]
@@ -107,10 +107,10 @@
         for name, zone in upstreams_by_zone(**dict.fromkeys(zones, 7)).items()
     ]
     update = fleet.UpstreamStatusUpdate(statuses=statuses)
-    sync.merge_upstream_statuses(tables, NOW, update)
+    sync.merge_upstream_statuses(tables, now, update)
     for number, wait_s in enumerate(waits_s):
         load = fleet.ServiceLoad("encode", wait_s, wait_s, 0.0, group=str(number))
-        sync.record_load(tables, NOW, load)
+        sync.record_load(tables, now, load)
     return tables
 
 
--- a/tests/gateway/test_notices.py
+++ b/tests/gateway/test_notices.py
@@ -10,7 +10,7 @@
 from bitternlever.catalog import tables as catalog_tables
 from bitternlever.core import clocks
 from bitternlever.fleet import upstreams as fleet_upstreams
-from bitternlever.gateway import batching
+from bitternlever.gateway import batching, stage_work as gateway_stage_work
 from bitternlever.messages import fleet
 from standins import scripted_upstream
 from tests.gateway import entry_host, samples
@@ -213,7 +213,7 @@
     try:
         async with asyncio.timeout(within_s):
             return [
-                await batching.run(
+                await gateway_stage_work.run(
                     gateway,
                     stage_work(f"w{number}"),
                     asyncio.Event(),
@@ -236,7 +236,7 @@
     async with entry_host.running(stage_catalog(), *statuses) as (gateway, _):
         done = await run_works(gateway, 5)
         handles = [handle for answer in done for handle in answer.handles]
-        batching.release(gateway, "encode", handles)
+        gateway_stage_work.release(gateway, "encode", handles)
         await asyncio.sleep(0.1)
 
     assert len(done) == 5
@@ -266,7 +266,7 @@
         first = asyncio.ensure_future(run_works(gateway, 1))
         await asyncio.sleep(0.2)
         started_s = time.monotonic()
-        refused = await batching.run(
+        refused = await gateway_stage_work.run(
             gateway, stage_work("next"), asyncio.Event(), lambda work, now: work
         )
         took_s = time.monotonic() - started_s
