--- a/tests/platform/test_codecs.py
+++ b/tests/platform/test_codecs.py
@@ -36,6 +36,7 @@
 directory = "10.1.0.41:8620"
 [limits]
 max_fds = 4100
+link_mbps = 5.0
 [tolerate]
 machines = 2
 zones = 0
@@ -138,6 +139,7 @@
     assert loaded.callers_address == "10.1.0.41:8625"
     assert loaded.bounds.revoke_s == 5.0
     assert loaded.bounds.retry_slack == 52
+    assert loaded.link_bytes_per_s == 625_000
 
 
 @pytest.mark.parametrize(
@@ -157,6 +159,15 @@
     assert all(fault.remedy for fault in faults)
 
 
+@pytest.mark.parametrize("rate", ["0", "-5", "nan", "inf"])
+def test_a_link_without_a_usable_rate_is_named(rate):
+    text = BOOT.replace("link_mbps = 5.0", f"link_mbps = {rate}")
+
+    (fault,) = settings.decode(text, "entry").err()
+
+    assert fault.name == "limits.link_mbps"
+
+
 def test_faulty_seeds_and_faulty_text_are_named():
     seeds = BOOT.replace('"10.2.0.28:8628"', '"nowhere"')
     assert "nowhere" in str(settings.decode(seeds, "entry").err()[0])
--- a/tests/transport/test_links.py
+++ b/tests/transport/test_links.py
@@ -81,6 +81,23 @@
     assert second.links.frames_received == 1
 
 
+async def test_the_silence_of_a_peer_and_what_it_has_not_acknowledged_are_known(pair):
+    first, second = pair
+    now = time.monotonic()
+    assert links.silent_s(second.links, first.link, now) is None
+    assert links.oldest_unacknowledged_s(first.links, now) == 0.0
+
+    first.send("entry-b", second.link, 0)
+    await until(lambda: second.numbers() == [0])
+    now = time.monotonic()
+    assert 0.0 <= links.silent_s(second.links, first.link, now) < 1.0
+    assert links.silent_s(second.links, first.link, now + 5.0) > 5.0
+    assert links.oldest_unacknowledged_s(first.links, now + 5.0) >= 5.0
+    await until(
+        lambda: links.oldest_unacknowledged_s(first.links, time.monotonic()) == 0.0
+    )
+
+
 async def test_a_message_that_cannot_be_encoded_costs_no_other_message(pair):
     """An integer beyond 64 bits in a message ended the process that sent it."""
     first, second = pair
