Find a cut where connections are accepted and then reset or left silent

Cause: the host suspected a cut after a second, but its probe was a dial, and an accepted connection counted as reach.

Ruled out: a health check alone. It waits for a slot, and a fleet whose upstreams are all busy would refuse everything (test_slow_upstreams_do_not_make_all_hosts_refuse).

Change: a probe sends a health check and wants an answer within a second. Probes go to upstreams of several services. What arrives from any upstream meanwhile counts as reach; a host that meets only silence serves what no other host can serve.

Why it works: only bytes from an upstream show that it was reached.

--- a/bitternlever/gateway/handover.py
+++ b/bitternlever/gateway/handover.py
@@ -50,8 +50,8 @@
 ) -> web.StreamResponse | gateway_context.Refusal | None:
     """Have another host serve a request; None if it is to be served here.
 
-    It is served here unless this host is cut off, and if it came from another host or
-    if all others are cut off, too.
+    It is served here unless this host is cut off, and if it came from another host, if
+    all others are cut off, or if none can be reached and the upstreams may be slow.
     """
     tables = gateway.tables
     if not tables.reachability.cut_off or context.head.handed_over:
@@ -65,7 +65,7 @@
             continue
         gateway.measures.attempts["handed_over"] += 1
         return await _relay(gateway, request, context, connection)
-    if not hosts:
+    if not hosts or tables.reachability.may_be_slow:
         return None
     return gateway_context.Refusal(503, "no other host can be reached", RETRY_S)
 
--- a/bitternlever/gateway/reachability.py
+++ b/bitternlever/gateway/reachability.py
@@ -1,22 +1,27 @@
 """Whether this host is cut off from all upstreams while others may reach them.
 
 Dials that fail at several upstreams, or requests to which no upstream answers a single
-byte, raise a suspicion; then a few upstreams are dialled. The host is cut off if none
-of these dials succeeds, until some do in successive rounds. One silent upstream is no
-cut: the others accept. An upstream that has ended is none either, and if all have
-ended, the other hosts find themselves cut off as well, and nothing is handed over.
+byte, raise a suspicion; then a few upstreams are probed with a health check. The host
+is cut off if none of them answers, until some do in successive rounds. One silent
+upstream is no cut: the others answer. An upstream that has ended is none either, and if
+all have ended, the other hosts find themselves cut off as well, and nothing is handed
+over. If all are silent, they may be slow: requests that no other host can serve are
+then served here.
 
 Load pattern: a host or most hosts of a zone lose the network to all upstreams for
-seconds, by reset, by silence, or for new connections only.
+seconds, by reset, by silence, or for new connections only; connections may be accepted
+on the way.
 """
 
 import asyncio
+import itertools
 import logging
 import random
 
 import msgspec
 
 from bitternlever.batching import batcher
+from bitternlever.catalog import tables as catalog_tables
 from bitternlever.core import clocks
 from bitternlever.gateway import state, sync, tables as gateway_tables
 from bitternlever.telemetry import events
@@ -32,13 +37,16 @@
 """New connections have a price; a long prompt alone at night is silent, too."""
 
 PROBES = 4
-"""Upstreams dialled in a round; some of them may have ended."""
+"""Upstreams probed in a round, of several services; some of them may have ended."""
 
 MINIMUM_PROBES = 2
 """With fewer upstreams a cut cannot be told from their end."""
 
+DEFAULT_TARGET = "/"
+"""Any answer shows reach, if a service has no health check also a refusal."""
+
 RETURN_ROUNDS = 2
-"""Successive rounds with a connection after which a cut has ended."""
+"""Successive rounds with an answer after which a cut has ended."""
 
 logger = logging.getLogger(__name__)
 
@@ -46,7 +54,7 @@
 def is_suspect(
     reachability: gateway_tables.Reachability, pool: exchange.Pool, now: float
 ) -> bool:
-    """Return whether upstreams should be dialled to tell if the host is cut off."""
+    """Return whether upstreams should be probed to tell if the host is cut off."""
     if reachability.cut_off or len(pool.failed_dials) >= SUSPECT_DIALS:
         return True
     awaiting_s = pool.awaiting_since_s
@@ -58,19 +66,21 @@
 
 
 def record_round(
-    reachability: gateway_tables.Reachability, now: float, dials: list[bool]
+    reachability: gateway_tables.Reachability, now: float, answers: list[bool | None]
 ) -> bool:
-    """Record a round of dials, True if they succeeded; return whether that is a change.
+    """Record a round of probes; return whether that is a change.
 
-    One round without a connection begins a cut.
+    A probe is True if it was answered, None if only silence followed the connection.
+    One round without an answer begins a cut.
     """
     reachability.checked_s = now
-    if any(dials):
+    reachability.may_be_slow = None in answers
+    if any(answers):
         reachability.reached_rounds += 1
         ends = reachability.cut_off and reachability.reached_rounds >= RETURN_ROUNDS
         reachability.cut_off = reachability.cut_off and not ends
         return ends
-    if len(dials) < MINIMUM_PROBES:
+    if len(answers) < MINIMUM_PROBES:
         return False
     begins = not reachability.cut_off
     reachability.reached_rounds = 0
@@ -79,7 +89,7 @@
 
 
 def check_later(gateway: state.Gateway, now: float) -> None:
-    """Dial upstreams in the background if the host may be cut off from them."""
+    """Probe upstreams in the background if the host may be cut off from them."""
     reachability = gateway.tables.reachability
     if reachability.checking or not is_suspect(reachability, gateway.pool, now):
         return
@@ -90,35 +100,42 @@
 async def _check(gateway: state.Gateway) -> None:
     tables = gateway.tables
     try:
-        addresses = _addresses(tables, clocks.boot_time())
-        sample = random.sample(addresses, min(PROBES, len(addresses)))
-        dials = await _dial(gateway.pool, sample[:1])
-        if not any(dials):
-            dials += await _dial(gateway.pool, sample[1:])
+        sample = _sample(tables, clocks.boot_time())
+        answers = await _probe(gateway.pool, sample[:1])
+        if not any(answers):
+            answers += await _probe(gateway.pool, sample[1:])
     finally:
         tables.reachability.checking = False
-    if any(dials):
+    if any(answers):
         gateway.pool.awaiting_since_s = None
-    if record_round(tables.reachability, clocks.boot_time(), dials):
+    if record_round(tables.reachability, clocks.boot_time(), answers):
         _apply(gateway)
 
 
-async def _dial(pool: exchange.Pool, addresses: list[str]) -> list[bool]:
+async def _probe(
+    pool: exchange.Pool, upstreams: list[tuple[str, bytes]]
+) -> list[bool | None]:
     return await asyncio.gather(
-        *(exchange.probe(pool, address) for address in addresses)
+        *(exchange.probe(pool, address, target) for address, target in upstreams)
     )
 
 
-def _addresses(tables: gateway_tables.GatewayTables, now: float) -> list[str]:
-    """Return the addresses of all upstreams that may get new work."""
-    services = [] if tables.catalog is None else list(tables.catalog.services)
-    return sorted(
-        {
-            upstream.address
-            for service in services
-            for upstream in sync.usable_upstreams(tables, now, service)
-        }
-    )
+def _sample(
+    tables: gateway_tables.GatewayTables, now: float
+) -> list[tuple[str, bytes]]:
+    """Return the addresses of a few upstreams, with the paths of their health checks.
+
+    One of each service comes first: those of one service may all be busy.
+    """
+    services = [] if tables.catalog is None else tables.catalog.services.values()
+    by_service = []
+    for service in services:
+        upstreams = sync.usable_upstreams(tables, now, service.name)
+        targets = [(upstream.address, _target(service)) for upstream in upstreams]
+        by_service.append(random.sample(targets, len(targets)))
+    random.shuffle(by_service)
+    in_turn = itertools.chain.from_iterable(itertools.zip_longest(*by_service))
+    return [target for target in in_turn if target is not None][:PROBES]
 
 
 def _apply(gateway: state.Gateway) -> None:
@@ -138,3 +155,9 @@
         # Their hosts send them again, to the next batching host.
         for work in list(queue.works):
             batcher.cancel(queue, now, work)
+
+
+def _target(service: catalog_tables.Service) -> bytes:
+    path = service.health_path
+    usable = path.startswith("/") and path.isascii() and path.isprintable()
+    return (path if usable and " " not in path else DEFAULT_TARGET).encode()
--- a/bitternlever/gateway/tables.py
+++ b/bitternlever/gateway/tables.py
@@ -123,11 +123,13 @@
 class Reachability:
     """Whether this host is cut off from all upstreams, as of ``checked_s``.
 
+    ``may_be_slow`` is set if some accepted a connection and were only silent.
     ``reached_rounds`` counts the successive rounds of dials with a connection;
     ``checking`` is set while a round is in progress.
     """
 
     cut_off: bool = False
+    may_be_slow: bool = False
     reached_rounds: int = 0
     checked_s: float = -math.inf
     checking: bool = False
--- a/bitternlever/transport/exchange.py
+++ b/bitternlever/transport/exchange.py
@@ -12,6 +12,7 @@
 import asyncio
 import collections
 import dataclasses
+import math
 import socket
 from collections.abc import Awaitable, Callable, Collection
 
@@ -20,6 +21,11 @@
 CONNECT_TIMEOUT_S = 0.3
 """A hundred round trips between zones; TCP repeats a lost SYN only after a second."""
 
+PROBE_TIMEOUT_S = 1.0
+"""Most upstreams answer a health check within a few calls, also under load."""
+
+MAXIMUM_PROBE_BYTES = 65_536
+
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 3
@@ -145,6 +151,7 @@
 
     def data_received(self, data: bytes) -> None:
         self.pool.awaiting_since_s = None
+        self.pool.received_s = self.pool.clock()
         if self.idle:
             self.abort("bytes between two answers")
             return
@@ -271,8 +278,8 @@
     ``whole_bytes`` are the sizes of the answers that are being read whole.
     ``failed_dials`` are the addresses that could not be dialled since a connection was
     last established, ``lost_s`` tells when the last connection to an address was lost.
-    ``awaiting_since_s`` is when a request was sent after which no byte has come;
-    ``bytes_sent`` counts those of all requests.
+    ``awaiting_since_s`` is when a request was sent after which no byte has come,
+    ``received_s`` when the last one came; ``bytes_sent`` counts those of all requests.
     """
 
     clock: Callable[[], float]
@@ -287,6 +294,7 @@
     failed_dials: set[str] = dataclasses.field(default_factory=set)
     lost_s: dict[str, float] = dataclasses.field(default_factory=dict)
     awaiting_since_s: float | None = None
+    received_s: float = -math.inf
 
 
 def enable_keepalive(tcp_socket: socket.socket) -> None:
@@ -347,18 +355,31 @@
     return connection
 
 
-async def probe(pool: Pool, address: str) -> bool:
-    """Return whether an address can be dialled; keep the connection in the pool."""
+async def probe(pool: Pool, address: str, target: bytes) -> bool | None:
+    """Return whether an address answers a GET request, whatever the answer is.
+
+    A connection that is accepted shows no reach: a proxy or address translation on the
+    way may have accepted it. Return None if it is accepted and left silent: the address
+    may be slow. It counts as reached if any other one sends something meanwhile.
+    """
+    started_s = pool.clock()
+    headers = [(b"Host", address.encode())]
+    connection = None
     try:
-        connection = await _connect(pool, address, CONNECT_TIMEOUT_S)
+        async with asyncio.timeout(PROBE_TIMEOUT_S):
+            connection = await send(
+                pool, address, b"GET", target, headers, b"", maximum_idle_s=0.0
+            )
+            head = await read_head(connection)
+            await drop_body(connection, MAXIMUM_PROBE_BYTES)
+        release(pool, address, connection, head)
+    except TimeoutError:
+        return True if pool.received_s >= started_s else None
     except ExchangeError:
-        return False
-    idle_connections = pool.idle.setdefault(address, collections.deque())
-    if len(idle_connections) >= MAXIMUM_IDLE_CONNECTIONS:
-        connection.abort("not kept")
-        return True
-    connection.idle_until_s = pool.clock() + DEFAULT_IDLE_S
-    idle_connections.append(connection)
+        return connection is not None and connection.parsed_bytes > 0
+    finally:
+        if connection is not None and not connection.idle:
+            discard(connection)
     return True
 
 
--- a/tests/gateway/test_cut_off.py
+++ b/tests/gateway/test_cut_off.py
@@ -224,7 +224,7 @@
 
 @pytest.mark.parametrize("how", [ACCEPTED_RESET, ACCEPTED_SILENT])
 async def test_callers_of_a_host_whose_connections_are_accepted_in_vain_are_served(how):
-    """A dial that is accepted counts as reach, so that the host finds no cut."""
+    """A connection that is accepted is no reach."""
     async with running() as hosts:
         assert served(await send(hosts.port, 0.5, prefix="before")) == 1.0
         hosts.cut(how)
@@ -283,6 +283,21 @@
     assert served(outcomes) >= 0.9
 
 
+async def test_slow_upstreams_do_not_make_all_hosts_refuse():
+    async with running(scripted_upstream.answer(delay_s=2.4)) as hosts:
+        catalog = samples.catalog(
+            routes={"h.example": [samples.route(timeout_s=4.0, objective_s=3.0)]}
+        )
+        hosts.gateway.tables.catalog = hosts.other.tables.catalog = catalog
+        sent = [
+            asyncio.ensure_future(send(port, 5.0, prefix=str(port)))
+            for port in (hosts.port, hosts.other_port)
+        ]
+        outcomes = await asyncio.gather(*sent)
+
+    assert min(served(each) for each in outcomes) >= 0.95
+
+
 async def test_requests_are_refused_at_once_if_all_hosts_are_cut_off():
     async with running() as hosts:
         hosts.cut(REFUSED)
--- a/tests/gateway/test_reachability.py
+++ b/tests/gateway/test_reachability.py
@@ -2,8 +2,11 @@
 
 import pytest
 
-from bitternlever.gateway import reachability, tables as gateway_tables
+from bitternlever.catalog import tables as catalog_tables
+from bitternlever.gateway import reachability, sync, tables as gateway_tables
+from bitternlever.messages import fleet
 from bitternlever.transport import exchange
+from tests.gateway import samples
 
 NOW = 100.0
 
@@ -56,6 +59,44 @@
         assert state.cut_off is cut_off
 
 
+def test_upstreams_that_are_only_silent_may_be_slow():
+    state = gateway_tables.Reachability()
+
+    assert reachability.record_round(state, NOW, [False, None])
+    assert state.cut_off
+    assert state.may_be_slow
+    reachability.record_round(state, NOW, [False, False])
+    assert not state.may_be_slow
+
+
+@pytest.mark.parametrize("path", ["", "health", "/a b", "/\u017e", "/\n"])
+def test_a_health_path_that_cannot_be_requested_does_not_cut_a_host_off(path):
+    service = catalog_tables.Service("plain", path, 100)
+
+    assert reachability._target(service) == b"/"
+    assert reachability._target(catalog_tables.Service("s", "/h", 1)) == b"/h"
+
+
+def test_busy_upstreams_of_one_service_are_not_all_that_is_probed():
+    own = samples.host_announcement()
+    tables = gateway_tables.GatewayTables(announcement=own, seeds=())
+    tables.catalog = samples.catalog(
+        services={name: catalog_tables.Service(name, "/h", 9) for name in ("a", "b")}
+    )
+    statuses = [
+        samples.upstream_status(f"{service}{n}", service=service)
+        for service, count in (("a", 50), ("b", 1))
+        for n in range(count)
+    ]
+    update = fleet.UpstreamStatusUpdate(statuses=statuses)
+    sync.merge_upstream_statuses(tables, NOW, update)
+
+    for _ in range(20):
+        sample = reachability._sample(tables, NOW)
+        assert len(sample) == reachability.PROBES
+        assert ("b0:80", b"/h") in sample[:2]
+
+
 @pytest.mark.parametrize("dials", [[], [False]], ids=["none", "one"])
 def test_with_fewer_than_two_upstreams_no_cut_is_found(dials):
     state = gateway_tables.Reachability()
