Assign no group to the host of a whole service while others have none

What callers would see: the calls of a divided service late where its host also batches a whole one, at up to two fifths of a link each.

Cause: groups were assigned to hosts without regard to the services that are not divided. test_the_host_of_a_whole_service_batches_no_group_while_others_batch_none fails on the code before.

Change: the hosts of whole services count as taken.

--- a/bitternlever/gateway/batch_owners.py
+++ b/bitternlever/gateway/batch_owners.py
@@ -58,17 +58,11 @@
     }
     if group == WHOLE_SERVICE:
         return affinity.owner(service, candidates) or gateway.settings.link
-    services = [] if tables.catalog is None else tables.catalog.services.values()
-    all_groups = {
-        (declared.name, part.name): part.zones
-        for declared in services
-        if declared.stage is not None
-        for part in divided(tables, now, declared.name)
-    }
-    key = (candidates, all_groups)
-    if tables.group_owners.basis != key:
+    all_groups = _all_groups(tables, now)
+    basis = (candidates, all_groups)
+    if tables.group_owners.basis != basis:
         tables.group_owners = gateway_tables.GroupOwners(
-            basis=key, links=assign(all_groups, candidates)
+            basis=basis, links=assign(all_groups, candidates)
         )
     return (
         tables.group_owners.links.get((service, group))
@@ -77,17 +71,39 @@
     )
 
 
+def _all_groups(
+    tables: gateway_tables.GatewayTables, now: float
+) -> dict[tuple[str, str], frozenset[str]]:
+    """Return the zones of all groups by service and name; none of a whole service."""
+    services = [] if tables.catalog is None else tables.catalog.services.values()
+    zones_by_group = {}
+    for declared in services:
+        if declared.stage is None:
+            continue
+        parts = divided(tables, now, declared.name)
+        zones_by_group |= {(declared.name, part.name): part.zones for part in parts}
+        if not parts:
+            zones_by_group[declared.name, WHOLE_SERVICE] = frozenset()
+    return zones_by_group
+
+
 def assign(
     zones_by_group: dict[tuple[str, str], frozenset[str]],
     zone_by_link: dict[str, str],
 ) -> dict[tuple[str, str], str]:
     """Return the link of the host that batches each group.
 
-    A host of the group's zones is preferred, so that its calls do not cross zones.
+    A host of the group's zones is preferred, so that its calls do not cross zones. That
+    of a whole service depends on nothing else, as hosts of version 0.9 know no groups.
     """
-    assigned: dict[tuple[str, str], str] = {}
-    taken = collections.Counter()
-    for group in sorted(zones_by_group):
+    whole = {
+        group: affinity.owner(group[0], zone_by_link)
+        for group in zones_by_group
+        if group[1] == WHOLE_SERVICE
+    }
+    assigned = {group: link for group, link in whole.items() if link is not None}
+    taken = collections.Counter(assigned.values())
+    for group in sorted(zones_by_group.keys() - whole.keys()):
         zones = zones_by_group[group]
         near = [link for link, zone in zone_by_link.items() if zone in zones]
         free = [link for link in near if not taken[link]] or list(zone_by_link)
--- a/bitternlever/gateway/sync.py
+++ b/bitternlever/gateway/sync.py
@@ -348,11 +348,11 @@
         return known.started_ms < announcement.started_ms
     order = list(fleet.HostState)
     if known.state is announcement.state:
-        return _told(announcement) > _told(known)
+        return _precedence(announcement) > _precedence(known)
     return order.index(known.state) < order.index(announcement.state)
 
 
-def _told(announcement: fleet.HostAnnouncement) -> tuple[bool, bool]:
+def _precedence(announcement: fleet.HostAnnouncement) -> tuple[bool, bool]:
     return announcement.cut_off, announcement.link_bytes_per_s is not None
 
 
--- a/tests/gateway/test_batch_groups.py
+++ b/tests/gateway/test_batch_groups.py
@@ -104,6 +104,18 @@
     assert all(owners[group][0] in zones[group] for group in zones)
 
 
+def test_the_host_of_a_whole_service_batches_no_group_while_others_batch_none():
+    zones = {("s", str(number)): frozenset("a") for number in range(3)}
+    zones |= {("t", batch_owners.WHOLE_SERVICE): frozenset()}
+    links = {f"a{number}": "a" for number in range(4)}
+
+    owners = batch_owners.assign(zones, links)
+
+    assert sorted(owners.values()) == sorted(links)
+    whole = batch_owners.assign({("t", batch_owners.WHOLE_SERVICE): frozenset()}, links)
+    assert whole.items() <= owners.items()
+
+
 def group_tables(*waits_s: float, now: float = NOW):
     """Return tables with the waits of groups, which have a zone each: a, b, ..."""
     tables = fleet_tables()
