Send no probe to upstreams that named a limit or asked for a pause

What callers would see: a limited upstream that gets more than it allows, or a brittle one that falls over, while many hosts look for a cut at once.

Cause: since a probe is a request, and it was sent to any usable upstream. test_probes_add_nothing_to_upstreams_that_asked_for_less fails on the code before.

Change: such upstreams are left out of the sample. A host that is cut off from a fleet whose upstreams are all limited finds no cut; that remains.

--- a/bitternlever/gateway/reachability.py
+++ b/bitternlever/gateway/reachability.py
@@ -23,7 +23,9 @@
 from bitternlever.batching import batcher
 from bitternlever.catalog import tables as catalog_tables
 from bitternlever.core import clocks
+from bitternlever.fleet import rate_limits
 from bitternlever.gateway import state, sync, tables as gateway_tables
+from bitternlever.messages import fleet
 from bitternlever.telemetry import events
 from bitternlever.transport import exchange
 
@@ -125,12 +127,18 @@
 ) -> list[tuple[str, bytes]]:
     """Return the addresses of a few upstreams, with the paths of their health checks.
 
-    One of each service comes first: those of one service may all be busy.
+    One of each service comes first: those of one service may all be busy. Upstreams
+    that named a limit or asked for a pause are left out: a probe is a request, too.
     """
     services = [] if tables.catalog is None else tables.catalog.services.values()
     by_service = []
     for service in services:
-        upstreams = sync.usable_upstreams(tables, now, service.name)
+        upstreams = [
+            upstream
+            for upstream in sync.usable_upstreams(tables, now, service.name)
+            if sync.pause_ends_s(tables, now, upstream) is None
+            and not _is_limited(tables, now, upstream)
+        ]
         targets = [(upstream.address, _target(service)) for upstream in upstreams]
         by_service.append(random.sample(targets, len(targets)))
     random.shuffle(by_service)
@@ -157,6 +165,17 @@
             batcher.cancel(queue, now, work)
 
 
+def _is_limited(
+    tables: gateway_tables.GatewayTables, now: float, upstream: fleet.UpstreamStatus
+) -> bool:
+    known = tables.rate_limits
+    per_s = rate_limits.per_s(known, upstream.upstream, upstream.started_ms)
+    rejections_per_s = rate_limits.rejections_per_s(
+        known, now, tables.upstreams, upstream
+    )
+    return per_s is not None or rejections_per_s is not None
+
+
 def _target(service: catalog_tables.Service) -> bytes:
     path = service.health_path
     usable = path.startswith("/") and path.isascii() and path.isprintable()
--- a/tests/gateway/test_reachability.py
+++ b/tests/gateway/test_reachability.py
@@ -3,6 +3,7 @@
 import pytest
 
 from bitternlever.catalog import tables as catalog_tables
+from bitternlever.fleet import pauses, rate_limits
 from bitternlever.gateway import reachability, sync, tables as gateway_tables
 from bitternlever.messages import fleet
 from bitternlever.transport import exchange
@@ -97,6 +98,26 @@
         assert ("b0:80", b"/h") in sample[:2]
 
 
+def test_probes_add_nothing_to_upstreams_that_asked_for_less():
+    """Many hosts that probe together exceeded the limit of a small service."""
+    own = samples.host_announcement()
+    tables = gateway_tables.GatewayTables(announcement=own, seeds=())
+    tables.hosts.listed = (own,)
+    tables.catalog = samples.catalog(
+        services={"a": catalog_tables.Service("a", "/h", 9)}
+    )
+    names = ("limited", "paused", "free")
+    statuses = [samples.upstream_status(name, service="a") for name in names]
+    update = fleet.UpstreamStatusUpdate(statuses=statuses)
+    sync.merge_upstream_statuses(tables, NOW, update)
+    limit = fleet.UpstreamRateLimit("limited", 1_000, 1.0, 0.0)
+    rate_limits.merge(tables.rate_limits, NOW, limit)
+    pause = fleet.UpstreamPause("paused", 1_000, 5.0, 0.0)
+    pauses.merge(tables.pauses, NOW, pause)
+
+    assert reachability._sample(tables, NOW) == [("free:80", b"/h")]
+
+
 @pytest.mark.parametrize("dials", [[], [False]], ids=["none", "one"])
 def test_with_fewer_than_two_upstreams_no_cut_is_found(dials):
     state = gateway_tables.Reachability()
