Take the draw of a group as an argument, and read groups' reports in one way

No behaviour changes: choose_group decides by its arguments alone, the wait and the backlog of a service are read by one function, and the tests of cut heads use the staged requests of test_requests. Tests of draws cover them evenly in place of 300 random ones, with the same bounds.

--- a/bitternlever/gateway/batch_owners.py
+++ b/bitternlever/gateway/batch_owners.py
@@ -5,9 +5,10 @@
 the work, the calls and the results of all callers of its group.
 """
 
+import bisect
 import collections
+import itertools
 import math
-import random
 
 from bitternlever.batching import batcher, groups
 from bitternlever.gateway import state, sync, tables as gateway_tables
@@ -121,16 +122,18 @@
     tables: gateway_tables.GatewayTables,
     now: float,
     work: fleet.StageWork,
+    draw: float,
 ) -> str:
     """Return the group that gets new work: its preferred zone's, or a short queue.
 
     Reports of the queues are some 0.3 s old, and all hosts read the same ones: a random
     queue, the shorter the likelier, keeps hosts from choosing the same one together.
+    ``draw`` from 0 to 1 selects it.
     """
     parts = divided(tables, now, work.service)
     if not parts:
         return WHOLE_SERVICE
-    drawn = _draw(tables, now, work.service, parts)
+    drawn = _drawn(tables, now, work.service, parts, draw)
     near = groups.of_zone(parts, work.preferred_zone)
     if not near:
         return drawn.name
@@ -144,13 +147,14 @@
     return home.name
 
 
-def _draw(
+def _drawn(
     tables: gateway_tables.GatewayTables,
     now: float,
     service: str,
     parts: tuple[groups.Group, ...],
+    draw: float,
 ) -> groups.Group:
-    """Return a random group; each full call that one waits longer makes it rarer."""
+    """Return the group drawn; each full call that one waits longer makes it rarer."""
     declared = tables.catalog.services[service].stage
     waits_s = [reported_wait_s(tables, now, service, part.name) for part in parts]
     call_s = max(batcher.MINIMUM_CALL_S, batcher.full_call_s(declared))
@@ -159,7 +163,8 @@
         len(part.upstreams) * math.exp((shortest_s - wait_s) / call_s)
         for part, wait_s in zip(parts, waits_s, strict=True)
     ]
-    return random.choices(parts, weights=weights)[0]
+    bounds = list(itertools.accumulate(weights))
+    return parts[min(bisect.bisect(bounds, draw * bounds[-1]), len(parts) - 1)]
 
 
 def _bearable_wait_s(
--- a/bitternlever/gateway/schedule.py
+++ b/bitternlever/gateway/schedule.py
@@ -9,6 +9,7 @@
 """
 
 import statistics
+from collections.abc import Callable
 
 from bitternlever.batching import estimates
 from bitternlever.catalog import tables as catalog_tables
@@ -235,11 +236,7 @@
     now: float,
 ) -> float:
     """Return the expected wait of on-time work at the median group of a service."""
-    waits_s = [
-        gateway_tables.expected_wait_s(reported, now)
-        for reported in _reports(tables, service, now)
-    ]
-    return statistics.median_low(waits_s) if waits_s else 0.0
+    return _at_median_group(tables, service, now, gateway_tables.expected_wait_s)
 
 
 def backlog_s(
@@ -247,15 +244,18 @@
     service: str,
     now: float,
 ) -> float:
-    """Return how long the queue of a service's median group will take.
+    """Return how long the queue of a service's median group will take."""
+    return _at_median_group(tables, service, now, gateway_tables.remaining_backlog_s)
 
-    This is its last report less the report's age.
-    """
-    backlogs_s = [
-        max(0.0, reported.load.backlog_s - (now - reported.reported_s))
-        for reported in _reports(tables, service, now)
-    ]
-    return statistics.median_low(backlogs_s) if backlogs_s else 0.0
+
+def _at_median_group(
+    tables: gateway_tables.GatewayTables,
+    service: str,
+    now: float,
+    value: Callable[[gateway_tables.ReportedLoad, float], float],
+) -> float:
+    values = [value(reported, now) for reported in _reports(tables, service, now)]
+    return statistics.median_low(values) if values else 0.0
 
 
 def _reports(
--- a/bitternlever/gateway/stage_work.py
+++ b/bitternlever/gateway/stage_work.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import logging
+import random
 from collections.abc import Callable
 from typing import Any
 
@@ -106,7 +107,7 @@
     gateway: state.Gateway, now: float, work: fleet.StageWork
 ) -> fleet.StageWork:
     """Return the work with the group of upstreams that will run it."""
-    group = batch_owners.choose_group(gateway.tables, now, work)
+    group = batch_owners.choose_group(gateway.tables, now, work, random.random())
     return msgspec.structs.replace(work, group=group)
 
 
--- a/bitternlever/gateway/tables.py
+++ b/bitternlever/gateway/tables.py
@@ -192,3 +192,8 @@
     age_s = now - reported.reported_s
     recent_s = estimates.decay(reported.load.wait_s, age_s)
     return max(recent_s, reported.load.on_time_backlog_s - age_s)
+
+
+def remaining_backlog_s(reported: ReportedLoad, now: float) -> float:
+    """Return how long a queue will still take: its report less the report's age."""
+    return max(0.0, reported.load.backlog_s - (now - reported.reported_s))
--- a/tests/gateway/test_batch_groups.py
+++ b/tests/gateway/test_batch_groups.py
@@ -1,7 +1,6 @@
 """Groups of a service's upstreams, each batched by another host."""
 
 import asyncio
-import random
 
 import pytest
 
@@ -11,15 +10,11 @@
 from tests.gateway import linked_hosts, samples
 
 NOW = 100.0
+DRAWS = 300
 PIECE_BYTES = 64
 """A piece has its number and the name of its result, which is freed; no inputs."""
 
 
-@pytest.fixture(autouse=True)
-def seed():
-    random.seed(1)
-
-
 async def test_no_host_alone_makes_all_calls_of_a_large_service():
     statuses = await linked_hosts.start_upstreams()
     async with linked_hosts.running(6, statuses) as hosts:
@@ -159,9 +154,17 @@
     return fleet.StageWork(**{**fields, **changes})
 
 
+def chosen_groups(tables, work=None) -> list[str]:
+    """Return the groups that are chosen by draws which are spread evenly."""
+    return [
+        batch_owners.choose_group(tables, NOW, work or stage_work(), number / DRAWS)
+        for number in range(DRAWS)
+    ]
+
+
 def test_new_work_avoids_a_group_whose_queue_is_long():
     tables = group_tables(0.0, 3.0, 0.0)
-    chosen = [batch_owners.choose_group(tables, NOW, stage_work()) for _ in range(300)]
+    chosen = chosen_groups(tables)
 
     assert chosen.count("1") < 5
     assert min(chosen.count("0"), chosen.count("2")) > 100
@@ -170,14 +173,14 @@
 def test_one_of_two_groups_gets_hardly_any_work_while_its_queue_is_long():
     """Its queue grew on while the other group was idle."""
     tables = group_tables(0.0, 2.0)
-    chosen = [batch_owners.choose_group(tables, NOW, stage_work()) for _ in range(300)]
+    chosen = chosen_groups(tables)
 
     assert chosen.count("1") < 5
 
 
 def test_groups_with_similar_queues_share_the_work():
     tables = group_tables(0.1, 0.2)
-    chosen = [batch_owners.choose_group(tables, NOW, stage_work()) for _ in range(300)]
+    chosen = chosen_groups(tables)
 
     assert 60 < chosen.count("1") < 150
 
@@ -186,10 +189,9 @@
     work = stage_work(preferred_zone="b")
 
     busy = group_tables(0.0, 0.1, 0.0)
-    assert batch_owners.choose_group(busy, NOW, work) == "1"
+    assert set(chosen_groups(busy, work)) == {"1"}
     late = group_tables(0.0, 2.0, 0.0)
-    chosen = {batch_owners.choose_group(late, NOW, work) for _ in range(50)}
-    assert chosen >= {"0", "2"}
+    assert set(chosen_groups(late, work)) >= {"0", "2"}
 
 
 def test_one_long_queue_of_many_does_not_delay_the_whole_service():
@@ -203,4 +205,4 @@
     old = samples.host_announcement("old")
     tables.hosts.listed = (*tables.hosts.listed, old)
 
-    assert batch_owners.choose_group(tables, NOW, stage_work()) == ""
+    assert set(chosen_groups(tables)) == {""}
--- a/tests/gateway/test_cut_heads.py
+++ b/tests/gateway/test_cut_heads.py
@@ -6,11 +6,10 @@
 import pytest
 
 from bitternlever.catalog import tables as catalog_tables
-from bitternlever.gateway import batching
 from bitternlever.messages import fleet
 from standins import scripted_upstream
 from tests.gateway import entry_host, samples
-from tests.gateway.test_requests import stage_answers, staged_catalog, upstream_status
+from tests.gateway.test_requests import run_staged, stage_answers, upstream_status
 
 STREAM = catalog_tables.Repeatability.STREAM
 KIND = "Content-Type: text/event-stream"
@@ -72,34 +71,14 @@
     assert not answer.whole
 
 
-async def pump(gateway) -> None:
-    """Send calls whose upstream is no longer paused, as a host does at intervals."""
-    while True:
-        batching.pump(gateway)
-        await asyncio.sleep(0.05)
-
-
 @pytest.mark.parametrize("share", [0.02, 0.5, 1.0])
 async def test_a_stage_call_whose_answer_ends_in_its_head_is_made_again(share):
     cut = cut_within(share, "", "Content-Length: 0")
     encode = await scripted_upstream.start("s1", cut, stage_answers())
     rerank = await scripted_upstream.start("s2", cut, stage_answers())
     engine = await scripted_upstream.start("e1", scripted_upstream.stream(b"id: 1\n\n"))
-    upstreams = [
-        upstream_status(encode, service="encode"),
-        upstream_status(rerank, service="rerank"),
-        upstream_status(engine, service="engines"),
-    ]
-    data = entry_host.request(
-        "POST",
-        X_Bitternlever_Pieces="2,3",
-        X_Bitternlever_Piece_Key="thing",
-        X_Bitternlever_Prompt_Prefix="aa:100,bb:20",
-    )
-    async with entry_host.running(staged_catalog(), *upstreams) as (gateway, port):
-        pumping = asyncio.ensure_future(pump(gateway))
-        answer = await entry_host.call(port, data)
-        pumping.cancel()
+
+    answer = await run_staged(encode, rerank, engine)
 
     assert answer.body == b"id: 1\n\n"
     assert answer.whole
--- a/tests/gateway/test_requests.py
+++ b/tests/gateway/test_requests.py
@@ -8,7 +8,7 @@
 
 from bitternlever.catalog import tables as catalog_tables
 from bitternlever.core import clocks
-from bitternlever.gateway import drains, shell as gateway_shell, sync
+from bitternlever.gateway import batching, drains, shell as gateway_shell, sync
 from bitternlever.messages import fleet
 from standins import scripted_upstream
 from tests.gateway import entry_host, samples
@@ -509,6 +509,13 @@
     return samples.catalog(routes={"h.example": [route]}, services=services)
 
 
+async def pump(gateway) -> None:
+    """Send calls whose upstream is no longer paused, as a host does at intervals."""
+    while True:
+        batching.pump(gateway)
+        await asyncio.sleep(0.05)
+
+
 async def run_staged(encode, rerank, engine):
     upstreams = [
         upstream_status(encode, service="encode"),
@@ -521,9 +528,11 @@
         X_Bitternlever_Piece_Key="thing",
         X_Bitternlever_Prompt_Prefix="aa:100,bb:20",
     )
-    async with entry_host.running(staged_catalog(), *upstreams) as (_, port):
+    async with entry_host.running(staged_catalog(), *upstreams) as (gateway, port):
+        pumping = asyncio.ensure_future(pump(gateway))
         answer = await entry_host.call(port, data)
         await asyncio.sleep(0.1)
+        pumping.cancel()
     return answer
 
 
--- a/tests/gateway/test_stage_work.py
+++ b/tests/gateway/test_stage_work.py
@@ -55,11 +55,9 @@
             return fleet.StageAccepted(message.work)
         return fleet.StageDone(message.work, ["h"])
 
-    while True:  # A draw may name the longer queue twice.
-        sent = await send(tables, handle)
-        if sent[0].group == "1":
-            break
+    sent = await send(tables, handle)
 
+    assert sent[0].group == "1"
     kinds = [type(message) for message in sent]
     moved = kinds.index(fleet.StageCancelled)
     assert kinds[moved + 1] is fleet.StageWork
