Log and measure what tells late catalogs and closed doors apart

Without these a late catalog cannot be told from a busy host: sizes, standstills of the event loop, the time to control, descriptors and failures to accept were not logged.

- host-strained (120): standstill, round trip to control, connections of callers and to upstreams, at most once a second and only from 0.5 s on.
- catalog-in-force (111) says the bytes and for how long the host knew to be behind.
- catalog-spread (121): the leader says how long a catalog took to reach all hosts.
- accept-failed (303) instead of the library's traceback.
- Metrics: upstream_connections, standstill_s, round_trip_s.

No decision reads any of it.

--- a/bitternlever/fleet/feed.py
+++ b/bitternlever/fleet/feed.py
@@ -8,6 +8,8 @@
 that they name. Replies to heartbeats carry the evacuated availability zones.
 """
 
+import logging
+
 import msgspec
 
 from bitternlever.consensus import reads
@@ -18,11 +20,13 @@
     pauses,
     quarantine,
     rate_limits,
+    spread,
     stream_origins,
     tables as fleet_tables,
     upstreams,
 )
 from bitternlever.messages import fleet, frames
+from bitternlever.telemetry import events
 from bitternlever.workload import totals as workload_totals
 
 REFRESH_INTERVAL_S = 0.8
@@ -43,6 +47,8 @@
 STATUSES_PER_MESSAGE = 200
 """Keeps each message below 64 KiB."""
 
+logger = logging.getLogger(__name__)
+
 
 def handle_host_heartbeat(
     tables: fleet_tables.FleetTables,
@@ -69,6 +75,10 @@
     )
     _handle_crash_subjects(tables, now, heartbeat)
     subscriber = _register_subscriber(tables, now, heartbeat)
+    host = heartbeat.announcement.host
+    _log_spread(
+        tables, spread.record(tables.spread, now, host, heartbeat.catalog_version)
+    )
     replica = tables.replica
     current = reads.ready(replica) and reads.lease_valid(replica, now)
     directory = tables.hosts
@@ -117,6 +127,10 @@
 def run(tables: fleet_tables.FleetTables, now: float, outbox: ticks.Outbox) -> None:
     """Push a new catalog and changed statuses at once; send refreshes at intervals."""
     _drop_silent_subscribers(tables, now)
+    if tables.spread.version != tables.catalog.version:
+        hosts_now = set(tables.subscribers)
+        version = tables.catalog.version
+        _log_spread(tables, spread.begin(tables.spread, now, version, hosts_now))
     subscribers = list(tables.subscribers.values())
     if fleet_tables.is_leader(tables):
         for subscriber in subscribers:
@@ -260,6 +274,21 @@
     ]
     for name in silent:
         del tables.subscribers[name]
+        _log_spread(tables, spread.forget(tables.spread, now, name))
+
+
+def _log_spread(tables: fleet_tables.FleetTables, report: spread.Report | None) -> None:
+    """Log how a catalog has spread, on the leader alone."""
+    if report is None or not fleet_tables.is_leader(tables):
+        return
+    events.CATALOG_SPREAD.log(
+        logger,
+        version=report.version,
+        took_s=round(report.took_s, 3),
+        hosts=len(tables.subscribers),
+        behind=report.behind,
+        bytes=len(tables.catalog.body),
+    )
 
 
 def _push_if_behind(
--- a/bitternlever/fleet/tables.py
+++ b/bitternlever/fleet/tables.py
@@ -12,6 +12,7 @@
     pauses as fleet_pauses,
     quarantine,
     rate_limits as fleet_rate_limits,
+    spread as fleet_spread,
     stream_origins as fleet_stream_origins,
     upstreams as fleet_upstreams,
 )
@@ -143,6 +144,7 @@
     it was last sent to the subscribers. ``pauses`` are those that upstreams asked hosts
     for, ``rate_limits`` those that upstreams name. ``stream_origins`` tell where the
     streams of all hosts began, ``engine_totals`` what they have at engines.
+    ``spread`` follows the newest catalog to the hosts.
     ``crash_evidence`` and
     ``refused_parts`` are about prompt parts; ``changed_parts`` are those whose state
     has changed and was not logged yet.
@@ -177,6 +179,7 @@
     subscribers: dict[str, Subscriber] = dataclasses.field(default_factory=dict)
     changed_upstreams: set[str] = dataclasses.field(default_factory=set)
     refreshed_upstreams: set[str] = dataclasses.field(default_factory=set)
+    spread: fleet_spread.Spread = dataclasses.field(default_factory=fleet_spread.Spread)
     next_refresh_s: float = 0.0
     next_join_request_s: float = 0.0
     next_membership_check_s: float = 0.0
--- a/bitternlever/gateway/measures.py
+++ b/bitternlever/gateway/measures.py
@@ -113,6 +113,9 @@
     now = clocks.boot_time()
     values: dict[str, float] = {
         "in_flight": gateway.in_flight,
+        "upstream_connections": gateway.pool.open + gateway.host_pool.open,
+        "standstill_s": gateway.strain.standstill_s,
+        "round_trip_s": gateway.strain.round_trip_s,
         "hosts_listed": len(tables.hosts.listed),
         "controls_known": len(tables.controls),
         "catalog_version": -1 if tables.catalog is None else tables.catalog.version,
--- a/bitternlever/gateway/shell.py
+++ b/bitternlever/gateway/shell.py
@@ -20,6 +20,7 @@
     reachability,
     resumption,
     state,
+    strain,
     sync,
     tables as gateway_tables,
     where_api,
@@ -107,6 +108,8 @@
     handlers = signals.listen(loop)
     signals.handle(handlers, signal.SIGTERM, functools.partial(_drain, gateway))
     clients = client_bounds.create(settings.descriptors, settings.memory_bytes)
+    gateway.clients = clients
+    listeners.log_accept_failures(loop)
     callers_listener = await _listen(
         settings.callers_address, apis.callers(gateway), clients
     )
@@ -180,6 +183,7 @@
     now = clocks.boot_time()
     match message:
         case fleet.HostHeartbeatReply():
+            strain.record_reply(gateway.strain, now, message.sent_s)
             evacuation = gateway.tables.evacuation
             parts = sync.handle_heartbeat_reply(gateway.tables, now, link, message)
             _log_crash_subjects(gateway, parts)
@@ -222,7 +226,13 @@
         )
         return
     if sync.apply_catalog(gateway.tables, decoded.ok()):
-        events.CATALOG_IN_FORCE.log(logger, version=message.version)
+        events.CATALOG_IN_FORCE.log(
+            logger,
+            version=message.version,
+            bytes=len(message.body),
+            behind_s=round(sync.behind_s(gateway.tables, clocks.boot_time()), 3),
+        )
+        gateway.tables.catalog_behind_since_s = None
 
 
 def _apply_upstream_statuses(
@@ -274,12 +284,30 @@
         return
     exchange.close_expired(gateway.pool)
     exchange.close_expired(gateway.host_pool)
-    reachability.check_later(gateway, clocks.boot_time())
+    now = clocks.boot_time()
+    reachability.check_later(gateway, now)
     batching.pump(gateway)
-    batching.report(gateway, clocks.boot_time())
+    batching.report(gateway, now)
+    strain.record_timer(gateway.strain, now, EXPIRE_INTERVAL_S)
+    _log_strain(gateway, now)
     asyncio.get_running_loop().call_later(EXPIRE_INTERVAL_S, _expire, gateway)
 
 
+def _log_strain(gateway: state.Gateway, now: float) -> None:
+    found = strain.report(gateway.strain, now)
+    if found is None:
+        return
+    events.HOST_STRAINED.log(
+        logger,
+        standstill_s=round(found.standstill_s, 3),
+        round_trip_s=round(found.round_trip_s, 3),
+        callers=len(gateway.clients.connections),
+        held_bytes=gateway.clients.held_bytes,
+        upstream_connections=gateway.pool.open + gateway.host_pool.open,
+        in_flight=gateway.in_flight,
+    )
+
+
 def _drain(gateway: state.Gateway) -> None:
     """Leave the directory, keep serving until callers have left, then exit."""
     if state.is_draining(gateway):
--- a/bitternlever/gateway/state.py
+++ b/bitternlever/gateway/state.py
@@ -13,10 +13,11 @@
     dialect as gateway_dialect,
     drains,
     measures as gateway_measures,
+    strain as gateway_strain,
     tables as gateway_tables,
 )
 from bitternlever.messages import fleet, frames
-from bitternlever.transport import exchange, links as transport_links
+from bitternlever.transport import client_bounds, exchange, links as transport_links
 
 
 @dataclasses.dataclass(slots=True)
@@ -42,10 +43,11 @@
     """Settings, tables, connections and tasks of one entry host.
 
     ``deliver`` handles a message that this host sends to itself, ``announce`` sends
-    heartbeats at once. ``host_pool`` has the connections to other hosts.
-    ``stop_listening`` refuses new connections of callers. ``started_s`` and ``drain``
-    are on the boot clock. ``control_calls`` are the calls to control that wait for a
-    reply, by number. ``stage_limits`` end the stages of requests that wait for them.
+    heartbeats at once. ``clients`` are the connections to its listeners.
+    ``host_pool`` has the connections to other hosts. ``stop_listening`` refuses new
+    connections of callers. ``started_s`` and ``drain`` are on the boot clock.
+    ``control_calls`` are the calls to control that wait for a reply, by number.
+    ``stage_limits`` end the stages of requests that wait for them.
     """
 
     settings: fleet_settings.FleetConfiguration
@@ -70,6 +72,10 @@
     measures: gateway_measures.Measures = dataclasses.field(
         default_factory=gateway_measures.Measures,
     )
+    strain: gateway_strain.Strain = dataclasses.field(
+        default_factory=gateway_strain.Strain
+    )
+    clients: client_bounds.Clients | None = None
     budgets: dict[str, budget.Budget] = dataclasses.field(default_factory=dict)
     control_calls: dict[int, Any] = dataclasses.field(default_factory=dict)
     control_call_count: int = 0
--- a/bitternlever/gateway/sync.py
+++ b/bitternlever/gateway/sync.py
@@ -127,6 +127,8 @@
         listed.last_listed_s = now
     _merge_host_lists(tables, now, list_changed=reply.hosts is not None)
     _merge_upstream_reports(tables, now, reply)
+    if tables.catalog_behind_since_s is None and _is_behind(tables, reply):
+        tables.catalog_behind_since_s = now
     if reply.current and _has_version(tables, reply.catalog_version):
         tables.catalog_current_s = max(tables.catalog_current_s or 0.0, reply.sent_s)
     return crash_subjects.handle_reply(tables.crash_subjects, now, reply)
@@ -308,6 +310,20 @@
     return now - tables.catalog_current_s
 
 
+def behind_s(tables: gateway_tables.GatewayTables, now: float) -> float:
+    """Return for how long control has named a newer catalog than the one in force."""
+    since_s = tables.catalog_behind_since_s
+    return 0.0 if since_s is None else now - since_s
+
+
+def _is_behind(
+    tables: gateway_tables.GatewayTables, reply: fleet.HostHeartbeatReply
+) -> bool:
+    if reply.catalog_version is None:
+        return False
+    return tables.catalog is None or tables.catalog.version < reply.catalog_version
+
+
 def _ends_to_report(
     tables: gateway_tables.GatewayTables, control: gateway_tables.Control
 ) -> list[fleet.UpstreamStatus]:
--- a/bitternlever/gateway/tables.py
+++ b/bitternlever/gateway/tables.py
@@ -141,25 +141,28 @@
     """The tables of an entry host.
 
     ``catalog_current_s`` is the latest time at which the catalog in force was known to
-    be the newest one, None before the first. ``reachable_controls`` are the links of
-    the control processes whose lists were merged into ``hosts``. ``suspects`` are the
-    links of unresponsive hosts, with the times until which they are skipped. ``loads``
-    are the last reports of batching hosts, by service and group like the ``batchers``
-    of this host, ``first_pieces`` estimates of the time to the first piece of a
-    service's answer. ``pauses`` are those that upstreams asked this host for and
-    ``pause_hints`` those that they asked any host for, both by upstream.
-    ``rate_limits`` are those that upstreams name in their answers, and ``rate_shares``
-    this host's parts of them. ``crash_subjects`` are those that may crash upstreams.
-    ``stream_origins`` are those of the streams that this host began or took up.
-    ``evacuation`` is the one of the highest revision that a control process sent.
-    All hosts together send a cold upstream at most ``cold_slack`` requests in any
-    second, any number if None. ``outstanding`` is the unfinished work at engines.
+    be the newest one, None before the first. ``catalog_behind_since_s`` is when
+    control first named a newer one, None while it did not. ``reachable_controls``
+    are the links of the control processes whose lists were merged into ``hosts``.
+    ``suspects`` are the links of unresponsive hosts, with the times until which
+    they are skipped. ``loads`` are the last reports of batching hosts, by service
+    and group like the ``batchers`` of this host, ``first_pieces`` estimates of the
+    time to the first piece of a service's answer. ``pauses`` are those that
+    upstreams asked this host for and ``pause_hints`` those that they asked any host
+    for, both by upstream. ``rate_limits`` are those that upstreams name in their
+    answers, and ``rate_shares`` this host's parts of them. ``crash_subjects`` are
+    those that may crash upstreams. ``stream_origins`` are those of the streams that
+    this host began or took up. ``evacuation`` is the one of the highest revision
+    that a control process sent. All hosts together send a cold upstream at most
+    ``cold_slack`` requests in any second, any number if None. ``outstanding`` is
+    the unfinished work at engines.
     """
 
     announcement: fleet.HostAnnouncement
     seeds: tuple[str, ...]
     catalog: catalog_tables.Catalog | None = None
     catalog_current_s: float | None = None
+    catalog_behind_since_s: float | None = None
     controls: dict[str, Control] = dataclasses.field(default_factory=dict)
     upstreams: fleet_upstreams.UpstreamTable = dataclasses.field(
         default_factory=fleet_upstreams.UpstreamTable,
--- a/bitternlever/telemetry/events.py
+++ b/bitternlever/telemetry/events.py
@@ -91,6 +91,12 @@
     logging.INFO,
     "A client exceeded a bound: its connection is closed.",
 )
+ACCEPT_FAILED = register(
+    303,
+    "accept-failed",
+    logging.ERROR,
+    "A listening socket accepts no connection for a second.",
+)
 UPSTREAM_CALL_FAILED = register(
     401,
     "upstream-call-failed",
@@ -229,6 +235,18 @@
     logging.ERROR,
     "A committed catalog cannot be decoded on this host.",
 )
+CATALOG_SPREAD = register(
+    121,
+    "catalog-spread",
+    logging.INFO,
+    "All entry hosts that are heard report a catalog, or a newer one follows it.",
+)
+HOST_STRAINED = register(
+    120,
+    "host-strained",
+    logging.WARNING,
+    "This host's event loop stood still, or its messages to control are late.",
+)
 HOST_READY = register(113, "host-ready", logging.INFO, "This host accepts callers.")
 HOST_SUSPECTED = register(
     203,
--- a/bitternlever/transport/exchange.py
+++ b/bitternlever/transport/exchange.py
@@ -145,6 +145,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = transport
+        self.pool.open += 1
         tcp_socket = transport.get_extra_info("socket")
         if tcp_socket is not None:
             enable_keepalive(tcp_socket)
@@ -170,6 +171,7 @@
         return self.transport.get_extra_info("sslcontext") is None
 
     def connection_lost(self, exc: Exception | None) -> None:
+        self.pool.open -= 1
         if self.error is None and (exc is not None or not self.at_eof):
             self.error = f"connection lost: {exc}"
             self.lost = True
@@ -275,7 +277,8 @@
 class Pool:
     """Idle connections by address, the most recently used last.
 
-    ``whole_bytes`` are the sizes of the answers that are being read whole.
+    ``open`` counts the connections, idle or not. ``whole_bytes`` are the sizes of the
+    answers that are being read whole.
     ``failed_dials`` are the addresses that could not be dialled since a connection was
     last established, ``lost_s`` tells when the last connection to an address was lost.
     ``awaiting_since_s`` is when a request was sent after which no byte has come,
@@ -288,6 +291,7 @@
     )
     whole_bytes: dict[Connection, int] = dataclasses.field(default_factory=dict)
     whole_bytes_total: int = 0
+    open: int = 0
     opened: int = 0
     reused: int = 0
     bytes_sent: int = 0
--- a/bitternlever/transport/listeners.py
+++ b/bitternlever/transport/listeners.py
@@ -7,11 +7,14 @@
 import asyncio
 import contextlib
 import dataclasses
+import logging
 import resource
 import socket
+from typing import Any
 
 from aiohttp import web
 
+from bitternlever.telemetry import events
 from bitternlever.transport import bounded_server, client_bounds
 
 BACKLOG = 512
@@ -25,6 +28,9 @@
 """Assumed of a process whose descriptors are not limited."""
 
 
+logger = logging.getLogger(__name__)
+
+
 @dataclasses.dataclass(slots=True)
 class Listener:
     """A listening socket and the runner that serves its connections."""
@@ -55,6 +61,19 @@
     return Listener(socket=listening, runner=runner)
 
 
+def log_accept_failures(loop: asyncio.AbstractEventLoop) -> None:
+    """Log when a listening socket of an event loop can accept no connection."""
+
+    def handle(loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
+        error = context.get("exception")
+        if isinstance(error, OSError) and "accept" in context.get("message", ""):
+            events.ACCEPT_FAILED.log(logger, error=repr(error))
+            return
+        loop.default_exception_handler(context)
+
+    loop.set_exception_handler(handle)
+
+
 def descriptors() -> int:
     """Return how many descriptors the process may open."""
     soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
