Send each host one copy of a catalog, and only what has changed

Cause: each version went whole to each host, from the leader at the commit and from every other control process whose heartbeat showed the host behind, again each 0.4 s, whatever was still under way; a new leader sent it to hosts that had it. The copies filled the hosts' links, links were taken for dead and redialled with what they held, and control kept the copies in its queues until it exceeded its memory. Class: repair traffic that grows with what is late.

Ruled out: the log (commits take 0.1 s).

Change: the leader sends at the commit what has changed since the version that the host has; a host that lacks something asks one control process at a time, and gets the change from what it has, compressed once for all. Catalogs that follow each other are read at most a fifth of the time.

--- a/bitternlever/fleet/feed.py
+++ b/bitternlever/fleet/feed.py
@@ -1,7 +1,6 @@
 """Updates that control sends to entry hosts: catalogs, upstream statuses, host lists.
 
-The leader pushes a catalog to every host when it is committed; any member pushes it
-again to a host whose heartbeat shows an older version. A changed upstream status is
+How catalogs are sent is told in ``catalog_feed``. A changed upstream status is
 sent in the tick in which it arrives; unchanged statuses are refreshed at intervals.
 Hosts report the upstreams that they know to have ended, so that a restarted control
 process does not offer them again, those that asked for a pause, and the rate limits
@@ -15,6 +14,7 @@
 from bitternlever.consensus import reads
 from bitternlever.core import ticks
 from bitternlever.fleet import (
+    catalog_feed,
     crash_suspects,
     hosts,
     pauses,
@@ -32,9 +32,6 @@
 REFRESH_INTERVAL_S = 0.8
 """Below the shortest heartbeat interval of upstreams: each one is forwarded."""
 
-CATALOG_PUSH_RETRY_S = 0.4
-"""Longer than the largest catalog takes on a slow link within a zone."""
-
 SUBSCRIBER_TIMEOUT_S = 3.0
 """Silent hosts get no updates after this time, until their next heartbeat."""
 
@@ -121,7 +118,7 @@
         _send_statuses(
             tables, now, outbox, list(tables.upstreams.entries), [subscriber]
         )
-    _push_if_behind(tables, now, outbox, subscriber, heartbeat.catalog_version)
+    catalog_feed.handle_heartbeat(tables, now, outbox, subscriber, heartbeat)
 
 
 def run(tables: fleet_tables.FleetTables, now: float, outbox: ticks.Outbox) -> None:
@@ -131,11 +128,8 @@
         hosts_now = set(tables.subscribers)
         version = tables.catalog.version
         _log_spread(tables, spread.begin(tables.spread, now, version, hosts_now))
+    catalog_feed.run(tables, now, outbox)
     subscribers = list(tables.subscribers.values())
-    if fleet_tables.is_leader(tables):
-        for subscriber in subscribers:
-            if subscriber.pushed_version != tables.catalog.version:
-                _push_catalog(tables, now, outbox, subscriber)
     if tables.changed_upstreams:
         _send_statuses(
             tables, now, outbox, sorted(tables.changed_upstreams), subscribers
@@ -291,38 +285,6 @@
     )
 
 
-def _push_if_behind(
-    tables: fleet_tables.FleetTables,
-    now: float,
-    outbox: ticks.Outbox,
-    subscriber: fleet_tables.Subscriber,
-    known_version: int | None,
-) -> None:
-    version = tables.catalog.version
-    if version is None or (known_version is not None and known_version >= version):
-        return
-    sent_lately = now - subscriber.pushed_s < CATALOG_PUSH_RETRY_S
-    if subscriber.pushed_version == version and sent_lately:
-        return
-    _push_catalog(tables, now, outbox, subscriber)
-
-
-def _push_catalog(
-    tables: fleet_tables.FleetTables,
-    now: float,
-    outbox: ticks.Outbox,
-    subscriber: fleet_tables.Subscriber,
-) -> None:
-    if tables.catalog.version is None:
-        return
-    subscriber.pushed_version = tables.catalog.version
-    subscriber.pushed_s = now
-    message = fleet.CatalogPushed(
-        version=tables.catalog.version, body=tables.catalog.body
-    )
-    outbox.send(frames.SendToPeer(subscriber.link, message, subscriber.link))
-
-
 def _send_statuses(
     tables: fleet_tables.FleetTables,
     now: float,
--- a/bitternlever/fleet/tables.py
+++ b/bitternlever/fleet/tables.py
@@ -7,6 +7,7 @@
 from bitternlever.catalog import machine
 from bitternlever.consensus import replica, tables as consensus_tables
 from bitternlever.fleet import (
+    catalog_history as fleet_catalog_history,
     crash_suspects,
     hosts as fleet_hosts,
     pauses as fleet_pauses,
@@ -69,6 +70,8 @@
 class Subscriber:
     """An entry host that gets updates; ``pushed_version`` is the last catalog sent.
 
+    It last reported to have the catalog ``received_version``, an older one than this
+    process since ``behind_since_s``; it understands changes if it ``reads_changes``.
     ``received_all`` is set once it was sent the statuses of all upstreams. Rate limits
     were last sent at ``limits_sent_s``, all of them at ``all_limits_sent_s``, and the
     loads of engines at ``engine_loads_sent_s``.
@@ -79,6 +82,9 @@
     started_ms: int
     pushed_version: int | None = None
     pushed_s: float = 0.0
+    received_version: int | None = None
+    behind_since_s: float | None = None
+    reads_changes: bool = False
     received_all: bool = False
     limits_sent_s: float = -math.inf
     all_limits_sent_s: float = -math.inf
@@ -179,6 +185,9 @@
     subscribers: dict[str, Subscriber] = dataclasses.field(default_factory=dict)
     changed_upstreams: set[str] = dataclasses.field(default_factory=set)
     refreshed_upstreams: set[str] = dataclasses.field(default_factory=set)
+    catalog_history: fleet_catalog_history.History = dataclasses.field(
+        default_factory=fleet_catalog_history.History
+    )
     spread: fleet_spread.Spread = dataclasses.field(default_factory=fleet_spread.Spread)
     next_refresh_s: float = 0.0
     next_join_request_s: float = 0.0
--- a/bitternlever/gateway/shell.py
+++ b/bitternlever/gateway/shell.py
@@ -14,6 +14,7 @@
 from bitternlever.core import clocks, reloading, signals
 from bitternlever.gateway import (
     batching,
+    catalog_sync,
     dialect as gateway_dialect,
     drains,
     measures,
@@ -47,6 +48,9 @@
 IDLE_TIMEOUT_S = 75.0
 """Longer than any idle time that a catalog sets; callers close first."""
 
+CATALOG_REST_FACTOR = 4
+"""Reading catalogs that follow each other takes a fifth of the time at most."""
+
 EXIT_OK = 0
 
 logger = logging.getLogger(__name__)
@@ -190,8 +194,8 @@
             if gateway.tables.evacuation != evacuation:
                 _log_evacuation(gateway)
             _become_ready(gateway, now)
-        case fleet.CatalogPushed():
-            _apply_catalog(gateway, message)
+        case fleet.CatalogPushed() | fleet.CatalogChanged():
+            _receive_catalog(gateway, now, message)
         case fleet.UpstreamStatusUpdate():
             _apply_upstream_statuses(gateway, now, message)
         case fleet.StreamRecorded() | fleet.StreamOriginReply():
@@ -215,24 +219,50 @@
     )
 
 
-def _apply_catalog(gateway: state.Gateway, message: fleet.CatalogPushed) -> None:
-    current = gateway.tables.catalog
-    if current is not None and message.version <= current.version:
-        return
-    decoded = gateway.dialect.read_catalog(message.body)
+def _receive_catalog(
+    gateway: state.Gateway,
+    now: float,
+    message: fleet.CatalogPushed | fleet.CatalogChanged,
+) -> None:
+    sync_state = gateway.tables.catalog_sync
+    if isinstance(message, fleet.CatalogPushed):
+        newer = catalog_sync.receive_whole(
+            sync_state, now, message.version, message.body
+        )
+    else:
+        received = catalog_sync.receive_change(sync_state, now, message)
+        if received.is_err():
+            events.CATALOG_CHANGE_UNUSABLE.log(
+                logger, version=message.version, reason=received.err()
+            )
+        newer = received.is_ok() and received.ok()
+    if newer and gateway.catalog_timer is None:
+        gateway.catalog_timer = asyncio.get_running_loop().call_later(
+            max(0.0, gateway.next_catalog_s - now), _apply_catalog, gateway
+        )
+
+
+def _apply_catalog(gateway: state.Gateway) -> None:
+    """Put the newest catalog received in force; rest some time before the next one."""
+    gateway.catalog_timer = None
+    received = gateway.tables.catalog_sync
+    started_s = clocks.boot_time()
+    decoded = gateway.dialect.read_catalog(received.body)
+    now = clocks.boot_time()
+    gateway.next_catalog_s = now + CATALOG_REST_FACTOR * (now - started_s)
     if decoded.is_err():
         events.CATALOG_REFUSED.log(
-            logger, version=message.version, reason=str(decoded.err())
+            logger, version=received.version, reason=str(decoded.err())
         )
         return
     if sync.apply_catalog(gateway.tables, decoded.ok()):
         events.CATALOG_IN_FORCE.log(
             logger,
-            version=message.version,
-            bytes=len(message.body),
-            behind_s=round(sync.behind_s(gateway.tables, clocks.boot_time()), 3),
+            version=received.version,
+            bytes=len(received.body),
+            behind_s=round(catalog_sync.behind_s(received, now), 3),
         )
-        gateway.tables.catalog_behind_since_s = None
+        catalog_sync.put_in_force(received, now, received.version)
 
 
 def _apply_upstream_statuses(
--- a/bitternlever/gateway/state.py
+++ b/bitternlever/gateway/state.py
@@ -76,6 +76,8 @@
         default_factory=gateway_strain.Strain
     )
     clients: client_bounds.Clients | None = None
+    catalog_timer: asyncio.TimerHandle | None = None
+    next_catalog_s: float = -math.inf
     budgets: dict[str, budget.Budget] = dataclasses.field(default_factory=dict)
     control_calls: dict[int, Any] = dataclasses.field(default_factory=dict)
     control_call_count: int = 0
--- a/bitternlever/gateway/sync.py
+++ b/bitternlever/gateway/sync.py
@@ -19,7 +19,12 @@
     stream_origins,
     upstreams,
 )
-from bitternlever.gateway import crash_subjects, rate_shares, tables as gateway_tables
+from bitternlever.gateway import (
+    catalog_sync,
+    crash_subjects,
+    rate_shares,
+    tables as gateway_tables,
+)
 from bitternlever.messages import fleet
 from bitternlever.workload import outstanding
 
@@ -66,6 +71,7 @@
     stream_origins.remove_expired(tables.stream_origins, now)
     sound = crash_subjects.sound_reports(parts, now)
     engine_work = outstanding.report(tables.outstanding)
+    asked = catalog_sync.request(tables.catalog_sync, now, _catalog_sources(tables))
     return [
         (
             control.link,
@@ -90,6 +96,9 @@
                     tables.stream_origins, now, control.reported_until_s
                 ),
                 engine_work=engine_work,
+                catalog_progress=fleet.CatalogProgress(
+                    tables.catalog_sync.version, wanted=control.link == asked
+                ),
             ),
         )
         for control in tables.controls.values()
@@ -127,8 +136,9 @@
         listed.last_listed_s = now
     _merge_host_lists(tables, now, list_changed=reply.hosts is not None)
     _merge_upstream_reports(tables, now, reply)
-    if tables.catalog_behind_since_s is None and _is_behind(tables, reply):
-        tables.catalog_behind_since_s = now
+    control.catalog_version = reply.catalog_version
+    control.leads = reply.current
+    catalog_sync.record_newest(tables.catalog_sync, now, reply.catalog_version)
     if reply.current and _has_version(tables, reply.catalog_version):
         tables.catalog_current_s = max(tables.catalog_current_s or 0.0, reply.sent_s)
     return crash_subjects.handle_reply(tables.crash_subjects, now, reply)
@@ -310,18 +320,18 @@
     return now - tables.catalog_current_s
 
 
-def behind_s(tables: gateway_tables.GatewayTables, now: float) -> float:
-    """Return for how long control has named a newer catalog than the one in force."""
-    since_s = tables.catalog_behind_since_s
-    return 0.0 if since_s is None else now - since_s
-
-
-def _is_behind(
-    tables: gateway_tables.GatewayTables, reply: fleet.HostHeartbeatReply
-) -> bool:
-    if reply.catalog_version is None:
-        return False
-    return tables.catalog is None or tables.catalog.version < reply.catalog_version
+def _catalog_sources(
+    tables: gateway_tables.GatewayTables,
+) -> list[catalog_sync.Source]:
+    return [
+        catalog_sync.Source(
+            link=control.link,
+            version=control.catalog_version,
+            is_leader=control.leads,
+            heard_s=control.last_seen_s,
+        )
+        for control in tables.controls.values()
+    ]
 
 
 def _ends_to_report(
--- a/bitternlever/gateway/tables.py
+++ b/bitternlever/gateway/tables.py
@@ -13,7 +13,10 @@
     stream_origins as fleet_stream_origins,
     upstreams as fleet_upstreams,
 )
-from bitternlever.gateway import crash_subjects as gateway_crash_subjects
+from bitternlever.gateway import (
+    catalog_sync as gateway_catalog_sync,
+    crash_subjects as gateway_crash_subjects,
+)
 from bitternlever.messages import fleet
 from bitternlever.workload import outstanding as workload_outstanding
 
@@ -22,7 +25,8 @@
 class Control:
     """A control process as seen by this host; times are on the boot clock.
 
-    ``last_seen_s`` is the time of its last reply, ``last_listed_s`` when it was last
+    ``last_seen_s`` is the time of its last reply, which named its ``catalog_version``
+    and whether it led with a valid lease, ``last_listed_s`` when it was last
     among the seeds or listed in a reply. ``reported_until_s`` is the latest time
     until which all ends of upstreams and crashes known here were reported to this
     incarnation, which this host has known since ``incarnation_known_s``.
@@ -34,6 +38,8 @@
     hosts: list[fleet.HostAnnouncement] = dataclasses.field(default_factory=list)
     last_seen_s: float | None = None
     last_listed_s: float = 0.0
+    catalog_version: int | None = None
+    leads: bool = False
     reported_until_s: float = -math.inf
     incarnation_known_s: float = -math.inf
 
@@ -141,28 +147,29 @@
     """The tables of an entry host.
 
     ``catalog_current_s`` is the latest time at which the catalog in force was known to
-    be the newest one, None before the first. ``catalog_behind_since_s`` is when
-    control first named a newer one, None while it did not. ``reachable_controls``
-    are the links of the control processes whose lists were merged into ``hosts``.
-    ``suspects`` are the links of unresponsive hosts, with the times until which
-    they are skipped. ``loads`` are the last reports of batching hosts, by service
-    and group like the ``batchers`` of this host, ``first_pieces`` estimates of the
-    time to the first piece of a service's answer. ``pauses`` are those that
-    upstreams asked this host for and ``pause_hints`` those that they asked any host
-    for, both by upstream. ``rate_limits`` are those that upstreams name in their
-    answers, and ``rate_shares`` this host's parts of them. ``crash_subjects`` are
-    those that may crash upstreams. ``stream_origins`` are those of the streams that
-    this host began or took up. ``evacuation`` is the one of the highest revision
-    that a control process sent. All hosts together send a cold upstream at most
-    ``cold_slack`` requests in any second, any number if None. ``outstanding`` is
-    the unfinished work at engines.
+    be the newest one, None before the first. ``catalog_sync`` is about newer ones.
+    ``reachable_controls`` are the links of the control processes whose lists were
+    merged into ``hosts``. ``suspects`` are the links of unresponsive hosts, with the
+    times until which they are skipped. ``loads`` are the last reports of batching
+    hosts, by service and group like the ``batchers`` of this host, ``first_pieces``
+    estimates of the time to the first piece of a service's answer. ``pauses`` are those
+    that upstreams asked this host for and ``pause_hints`` those that they asked any
+    host for, both by upstream. ``rate_limits`` are those that upstreams name in their
+    answers, and ``rate_shares`` this host's parts of them. ``crash_subjects`` are those
+    that may crash upstreams. ``stream_origins`` are those of the streams that this host
+    began or took up. ``evacuation`` is the one of the highest revision that a control
+    process sent. All hosts together send a cold upstream at most ``cold_slack``
+    requests in any second, any number if None. ``outstanding`` is the unfinished work
+    at engines.
     """
 
     announcement: fleet.HostAnnouncement
     seeds: tuple[str, ...]
     catalog: catalog_tables.Catalog | None = None
     catalog_current_s: float | None = None
-    catalog_behind_since_s: float | None = None
+    catalog_sync: gateway_catalog_sync.CatalogSync = dataclasses.field(
+        default_factory=gateway_catalog_sync.CatalogSync
+    )
     controls: dict[str, Control] = dataclasses.field(default_factory=dict)
     upstreams: fleet_upstreams.UpstreamTable = dataclasses.field(
         default_factory=fleet_upstreams.UpstreamTable,
--- a/bitternlever/messages/fleet.py
+++ b/bitternlever/messages/fleet.py
@@ -201,6 +201,16 @@
     left_s: float
 
 
+class CatalogProgress(msgspec.Struct, frozen=True, array_like=True):
+    """The version of the newest catalog that a host has received, in force or not.
+
+    With ``wanted`` it asks for what has changed since then.
+    """
+
+    received: int | None
+    wanted: bool = False
+
+
 class HostHeartbeat(msgspec.Struct, tag="HostBeat", frozen=True):
     """Heartbeat of an entry host, sent to each control process.
 
@@ -212,6 +222,8 @@
     to this incarnation of control; ``sound`` answers its list of suspects.
     ``rate_limits`` are those of upstreams that have changed since it last replied, and
     ``streams`` those that began since then. ``engine_work`` is all of the host's.
+    ``catalog_progress`` is None in version 0.11, which reads no
+    :class:`CatalogChanged`.
     """
 
     announcement: HostAnnouncement = msgspec.field(name="word")
@@ -228,6 +240,7 @@
     rate_limits: list[UpstreamRateLimit] = []
     streams: list[StreamOrigin] = []
     engine_work: list[EngineWork] = []
+    catalog_progress: CatalogProgress | None = None
 
 
 class HostHeartbeatReply(msgspec.Struct, tag="HostBeatAnswer", frozen=True):
@@ -267,6 +280,19 @@
     body: bytes
 
 
+class CatalogChanged(msgspec.Struct, tag=True, frozen=True):
+    """What has changed from one committed catalog to another, see ``catalog.changes``.
+
+    The change starts from an empty body if ``base_version`` is None. ``digest`` is that
+    of the body it leads to.
+    """
+
+    version: int
+    base_version: int | None
+    change: bytes
+    digest: bytes
+
+
 class UpstreamStatusUpdate(msgspec.Struct, tag="UpstreamsTold", frozen=True):
     """Statuses of upstreams that changed or were reported again."""
 
@@ -400,6 +426,7 @@
     HostHeartbeat
     | HostHeartbeatReply
     | CatalogPushed
+    | CatalogChanged
     | UpstreamStatusUpdate
     | StreamBegun
     | StreamRecorded
--- a/bitternlever/telemetry/events.py
+++ b/bitternlever/telemetry/events.py
@@ -235,6 +235,12 @@
     logging.ERROR,
     "A committed catalog cannot be decoded on this host.",
 )
+CATALOG_CHANGE_UNUSABLE = register(
+    122,
+    "catalog-change-unusable",
+    logging.INFO,
+    "A change of the catalog does not fit the one received last: asking for it.",
+)
 CATALOG_SPREAD = register(
     121,
     "catalog-spread",
--- a/bitternlever/transport/links.py
+++ b/bitternlever/transport/links.py
@@ -16,7 +16,7 @@
 
 import pynng
 
-from bitternlever.messages import frames
+from bitternlever.messages import fleet, frames
 from bitternlever.telemetry import events
 from bitternlever.transport import codec
 
@@ -37,6 +37,9 @@
 RECONNECT_MINIMUM_MS = 50
 RECONNECT_MAXIMUM_MS = 500
 
+COMPRESSED_MESSAGES = (fleet.CatalogChanged,)
+"""Messages whose content was compressed once for all peers."""
+
 logger = logging.getLogger(__name__)
 
 
@@ -273,7 +276,9 @@
         acknowledged=peer.received_sequence,
         reads_compressed=True,
     )
-    return codec.encode(links.key, frame, compress=peer.reads_compressed)
+    is_compressed = any(isinstance(each, COMPRESSED_MESSAGES) for each in messages)
+    compress = peer.reads_compressed and not is_compressed
+    return codec.encode(links.key, frame, compress=compress)
 
 
 def _without_faulty(links: Links, peer: Peer, messages: list[Any]) -> list[Any]:
--- a/standins/relay.py
+++ b/standins/relay.py
@@ -16,13 +16,19 @@
 
 @dataclasses.dataclass(slots=True)
 class Relay:
-    """A relay's target, its current faults and its connections."""
+    """A relay's target, its current faults and its connections.
+
+    Its connections share ``bytes_per_s``; what was read so far is through at
+    ``free_s``, a time of the event loop.
+    """
 
     target: tuple[str, int]
     server: asyncio.Server | None = None
     connections: set["Connection"] = dataclasses.field(default_factory=set)
     accepted: int = 0
     delay_s: float = 0.0
+    bytes_per_s: float | None = None
+    free_s: float = 0.0
     cut: bool = False
 
     @property
@@ -109,9 +115,17 @@
     relay.connections.discard(connection)
 
 
+async def _wait_for_link(relay: Relay, size: int) -> None:
+    now = asyncio.get_running_loop().time()
+    relay.free_s = max(now, relay.free_s) + size / relay.bytes_per_s
+    await asyncio.sleep(relay.free_s - now)
+
+
 async def _pump(relay: Relay, connection: Connection, reader, writer) -> None:
     with contextlib.suppress(OSError):
         while data := await reader.read(CHUNK_BYTES):
+            if relay.bytes_per_s is not None:
+                await _wait_for_link(relay, len(data))
             if relay.delay_s:
                 await asyncio.sleep(relay.delay_s)
             if relay.cut:
