--- a/bitternlever/gateway/measures.py
+++ b/bitternlever/gateway/measures.py
@@ -3,6 +3,7 @@
 import bisect
 import collections
 import dataclasses
+import math
 import typing
 
 from bitternlever.core import clocks
@@ -115,7 +116,9 @@
         "in_flight": gateway.in_flight,
         "upstream_connections": gateway.pool.open + gateway.host_pool.open,
         "standstill_s": gateway.strain.standstill_s,
-        "round_trip_s": gateway.strain.round_trip_s,
+        "round_trip_s": -1
+        if math.isinf(gateway.strain.round_trip_s)
+        else gateway.strain.round_trip_s,
         "hosts_listed": len(tables.hosts.listed),
         "controls_known": len(tables.controls),
         "catalog_version": -1 if tables.catalog is None else tables.catalog.version,
--- a/bitternlever/gateway/shell.py
+++ b/bitternlever/gateway/shell.py
@@ -4,6 +4,7 @@
 import dataclasses
 import functools
 import logging
+import math
 import signal
 from collections.abc import Callable
 from typing import Any
@@ -330,7 +331,7 @@
     events.HOST_STRAINED.log(
         logger,
         standstill_s=round(found.standstill_s, 3),
-        round_trip_s=round(found.round_trip_s, 3),
+        round_trip_s=_finite(found.round_trip_s),
         callers=len(gateway.clients.connections),
         held_bytes=gateway.clients.held_bytes,
         upstream_connections=gateway.pool.open + gateway.host_pool.open,
@@ -338,6 +339,10 @@
     )
 
 
+def _finite(seconds: float) -> float | None:
+    return None if math.isinf(seconds) else round(seconds, 3)
+
+
 def _drain(gateway: state.Gateway) -> None:
     """Leave the directory, keep serving until callers have left, then exit."""
     if state.is_draining(gateway):
--- a/bitternlever/gateway/strain.py
+++ b/bitternlever/gateway/strain.py
@@ -18,15 +18,16 @@
 
 @dataclasses.dataclass(slots=True)
 class Strain:
-    """The worst standstill and round trip to control since they were last reported.
+    """The worst standstill, and the fastest reply of any control process.
 
-    ``timer_due_s`` is when the timer that shows standstills should fire next.
+    Both since ``since_s``, when they were last looked at. ``timer_due_s`` is when the
+    timer that shows standstills should fire next.
     """
 
     standstill_s: float = 0.0
-    round_trip_s: float = 0.0
+    round_trip_s: float = math.inf
     timer_due_s: float = math.inf
-    reported_s: float = -math.inf
+    since_s: float = -math.inf
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -44,17 +45,20 @@
 
 
 def record_reply(strain: Strain, now: float, sent_s: float) -> None:
-    """Record the reply to a heartbeat that was sent at ``sent_s``."""
-    strain.round_trip_s = max(strain.round_trip_s, now - sent_s)
+    """Record the reply to a heartbeat that was sent at ``sent_s``.
+
+    One control process may be late by itself; the link is if all are.
+    """
+    strain.round_trip_s = min(strain.round_trip_s, now - sent_s)
 
 
 def report(strain: Strain, now: float) -> Report | None:
-    """Return what to report, None if it is little or was reported a moment ago."""
-    if now - strain.reported_s < REPORT_INTERVAL_S:
-        return None
-    if strain.standstill_s < STANDSTILL_S and strain.round_trip_s < ROUND_TRIP_S:
+    """Return what to report of the last second or so, None if it is little."""
+    if now - strain.since_s < REPORT_INTERVAL_S:
         return None
-    strain.reported_s = now
     found = Report(strain.standstill_s, strain.round_trip_s)
-    strain.standstill_s = strain.round_trip_s = 0.0
-    return found
+    strain.since_s = now
+    strain.standstill_s = 0.0
+    strain.round_trip_s = math.inf
+    late = ROUND_TRIP_S <= found.round_trip_s < math.inf
+    return found if late or found.standstill_s >= STANDSTILL_S else None
