Confirm a catalog also by replies that came before it

What callers saw: requests with a key were refused for 4 to 13 s while changes followed each other, «the catalog is 10.00 s old».

Cause: the leader's word that a version is the newest counted only if the host had it by then. While each version arrives after the reply that names it, none ever counts. Class: a fact dropped since what it is about comes later.

Change: the times are kept until the version is in force, 64 at most. A revocation is no later for it: the age counts from when the leader said so.

--- a/bitternlever/gateway/catalog_sync.py
+++ b/bitternlever/gateway/catalog_sync.py
@@ -21,6 +21,9 @@
 
 MAXIMUM_TIMEOUT_S = 8.0
 
+MAXIMUM_PENDING_VERSIONS = 64
+"""More versions than are committed while a host receives one."""
+
 HEARD_S = 1.0
 """Only control processes that have replied within this time are asked."""
 
@@ -31,7 +34,8 @@
 
     ``body`` may not be in force yet. Control has named a newer version than the one in
     force since ``behind_since_s``, than the one received since ``lacking_since_s``.
-    ``missed`` is set if a change came whose base was never received.
+    ``missed`` is set if a change came whose base was never received. ``current_s`` are
+    the times at which versions that are not in force yet were the newest.
     """
 
     version: int | None = None
@@ -43,6 +47,7 @@
     asked_s: float = -math.inf
     asked_link: str = ""
     asked_count: int = 0
+    current_s: dict[int, float] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -148,9 +153,28 @@
     return 0.0 if sync.behind_since_s is None else now - sync.behind_since_s
 
 
-def put_in_force(sync: CatalogSync, now: float, version: int) -> None:
-    """Record that a version is in force from now on."""
+def record_current(sync: CatalogSync, version: int, current_s: float) -> None:
+    """Record when the leader knew that a version was the newest one.
+
+    Load: changes that follow each other faster than they reach a host. Each version
+    that it puts in force was the newest at some time, also if it no longer is.
+    """
+    known_s = sync.current_s.pop(version, -math.inf)
+    while len(sync.current_s) >= MAXIMUM_PENDING_VERSIONS:
+        del sync.current_s[next(iter(sync.current_s))]
+    sync.current_s[version] = max(known_s, current_s)
+
+
+def put_in_force(sync: CatalogSync, now: float, version: int) -> float | None:
+    """Record that a version is in force from now on.
+
+    Return the latest time at which the leader knew it or an older one, that the host
+    had not, to be the newest; None if there is none.
+    """
+    reached = [known for known in sync.current_s if known <= version]
+    current_s = max((sync.current_s.pop(known) for known in reached), default=None)
     sync.behind_since_s = None if _reaches(version, sync.newest_version) else now
+    return current_s
 
 
 def _ask_at_s(sync: CatalogSync) -> float:
--- a/bitternlever/gateway/shell.py
+++ b/bitternlever/gateway/shell.py
@@ -263,7 +263,9 @@
             bytes=len(received.body),
             behind_s=round(catalog_sync.behind_s(received, now), 3),
         )
-        catalog_sync.put_in_force(received, now, received.version)
+        current_s = catalog_sync.put_in_force(received, now, received.version)
+        sync.confirm_catalog(gateway.tables, current_s)
+        _become_ready(gateway, now)
 
 
 def _apply_upstream_statuses(
--- a/bitternlever/gateway/sync.py
+++ b/bitternlever/gateway/sync.py
@@ -140,7 +140,11 @@
     control.leads = reply.current
     catalog_sync.record_newest(tables.catalog_sync, now, reply.catalog_version)
     if reply.current and _has_version(tables, reply.catalog_version):
-        tables.catalog_current_s = max(tables.catalog_current_s or 0.0, reply.sent_s)
+        confirm_catalog(tables, reply.sent_s)
+    elif reply.current and reply.catalog_version is not None:
+        catalog_sync.record_current(
+            tables.catalog_sync, reply.catalog_version, reply.sent_s
+        )
     return crash_subjects.handle_reply(tables.crash_subjects, now, reply)
 
 
@@ -187,6 +191,14 @@
     return True
 
 
+def confirm_catalog(
+    tables: gateway_tables.GatewayTables, current_s: float | None
+) -> None:
+    """Record a time at which the catalog in force was the newest one, if known."""
+    if current_s is not None:
+        tables.catalog_current_s = max(tables.catalog_current_s or 0.0, current_s)
+
+
 def merge_upstream_statuses(
     tables: gateway_tables.GatewayTables,
     now: float,
