Serve by no catalog that was replaced longer ago than the bound allows

What callers saw: requests run by the service that a route had before (CONFIG: «handled by version 33 or older; version 35 was acked more than 2500 ms before»).

Only requests with a key were ever refused, after four fifths of the bound on revocations.

Change: after four fifths of the bound on changes all requests are refused as not run, with a time to come back; callers find another host. Hosts that hear nothing from control are not affected. Test: seen failing (200 for 503), passes.

--- a/bitternlever/gateway/requests.py
+++ b/bitternlever/gateway/requests.py
@@ -324,6 +324,11 @@
         left_s = EXPECTED_START_S - (now - gateway.started_s)
         retry_s = max(NOT_READY_RETRY_S, left_s)
         return _err(503, "no current catalog yet", retry_s)
+    limit_s = OUTDATED_SHARE * gateway.settings.bounds.catalog_s
+    behind_s = catalog_sync.behind_s(tables.catalog_sync, now)
+    if behind_s > limit_s:
+        reason = f"a newer catalog has been committed for {behind_s:.2f} s"
+        return _err(503, reason, STALE_RETRY_S)
     catalog = tables.catalog
     target = request.raw_path
     path = target.partition("?")[0]
--- a/tests/gateway/test_requests.py
+++ b/tests/gateway/test_requests.py
@@ -176,6 +176,25 @@
     assert server.received == []
 
 
+async def test_a_host_that_never_got_a_committed_catalog_serves_by_no_older_one():
+    server = await scripted_upstream.start("u1")
+    async with entry_host.running(with_route(public=True), upstream_status(server)) as (
+        gateway,
+        port,
+    ):
+        named = gateway.tables.catalog.version + 1
+        now = clocks.boot_time()
+        catalog_sync.record_newest(gateway.tables.catalog_sync, now, named)
+        in_time = await entry_host.call(port, entry_host.request())
+        gateway.tables.catalog_sync.behind_since_s -= entry_host.BOUNDS.catalog_s
+        late = await entry_host.call(port, entry_host.request())
+
+    assert in_time.status == 200
+    assert late.status == 503
+    assert float(late.headers["retry-after"]) > 0
+    assert len(server.received) == 1
+
+
 @pytest.mark.parametrize(
     "unknown", [{"target": "/added/x"}, {"key": "added"}], ids=["route", "key"]
 )
