Bound what the answers of all upstreams make a host hold together

Reported: a faulty server sent bytes without end; the machine that had called it kept them and ran out of memory.

Can it happen here: yes. Class: bounds that hold for one connection, none for all of a process.

The connection that holds the most ends; sound answers are below what is counted. Incomplete events and lines are counted, as whole answers were.

Readers that held before: each kind of endless answer, one connection at a time.

--- a/bitternlever/gateway/relay.py
+++ b/bitternlever/gateway/relay.py
@@ -139,9 +139,7 @@
         relay.on_first_piece()
         events_before = splitter.events
         complete = splitter.feed(piece)
-        if splitter.is_too_long:
-            attempt.connection.exceed("an event that does not end")
-            raise attempt.connection.incomplete_answer_error()
+        _check_incomplete(attempt.connection, splitter)
         relayed = complete if resumable else piece
         if relayed:
             stream_watch.hold(watch, now)
@@ -160,6 +158,18 @@
     return failure
 
 
+def _check_incomplete(
+    connection: exchange.Connection, splitter: event_stream.Splitter
+) -> None:
+    """Count what is kept of an event; raise ExchangeError if it does not end."""
+    if splitter.incomplete or connection.kept_bytes:
+        connection.keep(len(splitter.incomplete))
+    if splitter.is_too_long:
+        connection.exceed("an event that does not end")
+    if connection.aborted:
+        raise connection.incomplete_answer_error()
+
+
 def _incomplete(relay: sending.Relay, head: exchange.Head) -> sending.Failure | None:
     """Return the failure of a stream that has ended but is not complete.
 
--- a/bitternlever/gateway/shell.py
+++ b/bitternlever/gateway/shell.py
@@ -29,7 +29,13 @@
 )
 from bitternlever.messages import fleet, frames
 from bitternlever.telemetry import events, exposition, logs, metrics
-from bitternlever.transport import client_bounds, exchange, links, listeners
+from bitternlever.transport import (
+    client_bounds,
+    exchange,
+    links,
+    listeners,
+    upstream_bounds,
+)
 
 CLUSTER_KEY = "fleet"
 """The same in all processes of a fleet; see ``fleet.shell``."""
@@ -86,6 +92,7 @@
         state=fleet.HostState.STARTING,
         link_bytes_per_s=settings.link_bytes_per_s,
     )
+    held = upstream_bounds.create(settings.memory_bytes)
     gateway = state.Gateway(
         settings=settings,
         tables=gateway_tables.GatewayTables(
@@ -94,11 +101,11 @@
             cold_slack=settings.bounds.cold_slack,
         ),
         dialect=dialect,
-        pool=exchange.Pool(clock=clocks.boot_time),
+        pool=exchange.Pool(clock=clocks.boot_time, held=held),
         stopped=loop.create_future(),
         deliver=_dispatch,
         started_s=clocks.boot_time(),
-        host_pool=exchange.Pool(clock=clocks.boot_time),
+        host_pool=exchange.Pool(clock=clocks.boot_time, held=held),
         announce=_send_heartbeats,
     )
     gateway.links = links.listen(
--- a/bitternlever/transport/exchange.py
+++ b/bitternlever/transport/exchange.py
@@ -5,8 +5,8 @@
 reset is not complete, and no request is ever sent a second time.
 
 An upstream may send without end. Reading pauses while received bytes wait for their
-reader, every part of an answer has a bound, and the answers that are read whole share a
-bound: the largest one fails if they exceed it.
+reader, every part of an answer has a bound, and what all connections hold has a bound
+(``transport.upstream_bounds``): the one that holds the most fails if they exceed it.
 """
 
 import asyncio
@@ -18,6 +18,8 @@
 
 import h11
 
+from bitternlever.transport import upstream_bounds
+
 CONNECT_TIMEOUT_S = 0.3
 """A hundred round trips between zones; TCP repeats a lost SYN only after a second."""
 
@@ -54,11 +56,14 @@
 MAXIMUM_HEAD_BYTES = 65_536
 """Bounds a head, the line before a chunk, and the trailers."""
 
-MAXIMUM_UNREAD_BYTES = 131_072
-"""Reading pauses above this; a loopback or in-zone link delivers less at once."""
+READ_BYTES = 32_768
+"""Most answers fit; the library's own 256 KB would be kept for each connection."""
+
+MAXIMUM_UNREAD_BYTES = 65_536
+"""Reading pauses above this."""
 
-MAXIMUM_WHOLE_BYTES = 12_000_000
-"""Bounds all answers that are being read whole; the smallest host has 200 MB."""
+PARSED_BYTES = 16_384
+"""Passed to the parser at a time, which copies what it has not consumed."""
 
 MAXIMUM_INTERIM_ANSWERS = 16
 """Answers with status 1xx before the final one; upstreams send one at most."""
@@ -135,6 +140,8 @@
         self.last_used_s = pool.clock()
         self.exchange_count = 0
         self.unread = bytearray()
+        self.unparsed_bytes = 0
+        self.kept_bytes = 0
         self.paused = False
         self.aborted = False
         self.exceeded = False
@@ -145,6 +152,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = transport
+        transport.max_size = READ_BYTES
         self.pool.open += 1
         tcp_socket = transport.get_extra_info("socket")
         if tcp_socket is not None:
@@ -160,6 +168,7 @@
         if len(self.unread) > MAXIMUM_UNREAD_BYTES and not self.paused:
             self.paused = True
             self.transport.pause_reading()
+        self.count_held()
         self._wake_waiter()
 
     def eof_received(self) -> bool:
@@ -184,6 +193,8 @@
             self.error = reason
         self.aborted = True
         self.unread.clear()
+        self.kept_bytes = 0
+        self.count_held()
         if self.transport is not None:
             self.transport.abort()
         self._wake_waiter()
@@ -193,6 +204,21 @@
         self.exceeded = True
         self.abort(reason)
 
+    def keep(self, size: int) -> None:
+        """Record how many bytes of the answer its reader keeps in memory."""
+        self.kept_bytes = size
+        self.count_held()
+
+    def count_held(self) -> None:
+        """Count what is held of the answer; the largest one fails at the bound."""
+        size = 0
+        if not self.aborted:
+            size = len(self.unread) + self.unparsed_bytes + self.kept_bytes
+        held = self.pool.held
+        largest = upstream_bounds.hold(held, self, size)
+        if largest is not None:
+            largest.exceed(f"answers above {held.maximum_bytes} bytes in memory")
+
     @property
     def reused(self) -> bool:
         """Return whether the connection has served an earlier exchange."""
@@ -230,6 +256,9 @@
                 size = len(event.data) if isinstance(event, h11.Data) else 0
                 self.body_bytes += size
                 self.work += 1 + size // 1_000
+                self.unparsed_bytes = 0
+                if self in self.pool.held.sizes:
+                    self.count_held()
                 if self.work >= WORK_BEFORE_YIELD:
                     self.work = 0
                     await asyncio.sleep(0)
@@ -249,10 +278,12 @@
     def _parse_more(self) -> bool:
         """Pass what was received to the parser; return False if there is nothing."""
         if self.unread:
-            self.parsed_bytes += len(self.unread)
-            self.parser.receive_data(self.unread)
-            self.unread.clear()
-            if self.paused:
+            piece = self.unread[:PARSED_BYTES]
+            del self.unread[:PARSED_BYTES]
+            self.parsed_bytes += len(piece)
+            self.unparsed_bytes += len(piece)
+            self.parser.receive_data(piece)
+            if self.paused and len(self.unread) <= MAXIMUM_UNREAD_BYTES // 2:
                 self.paused = False
                 self.transport.resume_reading()
             return True
@@ -277,8 +308,7 @@
 class Pool:
     """Idle connections by address, the most recently used last.
 
-    ``open`` counts the connections, idle or not. ``whole_bytes`` are the sizes of the
-    answers that are being read whole.
+    ``open`` counts the connections, idle or not, and ``held`` what they hold.
     ``failed_dials`` are the addresses that could not be dialled since a connection was
     last established, ``lost_s`` tells when the last connection to an address was lost.
     ``awaiting_since_s`` is when a request was sent after which no byte has come,
@@ -289,8 +319,9 @@
     idle: dict[str, collections.deque[Connection]] = dataclasses.field(
         default_factory=dict,
     )
-    whole_bytes: dict[Connection, int] = dataclasses.field(default_factory=dict)
-    whole_bytes_total: int = 0
+    held: upstream_bounds.Held = dataclasses.field(
+        default_factory=upstream_bounds.create
+    )
     open: int = 0
     opened: int = 0
     reused: int = 0
@@ -439,9 +470,9 @@
             if connection.body_bytes > maximum_bytes:
                 connection.exceed(f"an answer above {maximum_bytes} bytes")
                 raise connection.incomplete_answer_error()
-            _count_whole_bytes(pool, connection, len(chunk))
+            connection.keep(connection.kept_bytes + len(chunk))
     finally:
-        pool.whole_bytes_total -= pool.whole_bytes.pop(connection, 0)
+        connection.keep(0)
 
 
 async def drop_body(connection: Connection, maximum_bytes: int) -> None:
@@ -452,17 +483,6 @@
             raise connection.incomplete_answer_error()
 
 
-def _count_whole_bytes(pool: Pool, connection: Connection, size: int) -> None:
-    """Count bytes of an answer; fail the largest answer if all exceed their bound."""
-    pool.whole_bytes[connection] = pool.whole_bytes.get(connection, 0) + size
-    pool.whole_bytes_total += size
-    if pool.whole_bytes_total <= MAXIMUM_WHOLE_BYTES:
-        return
-    largest = max(pool.whole_bytes, key=pool.whole_bytes.__getitem__)
-    pool.whole_bytes_total -= pool.whole_bytes.pop(largest)
-    largest.exceed(f"answers above {MAXIMUM_WHOLE_BYTES} bytes in memory")
-
-
 def has_framing(head: Head) -> bool:
     """Return whether the end of the body is marked, not just the connection's end."""
     return (
--- a/bitternlever/transport/upstream_client.py
+++ b/bitternlever/transport/upstream_client.py
@@ -289,6 +289,7 @@
         if chunk is None:
             raise ValueError("a stream without its end mark")
         buffer += chunk
+        connection.keep(len(buffer))
         if len(buffer) > MAXIMUM_LINE_BYTES:
             connection.exceed(f"a line above {MAXIMUM_LINE_BYTES} bytes")
             raise connection.incomplete_answer_error()
