Bound the answers that the client library and the operator's tool read

What users would see: a client or the tool that reads an answer without end until its memory is full. Eight such answers at once took 0.9 to 1.7 GB in the tests before they were stopped; a stream's text grew without a bound.

Change: whole answers up to 16 MB (four times what hosts take from an upstream), host lists up to 1 MB, texts of streams up to 16 million characters.

--- a/bitternlever/client/calls.py
+++ b/bitternlever/client/calls.py
@@ -11,11 +11,15 @@
 
 from bitternlever.client import hosts, retries, streams, tables as client_tables
 from bitternlever.messages import problems
+from bitternlever.transport import whole_answers
 
 BY_ID_CALL_TIMEOUT_S = 5.0
 BY_ID_CALL_ATTEMPTS = 3
 REQUEST_ID_HEADER = "Bitternlever-Request-Id"
 EVENT_STREAM_TYPE = "text/event-stream"
+MAXIMUM_ANSWER_BYTES = 16_000_000
+"""Four times the largest reply that hosts take from an upstream."""
+
 WHOLE_STATUS = 200
 OPEN_STATUS = 202
 FIRST_CLIENT_ERROR = 400
@@ -133,7 +137,7 @@
             return retries.attempt_failure(
                 pending, "the request is still open"
             ), retry_after_s
-        data = await response.read()
+        data = await whole_answers.read(response, MAXIMUM_ANSWER_BYTES)
         return _handle_problem(
             client, pending, msgspec.json.decode(data, type=problems.Problem)
         )
@@ -173,7 +177,7 @@
     response: aiohttp.ClientResponse,
 ) -> client_tables.Answer | tuple[client_tables.Failure, float | None]:
     if response.content_type != EVENT_STREAM_TYPE:
-        body = await response.read()
+        body = await whole_answers.read(response, MAXIMUM_ANSWER_BYTES)
         return client_tables.Answer(pending.request_id or "", body, pending.text)
     outcome = await streams.read(pending, response, client.settings.silence_s)
     if isinstance(outcome, problems.Problem):
--- a/bitternlever/client/hosts.py
+++ b/bitternlever/client/hosts.py
@@ -4,9 +4,12 @@
 import msgspec
 
 from bitternlever.client import tables as client_tables
+from bitternlever.transport import whole_answers
 
 FETCH_TIMEOUT_S = 2.0
 REFRESH_RETRY_S = 1.0
+MAXIMUM_LIST_BYTES = 1_000_000
+"""Ten times that of 400 hosts."""
 
 
 async def next_address(client: client_tables.Client) -> str:
@@ -58,7 +61,7 @@
         ) as response:
             if response.status != 200:
                 return None
-            data = await response.read()
+            data = await whole_answers.read(response, MAXIMUM_LIST_BYTES)
         return msgspec.json.decode(data, type=client_tables.HostList)
     except (TimeoutError, aiohttp.ClientError, OSError, msgspec.MsgspecError):
         return None
--- a/bitternlever/client/streams.py
+++ b/bitternlever/client/streams.py
@@ -11,6 +11,7 @@
 from bitternlever.messages import problems
 
 MAXIMUM_EVENT_BYTES = 4_000_000
+MAXIMUM_TEXT_CHARACTERS = 16_000_000
 EVENT_END = b"\n\n"
 
 
@@ -60,6 +61,8 @@
         raise BrokenStreamError(
             f"piece at offset {piece.offset} does not continue the text"
         )
+    if _end_offset(piece) > MAXIMUM_TEXT_CHARACTERS:
+        raise BrokenStreamError(f"text above {MAXIMUM_TEXT_CHARACTERS} characters")
     pending.text = (
         pending.text[: piece.offset] + piece.text + pending.text[_end_offset(piece) :]
     )
--- a/bitternlever/commands/operator_client.py
+++ b/bitternlever/commands/operator_client.py
@@ -14,6 +14,7 @@
 import result
 
 from bitternlever.messages import problems
+from bitternlever.transport import whole_answers
 
 EXIT_DONE = 0
 EXIT_REFUSED = 1
@@ -33,6 +34,8 @@
 
 CONNECT_TIMEOUT_S = 2.0
 CALL_TIMEOUT_S = 10.0
+MAXIMUM_ANSWER_BYTES = 16_000_000
+"""The largest catalog that control accepts."""
 
 ENTRY = cappa.Arg(
     long=True,
@@ -160,7 +163,7 @@
             data=body,
             allow_redirects=redirected,
         ) as response:
-            data = await response.read()
+            data = await whole_answers.read(response, MAXIMUM_ANSWER_BYTES)
     except NOT_SENT as error:
         return result.Err(Failure(EXIT_UNAVAILABLE, f"{address}: {error}"))
     except (aiohttp.ClientError, TimeoutError) as error:
