Name no host to callers, nor call it ready, that accepts no connection

Reproduced: with its descriptors used up a host answers readiness checks on an open connection with 200, stays in the directory and accepts nobody: the event loop stops accepting for a second at a time.

Cause: readiness stood for the catalog alone. Class: a check that does not pass where the work passes.

--- a/bitternlever/fleet/shell.py
+++ b/bitternlever/fleet/shell.py
@@ -109,7 +109,7 @@
     handlers = signals.listen(loop)
     signals.handle(handlers, signal.SIGTERM, functools.partial(_request_stop, shell))
     clients = client_bounds.create(settings.descriptors, settings.memory_bytes)
-    listeners.log_accept_failures(loop)
+    listeners.watch_accept_failures(loop)
     sources = [
         *measures.sources(shell, logs.bounded_handler()),
         metrics.clients_source(clients),
--- a/bitternlever/gateway/shell.py
+++ b/bitternlever/gateway/shell.py
@@ -14,6 +14,7 @@
 from bitternlever.conf import fleet as fleet_settings
 from bitternlever.core import clocks, reloading, signals
 from bitternlever.gateway import (
+    acceptance,
     batching,
     catalog_sync,
     dialect as gateway_dialect,
@@ -121,7 +122,7 @@
     signals.handle(handlers, signal.SIGTERM, functools.partial(_drain, gateway))
     clients = client_bounds.create(settings.descriptors, settings.memory_bytes)
     gateway.clients = clients
-    listeners.log_accept_failures(loop)
+    listeners.watch_accept_failures(loop, functools.partial(_stop_naming, gateway))
     callers_listener = await _listen(
         settings.callers_address, apis.callers(gateway), clients
     )
@@ -315,7 +316,10 @@
 def _send_heartbeats(gateway: state.Gateway) -> None:
     now = clocks.boot_time()
     loads = batching.loads(gateway, now)
-    for link, message in sync.heartbeats(gateway.tables, now, gateway.state, loads):
+    accepts = acceptance.accepts(gateway.acceptance, now)
+    for link, message in sync.heartbeats(
+        gateway.tables, now, gateway.state, loads, accepts=accepts
+    ):
         state.send(gateway, link, message)
 
 
@@ -348,6 +352,15 @@
     )
 
 
+def _stop_naming(gateway: state.Gateway) -> None:
+    """Let callers be sent elsewhere while this host accepts no connection."""
+    now = clocks.boot_time()
+    was_named = acceptance.accepts(gateway.acceptance, now)
+    acceptance.record_failure(gateway.acceptance, now)
+    if was_named:
+        _send_heartbeats(gateway)
+
+
 def _finite(seconds: float) -> float | None:
     return None if math.isinf(seconds) else round(seconds, 3)
 
--- a/bitternlever/gateway/state.py
+++ b/bitternlever/gateway/state.py
@@ -9,6 +9,7 @@
 
 from bitternlever.conf import fleet as fleet_settings
 from bitternlever.gateway import (
+    acceptance as gateway_acceptance,
     budget,
     dialect as gateway_dialect,
     drains,
@@ -75,6 +76,9 @@
     strain: gateway_strain.Strain = dataclasses.field(
         default_factory=gateway_strain.Strain
     )
+    acceptance: gateway_acceptance.Acceptance = dataclasses.field(
+        default_factory=gateway_acceptance.Acceptance
+    )
     clients: client_bounds.Clients | None = None
     catalog_timer: asyncio.TimerHandle | None = None
     next_catalog_s: float = -math.inf
@@ -122,9 +126,11 @@
     return service_budget
 
 
-def is_ready(gateway: Gateway) -> bool:
-    """Return whether this host accepts new callers."""
-    return gateway.state is fleet.HostState.READY
+def is_ready(gateway: Gateway, now: float) -> bool:
+    """Return whether this host takes new callers."""
+    return gateway.state is fleet.HostState.READY and gateway_acceptance.accepts(
+        gateway.acceptance, now
+    )
 
 
 def is_draining(gateway: Gateway) -> bool:
--- a/bitternlever/gateway/sync.py
+++ b/bitternlever/gateway/sync.py
@@ -54,12 +54,18 @@
     now: float,
     state: fleet.HostState,
     loads: list[fleet.ServiceLoad],
+    *,
+    accepts: bool = True,
 ) -> list[tuple[str, fleet.HostHeartbeat]]:
-    """Return the heartbeats to send, by link; ``loads`` are those to report."""
+    """Return the heartbeats to send, by link; ``loads`` are those to report.
+
+    The host ``accepts`` new connections of callers, or not for the moment.
+    """
     tables.announcement = msgspec.structs.replace(
         tables.announcement,
         sequence=tables.announcement.sequence + 1,
         state=state,
+        accepts=accepts,
     )
     _update_controls(tables, now)
     version = None if tables.catalog is None else tables.catalog.version
@@ -426,8 +432,12 @@
     return order.index(known.state) < order.index(announcement.state)
 
 
-def _precedence(announcement: fleet.HostAnnouncement) -> tuple[bool, bool]:
-    return announcement.cut_off, announcement.link_bytes_per_s is not None
+def _precedence(announcement: fleet.HostAnnouncement) -> tuple[bool, bool, bool]:
+    return (
+        announcement.cut_off,
+        not announcement.accepts,
+        announcement.link_bytes_per_s is not None,
+    )
 
 
 def directory(
@@ -441,7 +451,9 @@
     have an address left if a zone is lost.
     """
     ready = [
-        host for host in tables.hosts.listed if host.state is fleet.HostState.READY
+        host
+        for host in tables.hosts.listed
+        if host.state is fleet.HostState.READY and host.accepts
     ]
     in_region = [host for host in ready if host.region == region] or ready
     in_region.sort(key=lambda host: host.zone != zone)
--- a/bitternlever/messages/fleet.py
+++ b/bitternlever/messages/fleet.py
@@ -25,7 +25,8 @@
     are ordered by its start time in Unix milliseconds, then by ``sequence``. One
     that is ``cut_off`` reaches no upstream. ``link_bytes_per_s`` is the rate of its
     network link; None in version 0.9, which knows neither groups of upstreams nor the
-    inputs of :class:`StageWork`.
+    inputs of :class:`StageWork`. A host that ``accepts`` no new connections of callers
+    at present is not named to them; version 0.11 does not say so.
     """
 
     host: str
@@ -38,6 +39,7 @@
     state: HostState
     cut_off: bool = False
     link_bytes_per_s: float | None = None
+    accepts: bool = True
 
 
 class ServiceLoad(msgspec.Struct, frozen=True, array_like=True):
--- a/bitternlever/platform/entry_api.py
+++ b/bitternlever/platform/entry_api.py
@@ -5,6 +5,7 @@
 import msgspec
 from aiohttp import web
 
+from bitternlever.core import clocks
 from bitternlever.gateway import dialect, requests, state, sync
 from bitternlever.platform import catalog, headers, stages
 
@@ -51,7 +52,9 @@
     async def handle(request: web.BaseRequest) -> web.Response:
         if request.path != READY:
             return web.Response(status=404)
-        return web.Response(status=200 if state.is_ready(gateway) else 503)
+        return web.Response(
+            status=200 if state.is_ready(gateway, clocks.boot_time()) else 503
+        )
 
     return handle
 
--- a/bitternlever/transport/listeners.py
+++ b/bitternlever/transport/listeners.py
@@ -10,6 +10,7 @@
 import logging
 import resource
 import socket
+from collections.abc import Callable
 from typing import Any
 
 from aiohttp import web
@@ -61,13 +62,17 @@
     return Listener(socket=listening, runner=runner)
 
 
-def log_accept_failures(loop: asyncio.AbstractEventLoop) -> None:
-    """Log when a listening socket of an event loop can accept no connection."""
+def watch_accept_failures(
+    loop: asyncio.AbstractEventLoop, on_failure: Callable[[], None] | None = None
+) -> None:
+    """Log and report when a listening socket of an event loop accepts no connection."""
 
     def handle(loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
         error = context.get("exception")
         if isinstance(error, OSError) and "accept" in context.get("message", ""):
             events.ACCEPT_FAILED.log(logger, error=repr(error))
+            if on_failure is not None:
+                on_failure()
             return
         loop.default_exception_handler(context)
 
