Leave descriptors for callers whatever is open to upstreams

Callers could hold three quarters of the descriptors, each request in progress one more to an upstream, and 16 idle ones for each address stayed: 800 for 100 addresses with 8 each in the test, which fails before and keeps 163 of 1,638 now.

Cause: bounds for one address and for callers, none for all of a process together. Change: callers get 0.45, idle connections to upstreams a tenth.

--- a/bitternlever/gateway/shell.py
+++ b/bitternlever/gateway/shell.py
@@ -102,7 +102,11 @@
             cold_slack=settings.bounds.cold_slack,
         ),
         dialect=dialect,
-        pool=exchange.Pool(clock=clocks.boot_time, held=held),
+        pool=exchange.Pool(
+            clock=clocks.boot_time,
+            held=held,
+            maximum_idle=exchange.maximum_idle(settings.descriptors),
+        ),
         stopped=loop.create_future(),
         deliver=_dispatch,
         started_s=clocks.boot_time(),
--- a/bitternlever/transport/client_bounds.py
+++ b/bitternlever/transport/client_bounds.py
@@ -22,8 +22,8 @@
 RESERVED_DESCRIPTORS = 200
 """For files, links and the listening sockets."""
 
-CLIENT_SHARE = 0.75
-"""Of the descriptors; most clients' connections are idle, and need no upstream's."""
+CLIENT_SHARE = 0.45
+"""Of the descriptors; each connection may need another one to an upstream."""
 
 MINIMUM_CONNECTIONS = 32
 
--- a/bitternlever/transport/exchange.py
+++ b/bitternlever/transport/exchange.py
@@ -44,6 +44,9 @@
 cross.
 """
 
+IDLE_SHARE = 0.1
+"""Of the descriptors; what clients and requests in progress do not need."""
+
 MAXIMUM_IDLE_CONNECTIONS = 16
 """Idle connections to keep for one address; more are rarely in use at once."""
 
@@ -308,7 +311,8 @@
 class Pool:
     """Idle connections by address, the most recently used last.
 
-    ``open`` counts the connections, idle or not, and ``held`` what they hold.
+    ``open`` counts the connections; at most ``maximum_idle`` are kept while idle.
+    ``held`` is what all of them hold.
     ``failed_dials`` are the addresses that could not be dialled since a connection was
     last established, ``lost_s`` tells when the last connection to an address was lost.
     ``awaiting_since_s`` is when a request was sent after which no byte has come,
@@ -323,6 +327,7 @@
         default_factory=upstream_bounds.create
     )
     open: int = 0
+    maximum_idle: int = 1_024
     opened: int = 0
     reused: int = 0
     bytes_sent: int = 0
@@ -332,6 +337,11 @@
     received_s: float = -math.inf
 
 
+def maximum_idle(descriptors: int) -> int:
+    """Return how many idle connections a process with so many descriptors may keep."""
+    return max(MAXIMUM_IDLE_CONNECTIONS, int(descriptors * IDLE_SHARE))
+
+
 def enable_keepalive(tcp_socket: socket.socket) -> None:
     """Enable TCP keepalive, by which the kernel detects a vanished peer."""
     tcp_socket.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
@@ -509,6 +519,9 @@
     if idle_timeout_s <= 0 or len(idle_connections) >= MAXIMUM_IDLE_CONNECTIONS:
         connection.abort("not kept")
         return
+    if sum(map(len, pool.idle.values())) >= pool.maximum_idle:
+        connection.abort("not kept: too many idle connections")
+        return
     parser.start_next_cycle()
     connection.idle = True
     connection.last_used_s = now
--- a/tests/transport/test_upstream_bounds.py
+++ b/tests/transport/test_upstream_bounds.py
@@ -1,5 +1,7 @@
 """What the answers of upstreams may make a process hold, all together."""
 
+import h11
+
 from bitternlever.transport import exchange, upstream_bounds
 
 CONNECTIONS = 400
@@ -22,13 +24,43 @@
         self.closed = True
 
 
-def connect(pool):
-    connection = exchange.Connection(pool, "upstream:80")
+def connect(pool, address="upstream:80"):
+    connection = exchange.Connection(pool, address)
     connection.connection_made(Transport())
     connection.idle = False
     return connection
 
 
+def answer(pool, connection):
+    """Let a connection carry one whole exchange and return it to its pool."""
+    connection.parser.send(
+        h11.Request(method="GET", target="/", headers=[("Host", "h")])
+    )
+    connection.parser.send(h11.EndOfMessage())
+    connection.parser.receive_data(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+    head = connection.parser.next_event()
+    connection.parser.next_event()
+    exchange.release(
+        pool,
+        connection.address,
+        connection,
+        exchange.Head(head.status_code, list(head.headers)),
+    )
+
+
+def test_idle_connections_to_many_upstreams_leave_descriptors_for_callers():
+    maximum = exchange.maximum_idle(1_638)
+    pool = exchange.Pool(clock=lambda: 0.0, maximum_idle=maximum)
+    connections = []
+    for number in range(100):
+        for _ in range(8):
+            connections.append(connect(pool, f"upstream-{number}:80"))
+            answer(pool, connections[-1])
+
+    kept = [connection for connection in connections if not connection.aborted]
+    assert len(kept) == maximum == 163
+
+
 def held_bytes(connections):
     return sum(len(connection.unread) for connection in connections)
 
