Record a catalog before a host that asks for it is answered

Found in reading the diff: a host may ask in the tick in which a version is committed, or in the first tick of a restarted control process, before that tick records the catalog. It got the version before, marked as the newest, or ended the process (StopIteration). Two tests, both failed before.

--- a/bitternlever/fleet/catalog_feed.py
+++ b/bitternlever/fleet/catalog_feed.py
@@ -101,7 +101,9 @@
     subscriber.pushed_version = catalog.version
     subscriber.pushed_s = now
     if subscriber.reads_changes:
-        message = catalog_history.change(tables.catalog_history, base_version)
+        history = tables.catalog_history
+        catalog_history.record(history, catalog.version, catalog.body)
+        message = catalog_history.change(history, base_version)
     else:
         message = fleet.CatalogPushed(version=catalog.version, body=catalog.body)
     outbox.send(frames.SendToPeer(subscriber.link, message, subscriber.link))
--- a/tests/fleet/test_catalog_feed.py
+++ b/tests/fleet/test_catalog_feed.py
@@ -74,6 +74,27 @@
     assert (message.base_version, len(message.change) < 200) == (1, True)
 
 
+def test_a_host_that_asks_before_the_first_tick_of_a_control_process_is_answered():
+    system = system_with(1, LARGE)
+    tables = system.nodes[system.leader()].tables
+    tables.catalog_history = catalog_history.History()
+
+    sent = sent_after(system, system.leader(), None, fleet.CatalogProgress(None, True))
+
+    assert [message.version for message in sent] == [1]
+
+
+def test_a_host_that_asks_in_the_tick_of_a_commit_gets_that_version():
+    system = system_with(1, LARGE)
+    asked = others(system)[0]
+    catalog = system.nodes[asked].tables.catalog
+    catalog.version, catalog.body = 2, LARGE + b"{}"
+
+    (message,) = sent_after(system, asked, 1, fleet.CatalogProgress(1, True))
+
+    assert (message.version, message.base_version) == (2, 1)
+
+
 def test_a_new_leader_sends_nothing_to_hosts_that_have_the_catalog():
     system = system_with(1, LARGE)
     old = system.leader()
