Serve by the catalog before one that a host cannot read

Found in reading the diff: since hosts refuse all requests while a newer catalog is overdue, one that a host of an older build cannot read would have stopped that host. Test: seen failing (503 for 404).

--- a/bitternlever/gateway/catalog_sync.py
+++ b/bitternlever/gateway/catalog_sync.py
@@ -177,6 +177,14 @@
     return current_s
 
 
+def give_up(sync: CatalogSync) -> None:
+    """Keep serving by the catalog in force: the one received cannot be read here.
+
+    Load: a catalog of a newer build, at hosts that are not upgraded yet.
+    """
+    sync.behind_since_s = None
+
+
 def _ask_at_s(sync: CatalogSync) -> float:
     if sync.asked_count:
         timeout_s = ANSWER_TIMEOUT_S * 2 ** (sync.asked_count - 1)
--- a/bitternlever/gateway/shell.py
+++ b/bitternlever/gateway/shell.py
@@ -267,6 +267,7 @@
         events.CATALOG_REFUSED.log(
             logger, version=received.version, reason=str(decoded.err())
         )
+        catalog_sync.give_up(received)
         return
     if sync.apply_catalog(gateway.tables, decoded.ok()):
         events.CATALOG_IN_FORCE.log(
--- a/tests/gateway/test_catalog_sync.py
+++ b/tests/gateway/test_catalog_sync.py
@@ -141,6 +141,20 @@
     assert catalog_sync.behind_s(state, 3.0) == 0.0
 
 
+async def test_a_host_that_cannot_read_a_catalog_serves_by_the_one_before():
+    async with entry_host.running(samples.catalog()) as (gateway, port):
+        now = clocks.boot_time()
+        received = gateway.tables.catalog_sync
+        catalog_sync.record_newest(received, now - 60.0, 9)
+        pushed = fleet.CatalogPushed(9, b'{"of": "a newer build"}')
+        gateway_shell._dispatch(gateway, "tcp://c:1", pushed)
+        await asyncio.sleep(0.05)
+        answer = await entry_host.call(port, entry_host.request(target="/none"))
+
+    assert catalog_sync.request(received, now, [source("a", version=9)]) is None
+    assert answer.status == 404
+
+
 async def test_changes_that_follow_each_other_do_not_make_a_catalog_look_old():
     async with entry_host.running(samples.catalog()) as (gateway, _):
         now = clocks.boot_time()
