--- a/bitternlever/gateway/shell.py
+++ b/bitternlever/gateway/shell.py
@@ -237,18 +237,17 @@
     now: float,
     message: fleet.CatalogPushed | fleet.CatalogChanged,
 ) -> None:
-    sync_state = gateway.tables.catalog_sync
+    """Take a catalog; put it in force unless another one was a moment ago."""
+    received = gateway.tables.catalog_sync
     if isinstance(message, fleet.CatalogPushed):
-        newer = catalog_sync.receive_whole(
-            sync_state, now, message.version, message.body
-        )
+        newer = catalog_sync.receive_whole(received, now, message.version, message.body)
     else:
-        received = catalog_sync.receive_change(sync_state, now, message)
-        if received.is_err():
+        outcome = catalog_sync.receive_change(received, now, message)
+        if outcome.is_err():
             events.CATALOG_CHANGE_UNUSABLE.log(
-                logger, version=message.version, reason=received.err()
+                logger, version=message.version, reason=outcome.err()
             )
-        newer = received.is_ok() and received.ok()
+        newer = outcome.is_ok() and outcome.ok()
     if newer and gateway.catalog_timer is None:
         gateway.catalog_timer = asyncio.get_running_loop().call_later(
             max(0.0, gateway.next_catalog_s - now), _apply_catalog, gateway
