--- a/tests/platform/test_closed_doors.py
+++ b/tests/platform/test_closed_doors.py
@@ -49,7 +49,7 @@
 
 
 async def test_a_host_without_descriptors_is_neither_ready_nor_named(tmp_path):
-    with fleet_processes.running(tmp_path, network=64) as fleet:
+    with fleet_processes.running(tmp_path, network=40) as fleet:
         put = fleet_processes.config(1)
         await fleet_processes.wait_until(
             lambda: (
--- a/tests/platform/test_late_catalogs.py
+++ b/tests/platform/test_late_catalogs.py
@@ -83,7 +83,7 @@
 
 
 async def test_large_catalogs_changed_in_a_row_are_in_force_in_time(tmp_path):
-    fleet = fleet_processes.create(tmp_path, network=61, relayed=True)
+    fleet = fleet_processes.create(tmp_path, network=38, relayed=True)
     relays = await start_relays(fleet)
     try:
         for name in (*CONTROLS, HOST):
--- a/tests/untrusted/test_upstream_crowds.py
+++ b/tests/untrusted/test_upstream_crowds.py
@@ -21,7 +21,7 @@
 SOUND_S = 0.05
 BODIES = ("chunked body", "tiny chunks", "unframed body", "long body")
 HOST = "entry-a"
-NETWORK = 62
+NETWORK = 39
 
 
 def config(version: int) -> bytes:
