--- a/tests/platform/test_signals.py
+++ b/tests/platform/test_signals.py
@@ -12,7 +12,7 @@
 from standins import fleet as fleet_processes
 from tests.gateway import entry_host
 
-NETWORK = 60
+NETWORK = 30
 SIGNAL_INTERVAL_S = 0.002
 PROGRAMS = ("entry-a", "control-a")
 STARTS = 3
