--- a/bitternlever/fleet/catalog_feed.py
+++ b/bitternlever/fleet/catalog_feed.py
@@ -17,7 +17,7 @@
 """Between copies to a host that cannot ask, in addition to the time to send one."""
 
 MINIMUM_LINK_BYTES_PER_S = 125_000
-"""Of what a host's link carries; the narrowest carries four times as much."""
+"""What a host's link carries at least, beside its other traffic."""
 
 
 def run(tables: fleet_tables.FleetTables, now: float, outbox: ticks.Outbox) -> None:
--- a/bitternlever/gateway/catalog_sync.py
+++ b/bitternlever/gateway/catalog_sync.py
@@ -13,7 +13,7 @@
 from bitternlever.catalog import changes
 from bitternlever.messages import fleet
 
-PATIENCE_S = 0.3
+PUSH_TIMEOUT_S = 0.3
 """The leader's own copy arrives within this time unless it was lost."""
 
 ANSWER_TIMEOUT_S = 1.0
@@ -191,7 +191,7 @@
         return sync.asked_s + min(MAXIMUM_TIMEOUT_S, timeout_s)
     if sync.missed or sync.lacking_since_s is None:
         return -math.inf
-    return sync.lacking_since_s + PATIENCE_S
+    return sync.lacking_since_s + PUSH_TIMEOUT_S
 
 
 def _reaches(version: int | None, other: int | None) -> bool:
--- a/tests/gateway/test_catalog_sync.py
+++ b/tests/gateway/test_catalog_sync.py
@@ -44,7 +44,7 @@
     catalog_sync.record_newest(state, 10.0, 8)
 
     assert catalog_sync.request(state, 10.1, [source("a")]) is None
-    late_s = 10.1 + catalog_sync.PATIENCE_S
+    late_s = 10.1 + catalog_sync.PUSH_TIMEOUT_S
     assert catalog_sync.request(state, late_s, [source("a")]) == "a"
 
 
