--- a/review/9/case.py
+++ b/review/9/case.py
@@ -63,7 +63,9 @@
         if left_s is None:
             return
         after_s = time.monotonic() - left_s
-        self.record(server, "is reached by", request, f"{after_s:.2f} s after the close")
+        self.record(
+            server, "is reached by", request, f"{after_s:.2f} s after the close"
+        )
         if after_s > LATE_S:
             self.late.setdefault(request, []).append((server, round(after_s, 2)))
 
@@ -79,8 +81,7 @@
         self.made = 0
 
     async def start(self):
-        server = await asyncio.start_server(self.serve, "127.0.0.1", 0, limit=2**20)
-        self.address = "127.0.0.1:%d" % server.sockets[0].getsockname()[1]
+        self.address = await deployment.listen(self.serve)
 
     async def serve(self, reader, writer):
         try:
@@ -148,8 +149,7 @@
         finally:
             writer.close()
 
-    server = await asyncio.start_server(serve, "127.0.0.1", 0, limit=2**20)
-    return "127.0.0.1:%d" % server.sockets[0].getsockname()[1]
+    return await deployment.listen(serve)
 
 
 async def ask(fleet, record, judge, number, leaves):
@@ -201,7 +201,6 @@
     fleet = deployment.Fleet(record, fronts=1)
     judge = Judge(record)
     try:
-        fleet.start_all()
         common = {
             "health_path": "/health",
             "max_conns": 360,
@@ -223,10 +222,7 @@
             {"name": STAGE, "pieces": pieces, **common},
             {"name": ENGINE, "engine": engine, **common},
         ]
-        config = deployment.config(1, [ROUTE], services)
-        if not await deployment.put_config(fleet, config):
-            raise deployment.CannotRun("no confirmation of the config")
-        await deployment.wait_ready(fleet)
+        await deployment.prepare(fleet, [ROUTE], services)
         for number in (1, 2):
             server = StageServer(record, judge, f"e-{number}")
             await server.start()
--- a/review/harness-2/fleet.py
+++ b/review/harness-2/fleet.py
@@ -1,4 +1,4 @@
-"""A small deployment for the review's scripts: real programs, loopback, platform settings.
+"""A small deployment for the review's scripts: the real programs on loopback.
 
 Only the standard library is used. The programs are started with the commands of
 ``deploy/system.toml``. The settings follow the sheet of Cantref Domains unless a script
@@ -54,7 +54,7 @@
 }
 
 
-class CannotRun(Exception):
+class CannotRunError(Exception):
     """The case could not be set up; this says nothing about the rule."""
 
 
@@ -63,12 +63,14 @@
 
     def __init__(self, path):
         self.started_s = time.monotonic()
-        self.file = open(path, "w", encoding="utf-8")
+        self.path = path
+        path.write_text("")
 
     def __call__(self, *words):
         now = time.monotonic() - self.started_s
-        self.file.write(f"{now:9.3f} " + " ".join(str(word) for word in words) + "\n")
-        self.file.flush()
+        line = f"{now:9.3f} " + " ".join(str(word) for word in words)
+        with self.path.open("a", encoding="utf-8") as file:
+            file.write(line + "\n")
 
     def say(self, *words):
         """Record a line and print it as well."""
@@ -113,14 +115,17 @@
     def _free_network(self):
         """Return the second byte of the addresses and the first port, both unused."""
         for _ in range(50):
-            network, port = random.randrange(60, 250), random.randrange(20000, 30000, 50)
+            network, port = (
+                random.randrange(60, 250),
+                random.randrange(20000, 30000, 50),
+            )
             ports = [port + offset for offset in range(30)] + list(METRICS_PORTS)
             ips = [f"127.{network}.1.{last}" for last in range(1, 40)]
             if all(_is_free(ip, each) for ip in ips[:1] for each in ports) and all(
                 _is_free(ip, METRICS_PORTS[0]) for ip in ips
             ):
                 return network, port
-        raise CannotRun("no free addresses")
+        raise CannotRunError("no free addresses")
 
     def ip(self, name):
         kind, _, number = name.partition("-")
@@ -359,6 +364,20 @@
     return False
 
 
+async def prepare(fleet, routes, services):
+    """Start a deployment with its first config and wait until its fronts are ready."""
+    fleet.start_all()
+    if not await put_config(fleet, config(1, routes, services)):
+        raise CannotRunError("no confirmation of the first config")
+    await wait_ready(fleet)
+
+
+async def listen(serve):
+    """Start a stand-in for a server on a free port and return its address."""
+    server = await asyncio.start_server(serve, "127.0.0.1", 0, limit=2**20, backlog=512)
+    return f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+
+
 async def wait_ready(fleet, names=None, within_s=25.0):
     """Wait until the fronts answer the readiness check."""
     until_s = time.monotonic() + within_s
@@ -368,7 +387,7 @@
             if answer.status == 200:
                 break
             if time.monotonic() > until_s:
-                raise CannotRun(f"{name} is not ready")
+                raise CannotRunError(f"{name} is not ready")
             await asyncio.sleep(0.1)
 
 
@@ -468,7 +487,7 @@
     record("trouble", int(trouble))
     try:
         broken = asyncio.run(case(record, trouble))
-    except CannotRun as error:
+    except CannotRunError as error:
         record.say("the case could not run:", error)
         sys.exit(2)
     except Exception as error:
