--- a/review/9/case.py
+++ b/review/9/case.py
@@ -24,9 +24,11 @@
 
 CHUNK_BYTES = 16_384
 LAST_CHUNK_AFTER_S = 0.02
-REQUESTS = 100
-PER_S = 12.0
+CALM_PER_S = 4.99
+BURST_FACTOR = 2.4
+BURST_S = 6.5
 LEAVE_SHARE = 0.3
+LEAVE_FOR_S = 4.0
 LEAVE_AFTER_S = 0.5
 """Half of the objective: ``give_up`` without another time."""
 
@@ -238,20 +240,20 @@
             fleet, "m-1", service=ENGINE, address=address, slot_count=64
         ).start()
         await asyncio.sleep(2.0)
+        per_s = CALM_PER_S * (BURST_FACTOR if trouble else 1.0)
+        count = int(per_s * BURST_S)
         leaving = set()
         if trouble:
-            count = int(LEAVE_SHARE * REQUESTS)
-            leaving = set(random.Random(1).sample(range(10, REQUESTS), count))
+            window = range(count - int(per_s * LEAVE_FOR_S), count)
+            draws = random.Random(1)
+            leaving = set(draws.sample(window, int(LEAVE_SHARE * len(window))))
         started_s = time.monotonic()
         asked = []
-        for number in range(REQUESTS):
-            due_s = started_s + number / PER_S
+        for number in range(count):
+            due_s = started_s + number / per_s
             await asyncio.sleep(max(0.0, due_s - time.monotonic()))
-            asked.append(
-                asyncio.ensure_future(
-                    ask(fleet, record, judge, number, number in leaving)
-                )
-            )
+            sending = ask(fleet, record, judge, number, number in leaving)
+            asked.append(asyncio.ensure_future(sending))
         outcomes = await asyncio.gather(*asked)
         await asyncio.sleep(4.0)
         record.say(
